--- /dev/null
+++ b/packages/callers/src/fireflypulley/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface that callers use."""
--- /dev/null
+++ b/packages/callers/src/fireflypulley/callers/events.py
@@ -0,0 +1,72 @@
+"""Server-sent events towards callers."""
+
+import json
+import typing
+
+EVENT_END = b"\n\n"
+DONE = b"data: [DONE]\n\n"
+_DATA = b"data: "
+
+
+def number(frames: list[bytes], first: int) -> bytes:
+    """Return events with ids that count from ``first``."""
+    return b"".join(
+        [
+            b"id: %d\n%s\n\n" % (first + index, frame)
+            for index, frame in enumerate(frames)
+        ]
+    )
+
+
+def after(transcript: bytes, last_event_id: int) -> bytes:
+    """Return the events that a caller with that id lacks."""
+    mark = b"id: %d\n" % (last_event_id + 1)
+    if transcript.startswith(mark):
+        return transcript
+    place = transcript.find(EVENT_END + mark)
+    return b"" if place < 0 else transcript[place + len(EVENT_END) :]
+
+
+def _chunks(transcript: bytes) -> list[dict[str, typing.Any]]:
+    found = []
+    for event in transcript.split(EVENT_END):
+        place = event.find(_DATA)
+        if place >= 0:
+            found.append(json.loads(event[place + len(_DATA) :]))
+    return found
+
+
+def _text(chunk: dict[str, typing.Any]) -> str:
+    choices = chunk.get("choices") or [{}]
+    delta = choices[0].get("delta") or {}
+    return str(delta.get("content") or choices[0].get("text") or "")
+
+
+def text_of(transcript: bytes) -> str:
+    """Return the text that the events carry."""
+    return "".join(_text(chunk) for chunk in _chunks(transcript))
+
+
+def completion(transcript: bytes) -> bytes:
+    """Return the events as one chat completion document."""
+    chunks = _chunks(transcript)
+    last = chunks[-1] if chunks else {}
+    choices = last.get("choices") or [{}]
+    message = {
+        "role": "assistant",
+        "content": "".join(_text(chunk) for chunk in chunks),
+    }
+    return json.dumps(
+        {
+            "id": last.get("id", ""),
+            "object": "chat.completion",
+            "choices": [
+                {
+                    "index": 0,
+                    "message": message,
+                    "finish_reason": choices[0].get("finish_reason"),
+                }
+            ],
+            "usage": last.get("usage"),
+        }
+    ).encode()
--- /dev/null
+++ b/packages/callers/src/fireflypulley/callers/sinks.py
@@ -0,0 +1,95 @@
+"""Answers written to twisted.web requests."""
+
+from twisted.web import http
+
+from fireflypulley.callers import events
+from fireflypulley.callers import gateway
+from fireflypulley.callers import problem_json
+from fireflypulley.core import ledger_rows
+from fireflypulley.core import problems
+
+
+class HttpSink(gateway.Sink):
+    """Gives whole answers; a model's events are joined at the end."""
+
+    def __init__(self, request: http.Request) -> None:
+        self._request = request
+        self._open = True
+
+    @property
+    def open(self) -> bool:
+        return self._open
+
+    def close(self) -> None:
+        """Write no more; the caller is gone."""
+        self._open = False
+
+    def events(self, data: bytes) -> None:
+        pass
+
+    def finish(self, transcript: bytes) -> None:
+        body = events.completion(transcript)
+        self._whole(200, "application/json", body)
+
+    def answer(self, answer: ledger_rows.StoredAnswer) -> None:
+        self._whole(answer.status, answer.content_type, answer.body)
+
+    def refuse(self, refusal: problems.Refusal) -> None:
+        if not self._open:
+            return
+        retry_after = problem_json.retry_after(refusal)
+        if retry_after is not None:
+            self._request.setHeader("Retry-After", retry_after)
+        if refusal.status == 401:
+            self._request.setHeader("WWW-Authenticate", "Bearer")
+        body = problem_json.encode(refusal)
+        self._whole(refusal.status, problem_json.CONTENT_TYPE, body)
+
+    def _whole(self, status: int, content_type: str, body: bytes) -> None:
+        if not self._open:
+            return
+        self._open = False
+        self._request.setResponseCode(status)
+        if content_type:
+            self._request.setHeader("Content-Type", content_type)
+        self._request.setHeader("Content-Length", str(len(body)))
+        self._request.write(body)
+        self._request.finish()
+
+
+class StreamSink(HttpSink):
+    """Streams a model's events as they come."""
+
+    _started = False
+
+    def _start(self) -> None:
+        if self._started:
+            return
+        self._started = True
+        self._request.setHeader("Content-Type", "text/event-stream")
+        self._request.setHeader("Cache-Control", "no-store")
+
+    def events(self, data: bytes) -> None:
+        if not self._open:
+            return
+        self._start()
+        self._request.write(data)
+
+    def finish(self, transcript: bytes) -> None:
+        if not self._open:
+            return
+        self._start()
+        self._open = False
+        self._request.write(events.DONE)
+        self._request.finish()
+
+    def refuse(self, refusal: problems.Refusal) -> None:
+        if not self._started:
+            super().refuse(refusal)
+            return
+        if not self._open:
+            return
+        self._open = False
+        body = problem_json.encode(refusal)
+        self._request.write(b"event: error\ndata: " + body + b"\n\n")
+        self._request.finish()
--- /dev/null
+++ b/packages/cli/src/fireflypulley/cli/client.py
@@ -0,0 +1,121 @@
+"""Requests to the operators' API of any node that answers."""
+
+import json
+import os
+import pathlib
+import typing
+import urllib.error
+import urllib.parse
+import urllib.request
+
+import pydantic
+import result
+
+from fireflypulley.core import findings
+from fireflypulley.core import inifile
+
+CONFIG_VARIABLE = "FIREFLYPULLEY_CONFIG"
+DEFAULT_CONFIG = pathlib.Path("fireflypulley.ini")
+TIMEOUT_S = 10.0
+Json = typing.Any
+
+
+class ClientSettings(pydantic.BaseModel):
+    """The ``[client]`` section: operators' URLs and a token's file."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    urls: str = pydantic.Field(min_length=1)
+    token_file: pathlib.Path
+
+
+class Failure(pydantic.BaseModel):
+    """An answer that is an error; ``status`` 0 means that none came."""
+
+    status: int
+    error: str
+    findings: list[str] | str = []
+    theirs: list[Json] = []
+
+
+Answer = result.Result[Json, Failure]
+
+
+def load_settings(path: pathlib.Path | None) -> ClientSettings:
+    """Return the client's settings; raises ``findings.InvalidInput``."""
+    if path is None:
+        path = pathlib.Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_CONFIG))
+    try:
+        ini = inifile.IniFile(path.read_text(), str(path))
+    except OSError as error:
+        one = findings.Finding(str(path), "client", "", 0, str(error))
+        raise findings.InvalidInput([one])
+    ini.reject_others({"client"})
+    sections = ini.of_kind("client")
+    options = sections[0].options if sections else {}
+    try:
+        settings = ClientSettings.model_validate(options)
+    except pydantic.ValidationError as error:
+        for problem in error.errors():
+            option = str(problem["loc"][0]) if problem["loc"] else ""
+            line = sections[0].lines.get(option, 0) if sections else 0
+            ini.add("client", option, problem["msg"], line)
+        raise findings.InvalidInput(ini.findings)
+    ini.raise_findings()
+    return settings
+
+
+class Client:
+    """Asks the nodes in turn until one answers."""
+
+    def __init__(self, settings: ClientSettings) -> None:
+        self._urls = settings.urls.replace(",", " ").split()
+        self._token = settings.token_file.read_text().split()[0]
+
+    def get(self, *parts: str) -> Answer:
+        """Return what a path holds."""
+        return self._ask("GET", parts, None)
+
+    def post(self, body: Json, *parts: str) -> Answer:
+        """Return the answer to a change."""
+        return self._ask("POST", parts, body)
+
+    def delete(self, *parts: str) -> Answer:
+        """Return the answer to a removal."""
+        return self._ask("DELETE", parts, None)
+
+    def _ask(self, method: str, parts: tuple[str, ...], body: Json) -> Answer:
+        quoted = "/".join(urllib.parse.quote(p, safe="") for p in parts)
+        last: Answer = result.Err(Failure(status=0, error="no URL"))
+        for url in self._urls:
+            last = self._ask_one(method, f"{url}/v1/{quoted}", body)
+            answered = last.is_ok() or last.unwrap_err().status
+            if answered or method != "GET":
+                return last
+        return last
+
+    def _ask_one(self, method: str, url: str, body: Json) -> Answer:
+        data = None if body is None else json.dumps(body).encode()
+        request = urllib.request.Request(url, data, method=method)
+        request.add_header("Authorization", f"Bearer {self._token}")
+        try:
+            with urllib.request.urlopen(request, timeout=TIMEOUT_S) as reply:
+                return result.Ok(json.load(reply))
+        except urllib.error.HTTPError as error:
+            return result.Err(_failure(error.code, error.read()))
+        except OSError as error:
+            problem = f"{url}: {error}"
+            return result.Err(Failure(status=0, error=problem))
+
+
+def _failure(status: int, body: bytes) -> Failure:
+    try:
+        return Failure.model_validate({"status": status} | json.loads(body))
+    except (ValueError, TypeError, pydantic.ValidationError):
+        text = body.decode(errors="replace")
+        return Failure(status=status, error=text)
+
+
+def connect(path: pathlib.Path | None) -> Client:
+    """Return a client; raises ``findings.InvalidInput``."""
+    return Client(load_settings(path))
--- /dev/null
+++ b/packages/cli/src/fireflypulley/cli/common.py
@@ -0,0 +1,86 @@
+"""The options that every command takes."""
+
+import dataclasses
+import pathlib
+import sys
+import time
+import typing
+
+import cappa
+
+from fireflypulley.cli import client
+from fireflypulley.cli import output
+from fireflypulley.core import findings
+
+WATCH_PERIOD_S = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class Command:
+    """Base of all commands that ask a node."""
+
+    config: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            long="--config",
+            help="INI file with [client]; else $FIREFLYPULLEY_CONFIG.",
+        ),
+    ] = None
+    json: typing.Annotated[
+        bool, cappa.Arg(long="--json", help="Print JSON.")
+    ] = False
+
+    @property
+    def printer(self) -> output.Printer:
+        """Return what prints the answers."""
+        return output.Printer(self.json)
+
+    def connect(self) -> client.Client:
+        """Return the client; exits when its settings are invalid."""
+        try:
+            return client.connect(self.config)
+        except (findings.InvalidInput, OSError) as error:
+            print(f"error: {error}", file=sys.stderr)
+            raise cappa.Exit(code=output.ExitCode.INVALID)
+
+    def __call__(self) -> None:
+        """Run the command and exit with its code."""
+        raise cappa.Exit(code=int(self.run()))
+
+    def run(self) -> output.ExitCode:
+        """Do what the command is for; return its exit code."""
+        raise NotImplementedError
+
+
+def watch(
+    ask: typing.Callable[[], client.Answer],
+    printer: output.Printer,
+    describe: typing.Callable[[client.Json], str],
+    verdict: typing.Callable[[client.Json], output.ExitCode | None],
+    timeout_s: float,
+) -> output.ExitCode:
+    """Print progress until there is a verdict; return it.
+
+    A node that does not answer for a while does not end the watch.
+    """
+    ends_s = time.monotonic() + timeout_s
+    last = ""
+    while True:
+        answer = ask()
+        if answer.is_ok():
+            body = answer.unwrap()
+            text = describe(body)
+            if text != last:
+                printer.line(text)
+                last = text
+            code = verdict(body)
+            if code is not None:
+                if printer.as_json:
+                    printer.show(body)
+                return code
+        elif answer.unwrap_err().status == 404:
+            return printer.fail(answer.unwrap_err())
+        if time.monotonic() >= ends_s:
+            printer.line(f"no verdict within {timeout_s} s")
+            return output.ExitCode.FAILED
+        time.sleep(WATCH_PERIOD_S)
--- /dev/null
+++ b/packages/cli/src/fireflypulley/cli/main.py
@@ -0,0 +1,31 @@
+"""The command ``fireflypulley``."""
+
+import dataclasses
+
+import cappa
+
+from fireflypulley.cli import configuring
+from fireflypulley.cli import operating
+
+
+@cappa.command(name="fireflypulley")
+@dataclasses.dataclass
+class Main:
+    """Operate fireflypulley."""
+
+    command: cappa.Subcommands[
+        configuring.Template
+        | configuring.Workspace
+        | operating.Rollout
+        | operating.Domain
+        | operating.Endpoint
+        | operating.Node
+        | operating.Request
+        | operating.Status
+        | configuring.Settings
+    ]
+
+
+def main() -> None:
+    """Run one command."""
+    cappa.invoke(Main)
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/actions.py
@@ -0,0 +1,150 @@
+"""What the core asks the daemon to do."""
+
+import dataclasses
+
+from fireflypulley.core import configuration
+from fireflypulley.core import facts
+from fireflypulley.core import ledger_rows
+from fireflypulley.core import problems
+
+
+class Action:
+    """Base of all actions."""
+
+    __slots__ = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAttempt(Action):
+    """Send a request to an endpoint.
+
+    ``resume_tokens`` counts the tokens that the caller already has;
+    ``kv_from`` names the endpoint whose KV cache may be imported.
+    """
+
+    request_id: str
+    attempt_id: str
+    endpoint_id: str
+    resume_tokens: int = 0
+    kv_from: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAttempt(Action):
+    """Stop an attempt; what it still sends is dropped."""
+
+    request_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish(Action):
+    """End the caller's answer: it is whole."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse(Action):
+    """Give the caller a refusal as the final answer."""
+
+    request_id: str
+    refusal: problems.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay(Action):
+    """Give the caller the answer that the ledger kept."""
+
+    request_id: str
+    answer: ledger_rows.StoredAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transact(Action):
+    """Write ledger rows in one transaction."""
+
+    operation_id: str
+    writes: tuple[ledger_rows.RowWrite, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRow(Action):
+    """Read one ledger row."""
+
+    row_key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskLease(Action):
+    """Take or renew a lease in the platform's table."""
+
+    name: str
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteEntry(Action):
+    """Replace a configuration row at the version it was read at."""
+
+    entry: configuration.Entry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread(Action):
+    """Send facts to the connected peers, except the one they came from."""
+
+    facts: tuple[facts.Fact, ...]
+    except_node: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskSlot(Action):
+    """Ask the owner of a cold endpoint's budget for one slot."""
+
+    owner_node: str
+    endpoint_id: str
+    hold_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantSlot(Action):
+    """Give a node one slot of a cold endpoint, or none."""
+
+    to_node: str
+    endpoint_id: str
+    granted: bool
+    expires_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReturnSlot(Action):
+    """Give a slot back; ``answered_well`` is None when it went unused."""
+
+    owner_node: str
+    endpoint_id: str
+    answered_well: bool | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectPeers(Action):
+    """Keep node streams to just these nodes."""
+
+    node_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropPeer(Action):
+    """Close the streams to a node whose heartbeats have stopped."""
+
+    node_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateChanged(Action):
+    """A change of state that is worth a log line."""
+
+    subject: str
+    name: str
+    state: str
+    detail: str = ""
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/admission.py
@@ -0,0 +1,167 @@
+"""Bounded queues with fair shares between workspaces.
+
+A request that cannot be answered before its deadline is refused when it
+arrives, and the refusal says when the queue will have drained.
+"""
+
+import collections
+import dataclasses
+import enum
+
+MAX_QUEUED_PER_WORKSPACE = 256
+RATE_WINDOW_S = 5.0
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 30.0
+
+
+class Lane(enum.IntEnum):
+    """Which of a workspace's requests go first.
+
+    Suspects of a crash wait in a lane of their own, so that the innocent
+    do not queue behind them.
+    """
+
+    INTERACTIVE = 0
+    BACKGROUND = 1
+    APART = 2
+
+
+class DrainRate:
+    """Requests dispatched a second, smoothed."""
+
+    def __init__(self) -> None:
+        self._rate_per_s = 0.0
+        self._count = 0
+        self._since_s: float | None = None
+
+    def count(self, now_s: float) -> None:
+        """Count one dispatch."""
+        if self._since_s is None:
+            self._since_s = now_s
+        self._count += 1
+        elapsed_s = now_s - self._since_s
+        if elapsed_s < RATE_WINDOW_S / 5:
+            return
+        rate = self._count / elapsed_s
+        weight = min(1.0, elapsed_s / RATE_WINDOW_S)
+        if self._rate_per_s == 0.0:
+            weight = 1.0
+        self._rate_per_s += weight * (rate - self._rate_per_s)
+        self._count = 0
+        self._since_s = now_s
+
+    @property
+    def per_s(self) -> float:
+        """Return the smoothed rate, 0 when nothing is known."""
+        return self._rate_per_s
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    request_id: str
+    deadline_s: float
+
+
+class FairQueue:
+    """The waiting requests of one service, by lane and workspace.
+
+    Start-time fair queueing: each workspace has a virtual start, which
+    every request taken moves on by the inverse of the weight.
+    """
+
+    def __init__(self) -> None:
+        self._queues: dict[tuple[Lane, str], collections.deque[_Waiting]]
+        self._queues = collections.defaultdict(collections.deque)
+        self._starts: dict[str, float] = {}
+        self._virtual = 0.0
+        self._size = 0
+        self.rate = DrainRate()
+
+    def __len__(self) -> int:
+        return self._size
+
+    def length_of(self, workspace: str) -> int:
+        """Return how many of a workspace's requests wait."""
+        return sum(
+            len(self._queues.get((lane, workspace), ())) for lane in Lane
+        )
+
+    def wait_s(self, workspace: str, weights: dict[str, float]) -> float:
+        """Return the time a new request of a workspace would wait.
+
+        ``weights`` gives the share of each workspace.  0 is returned
+        while no rate is known.
+        """
+        if self.rate.per_s <= 0.0:
+            return 0.0
+        active = {ws for (_, ws), queue in self._queues.items() if queue}
+        active.add(workspace)
+        total = sum(weights.get(ws, 1.0) for ws in active)
+        share = weights.get(workspace, 1.0) / total
+        return (self.length_of(workspace) + 1) / (self.rate.per_s * share)
+
+    def put(
+        self,
+        request_id: str,
+        workspace: str,
+        deadline_s: float,
+        lane: Lane,
+        first: bool = False,
+    ) -> None:
+        """Queue a request; ``first`` puts a repeated try before others."""
+        waiting = _Waiting(request_id, deadline_s)
+        queue = self._queues[(lane, workspace)]
+        if first:
+            queue.appendleft(waiting)
+        else:
+            queue.append(waiting)
+        self._size += 1
+        known = self._starts.get(workspace, 0.0)
+        self._starts[workspace] = max(known, self._virtual)
+
+    def order(self) -> list[str]:
+        """Return the heads of the workspaces, the next to go first."""
+        heads = [
+            (lane, self._starts[workspace], queue[0].request_id)
+            for (lane, workspace), queue in self._queues.items()
+            if queue
+        ]
+        return [request_id for _, _, request_id in sorted(heads)]
+
+    def take(
+        self, request_id: str, workspace: str, weight: float, now_s: float
+    ) -> None:
+        """Remove a request that is being dispatched."""
+        if not self.remove(request_id, workspace):
+            return
+        start = self._starts[workspace]
+        self._virtual = max(self._virtual, start)
+        self._starts[workspace] = start + 1.0 / weight
+        self.rate.count(now_s)
+
+    def remove(self, request_id: str, workspace: str) -> bool:
+        """Remove a request that no longer waits; return if it did."""
+        for lane in Lane:
+            queue = self._queues.get((lane, workspace))
+            if not queue:
+                continue
+            for waiting in queue:
+                if waiting.request_id == request_id:
+                    queue.remove(waiting)
+                    self._size -= 1
+                    return True
+        return False
+
+    def expired(self, now_s: float) -> list[str]:
+        """Return the waiting requests whose deadline has passed."""
+        return [
+            waiting.request_id
+            for queue in self._queues.values()
+            for waiting in queue
+            if waiting.deadline_s <= now_s
+        ]
+
+
+def retry_after_s(wait_s: float) -> float:
+    """Return when a refused caller should come back."""
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/dispatch.py
@@ -0,0 +1,196 @@
+"""Decides which endpoint, if any, may take a request now."""
+
+from fireflypulley.core import actions
+from fireflypulley.core import facts
+from fireflypulley.core import pool
+from fireflypulley.core import requests
+from fireflypulley.core import state
+from fireflypulley.core import warmup
+
+SLOT_ASK_PERIOD_S = 0.2
+
+
+class Dispatcher:
+    """Starts and ends attempts, and keeps the count at each endpoint."""
+
+    def __init__(self, node: state.NodeState) -> None:
+        self._node = node
+
+    def _allowed(
+        self, endpoint: pool.EndpointState, version: str, now_s: float
+    ) -> bool:
+        spec = endpoint.endpoint
+        if spec.version != version or endpoint.leaving:
+            return False
+        if spec.failure_domain in self._node.config.drained_domains:
+            return False
+        return endpoint.ejected_until_s <= now_s
+
+    def _has_room(self, endpoint: pool.EndpointState, now_s: float) -> bool:
+        if endpoint.busy_until_s > now_s:
+            return False
+        spec = endpoint.endpoint
+        if self._node.warmup.is_warm(spec.endpoint_id):
+            return endpoint.load < spec.capacity
+        own, reported = endpoint.own, endpoint.reported
+        room = self._node.warmup.room(spec.endpoint_id, own, reported, now_s)
+        return room > 0
+
+    def usable(
+        self, service: str, version: str, now_s: float
+    ) -> list[pool.EndpointState]:
+        """Return the endpoints that may get work, with room or not."""
+        return [
+            endpoint
+            for endpoint in self._node.pool.of_service(service)
+            if self._allowed(endpoint, version, now_s)
+        ]
+
+    def choose(
+        self, progress: requests.Progress, now_s: float
+    ) -> tuple[pool.EndpointState, facts.Arm | None] | None:
+        """Return an endpoint with room and the rollout arm it serves."""
+        request = progress.request
+        versions = self._node.rollouts.versions(
+            request.workspace, request.service, request.request_id, now_s
+        )
+        if progress.old_version_only and len(versions) > 1:
+            versions = versions[1:]
+        for version, arm in versions:
+            usable = self.usable(request.service, version, now_s)
+            fresh = [
+                endpoint
+                for endpoint in usable
+                if endpoint.endpoint.endpoint_id not in progress.avoid
+            ]
+            open_now = [
+                endpoint
+                for endpoint in fresh or usable
+                if self._has_room(endpoint, now_s)
+            ]
+            chosen = self._node.router.choose(
+                open_now, request.prefix, request.request_id
+            )
+            if chosen is not None:
+                return chosen, arm
+        return None
+
+    def has_hope(self, progress: requests.Progress, now_s: float) -> bool:
+        """Return whether any endpoint could take the request later."""
+        request = progress.request
+        versions = self._node.rollouts.versions(
+            request.workspace, request.service, request.request_id, now_s
+        )
+        wanted = {version for version, _ in versions}
+        drained = self._node.config.drained_domains
+        return any(
+            endpoint.endpoint.version in wanted
+            and not endpoint.leaving
+            and endpoint.endpoint.failure_domain not in drained
+            for endpoint in self._node.pool.of_service(request.service)
+        )
+
+    def begin(
+        self,
+        progress: requests.Progress,
+        endpoint: pool.EndpointState,
+        arm: facts.Arm | None,
+        now_s: float,
+        kv_from: str | None = None,
+    ) -> list[actions.Action]:
+        """Start an attempt; return what sends it."""
+        request = progress.request
+        endpoint_id = endpoint.endpoint.endpoint_id
+        attempt = requests.Attempt(
+            f"{request.request_id}.{progress.attempt_count + 1}",
+            endpoint_id,
+            arm,
+            now_s,
+        )
+        if self._node.quarantine.is_suspect(request.fingerprint, now_s):
+            attempt.isolated = True
+            self._node.quarantine.begin_apart(request.request_id, endpoint_id)
+        if self._node.warmup.take(endpoint_id):
+            name = warmup.lease_name(endpoint_id)
+            attempt.slot_owner = self._node.members.owner(name, now_s)
+        endpoint.own += 1
+        progress.begin(attempt)
+        self._node.counters.first_tries += progress.attempt_count == 1
+        return [
+            actions.SendAttempt(
+                request.request_id,
+                attempt.attempt_id,
+                endpoint_id,
+                progress.tokens,
+                kv_from,
+            )
+        ]
+
+    def end(
+        self, progress: requests.Progress, well: bool | None
+    ) -> list[actions.Action]:
+        """Give back what the running attempt held at its endpoint."""
+        attempt = progress.attempt
+        if attempt is None:
+            return []
+        progress.attempt = None
+        self._node.quarantine.end_apart(progress.request.request_id)
+        endpoint = self._node.pool.get(attempt.endpoint_id)
+        if endpoint is None:
+            return []
+        endpoint.own = max(0, endpoint.own - 1)
+        if attempt.slot_owner is not None:
+            return [
+                actions.ReturnSlot(
+                    attempt.slot_owner, attempt.endpoint_id, well
+                )
+            ]
+        if well is None:
+            return []
+        fact = self._node.warmup.answered(endpoint.endpoint, well)
+        return self.publish(fact)
+
+    def publish(self, fact: facts.Warmth | None) -> list[actions.Action]:
+        """Pass a change of warmth on to the other nodes."""
+        if fact is None:
+            return []
+        self._node.shared.merge(fact, 0.0)
+        name = "warm" if fact.warm else "cold"
+        return [
+            actions.Spread((fact,)),
+            actions.StateChanged("endpoint", fact.endpoint_id, name),
+        ]
+
+    def ask_slots(
+        self, progress: requests.Progress, now_s: float
+    ) -> list[actions.Action]:
+        """Ask the owners of cold endpoints for room for a request."""
+        request = progress.request
+        found: list[actions.Action] = []
+        versions = self._node.rollouts.versions(
+            request.workspace, request.service, request.request_id, now_s
+        )
+        for version, _ in versions:
+            for endpoint in self.usable(request.service, version, now_s):
+                found += self._ask_slot(endpoint, request, now_s)
+        return found
+
+    def _ask_slot(
+        self,
+        endpoint: pool.EndpointState,
+        request: requests.Request,
+        now_s: float,
+    ) -> list[actions.Action]:
+        endpoint_id = endpoint.endpoint.endpoint_id
+        cold = self._node.warmup.state(endpoint_id)
+        if cold.warm or cold.budget is not None:
+            return []
+        if now_s - cold.slot_asked_s < SLOT_ASK_PERIOD_S:
+            return []
+        name = warmup.lease_name(endpoint_id)
+        owner = self._node.members.owner(name, now_s)
+        if owner is None or owner == self._node.this.node_id:
+            return []
+        cold.slot_asked_s = now_s
+        hold_s = request.deadline_s - now_s
+        return [actions.AskSlot(owner, endpoint_id, hold_s)]
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/findings.py
@@ -0,0 +1,29 @@
+"""What is wrong with an input, with its place, reported all together."""
+
+import collections.abc
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """One fault of a file; ``line`` is 0 where no line can be named."""
+
+    file: str
+    section: str
+    option: str
+    line: int
+    problem: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}: [{self.section}]"
+        if self.option:
+            place += f" {self.option}"
+        return f"{place}: {self.problem}"
+
+
+class InvalidInput(ValueError):
+    """An input with findings; ``findings`` holds all of them."""
+
+    def __init__(self, findings: collections.abc.Sequence[Finding]) -> None:
+        super().__init__("\n".join(str(one) for one in findings))
+        self.findings = tuple(findings)
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/membership.py
@@ -0,0 +1,143 @@
+"""Which nodes are alive, and to which of them streams are kept.
+
+The platform's list says who exists, streams say who answers.  Only what
+departs from the list is passed on, so an ordinary day costs nothing.
+"""
+
+import dataclasses
+
+from fireflypulley.core import facts
+from fireflypulley.core import ownership
+from fireflypulley.core import topology
+
+PEERS = 4
+HEARTBEAT_TIMEOUT_S = 3.0
+DOWN_KEPT_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    incarnation: int
+    heard_s: float
+
+
+class Membership:
+    """The nodes, as this one sees them."""
+
+    def __init__(
+        self,
+        this: topology.Node,
+        incarnation: int,
+        shared: facts.SharedState,
+    ) -> None:
+        self._this = this
+        self._incarnation = incarnation
+        self._shared = shared
+        self._listed: dict[str, topology.Node] = {this.node_id: this}
+        self._peers: dict[str, _Peer] = {}
+
+    def listed(self, nodes: tuple[topology.Node, ...]) -> None:
+        """Take in the platform's list, which may lag."""
+        self._listed = {node.node_id: node for node in nodes}
+        self._listed[self._this.node_id] = self._this
+
+    @property
+    def known(self) -> list[str]:
+        """Return all listed nodes."""
+        return sorted(self._listed)
+
+    def node(self, node_id: str) -> topology.Node | None:
+        """Return a node of the list."""
+        return self._listed.get(node_id)
+
+    def is_down(self, node_id: str, now_s: float) -> bool:
+        """Return whether a peer has found a node dead."""
+        if node_id in self._peers or node_id == self._this.node_id:
+            return False
+        fact = self._shared.get("node", node_id)
+        if not isinstance(fact, facts.NodeDown):
+            return False
+        return fact.down and fact.until_s > now_s
+
+    def alive(self, now_s: float) -> list[str]:
+        """Return the nodes that take work, this one included."""
+        return sorted(
+            node_id
+            for node_id, node in self._listed.items()
+            if not node.leaving and not self.is_down(node_id, now_s)
+        )
+
+    def owner(self, key: str, now_s: float) -> str | None:
+        """Return the living node that owns a key."""
+        return ownership.owner(key, self.alive(now_s))
+
+    def owns(self, key: str, now_s: float) -> bool:
+        """Return whether this node owns a key."""
+        return self.owner(key, now_s) == self._this.node_id
+
+    def wanted_peers(self, now_s: float) -> tuple[str, ...]:
+        """Return the nodes to dial.
+
+        Each node dials few others, some of them in other failure
+        domains; with the streams it accepts the graph stays connected.
+        """
+        others = [n for n in self.alive(now_s) if n != self._this.node_id]
+        ranked = ownership.ranking(self._this.node_id, others)
+        near = [n for n in ranked if self._is_near(n)]
+        far = [n for n in ranked if not self._is_near(n)]
+        chosen = far[: PEERS // 2] + near[: PEERS - PEERS // 2]
+        rest = [n for n in ranked if n not in chosen]
+        return tuple(chosen + rest[: PEERS - len(chosen)])
+
+    def _is_near(self, node_id: str) -> bool:
+        domain = self._listed[node_id].failure_domain
+        return domain == self._this.failure_domain
+
+    @property
+    def connected(self) -> tuple[str, ...]:
+        """Return the nodes with a live stream."""
+        return tuple(self._peers)
+
+    def connect(
+        self, node_id: str, incarnation: int, now_s: float
+    ) -> facts.NodeDown | None:
+        """Record a stream; return the fact if the node was held dead."""
+        held_down = self.is_down(node_id, now_s)
+        self._peers[node_id] = _Peer(incarnation, now_s)
+        if not held_down:
+            return None
+        return facts.NodeDown(node_id, incarnation, False, now_s + DOWN_KEPT_S)
+
+    def heard(self, node_id: str, now_s: float) -> None:
+        """Record a heartbeat."""
+        peer = self._peers.get(node_id)
+        if peer is not None:
+            peer.heard_s = now_s
+
+    def lost(self, node_id: str, now_s: float) -> facts.NodeDown | None:
+        """Record that a stream is gone; return the fact to pass on."""
+        peer = self._peers.pop(node_id, None)
+        if peer is None:
+            return None
+        return facts.NodeDown(
+            node_id, peer.incarnation, True, now_s + DOWN_KEPT_S
+        )
+
+    def silent(self, now_s: float) -> list[str]:
+        """Return the peers whose heartbeats have stopped."""
+        return [
+            node_id
+            for node_id, peer in self._peers.items()
+            if now_s - peer.heard_s > HEARTBEAT_TIMEOUT_S
+        ]
+
+    def refute(self, fact: facts.NodeDown) -> facts.NodeDown | None:
+        """Return the fact that this node lives, if told otherwise."""
+        if fact.node_id != self._this.node_id or not fact.down:
+            return None
+        if fact.incarnation < self._incarnation:
+            return None
+        self._incarnation = fact.incarnation + 1
+        return dataclasses.replace(
+            fact, incarnation=self._incarnation, down=False
+        )
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/pool.py
@@ -0,0 +1,179 @@
+"""The endpoints a node follows, with what it knows of their load."""
+
+import collections.abc
+import dataclasses
+
+from fireflypulley.core import topology
+
+EJECT_AFTER_FAILURES = 3
+EJECT_S = 5.0
+MAX_EJECTED_FRACTION = 0.34
+BUSY_BACKOFF_S = 0.1
+LATENCY_WEIGHT = 0.1
+COLD_LATENCY_FACTOR = 6.0
+COLD_SLOW_ANSWERS = 3
+MISSING_LISTS_BEFORE_GONE = 3
+UNSTATED_NOTICE_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointState:
+    """One endpoint, its load and its health as seen from this node."""
+
+    endpoint: topology.Endpoint
+    own: int = 0
+    report: topology.LoadReport | None = None
+    own_at_report: int = 0
+    failures: int = 0
+    ejected_until_s: float = 0.0
+    busy_until_s: float = 0.0
+    leaves_at_s: float | None = None
+    leaving_seen_s: float = 0.0
+    first_token_s: float | None = None
+    slow_in_a_row: int = 0
+    missing_lists: int = 0
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether the endpoint must get no new work."""
+        return self.leaves_at_s is not None
+
+    @property
+    def reported(self) -> int:
+        """Return the requests that the endpoint last reported."""
+        if self.report is None:
+            return 0
+        return self.report.running + self.report.waiting
+
+    @property
+    def load(self) -> int:
+        """Return the requests in progress, from all nodes, as estimated."""
+        others = max(0, self.reported - self.own_at_report)
+        return self.own + others
+
+    @property
+    def relative_load(self) -> float:
+        """Return the load as a share of what the endpoint bears."""
+        return self.load / self.endpoint.capacity
+
+    def take_report(self, report: topology.LoadReport) -> bool:
+        """Store a report; return whether it shows a new process."""
+        old = self.report
+        self.report = report
+        self.own_at_report = self.own
+        if old is None:
+            return False
+        restarted = report.started_s > old.started_s
+        return restarted or report.answered_total < old.answered_total
+
+    def note_answer(self, first_token_s: float, slow_after_s: float) -> bool:
+        """Count an answer; return whether it looks like a cold start."""
+        self.failures = 0
+        usual_s = self.first_token_s
+        if usual_s is None:
+            self.first_token_s = first_token_s
+            return False
+        bound_s = max(usual_s * COLD_LATENCY_FACTOR, slow_after_s)
+        if first_token_s > bound_s:
+            self.slow_in_a_row += 1
+            return self.slow_in_a_row >= COLD_SLOW_ANSWERS
+        self.slow_in_a_row = 0
+        change_s = LATENCY_WEIGHT * (first_token_s - usual_s)
+        self.first_token_s = usual_s + change_s
+        return False
+
+    def reset_latency(self) -> None:
+        """Forget the usual latency, as after a cold start."""
+        self.first_token_s = None
+        self.slow_in_a_row = 0
+
+
+class Pool:
+    """The endpoints by id."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, EndpointState] = {}
+        self._services: dict[str, dict[str, EndpointState]] = {}
+
+    def __iter__(self) -> collections.abc.Iterator[EndpointState]:
+        return iter(self._states.values())
+
+    def get(self, endpoint_id: str) -> EndpointState | None:
+        """Return an endpoint's state."""
+        return self._states.get(endpoint_id)
+
+    def of_service(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of a service."""
+        return list(self._services.get(service, {}).values())
+
+    def update(
+        self, endpoints: tuple[topology.Endpoint, ...], now_s: float
+    ) -> list[EndpointState]:
+        """Take in a list; return the endpoints that are gone.
+
+        The list lags, so an endpoint with work in progress or missing
+        from only a list or two is kept.
+        """
+        listed = {endpoint.endpoint_id for endpoint in endpoints}
+        for endpoint in endpoints:
+            self._put(endpoint, now_s)
+        gone = []
+        for state in list(self):
+            if state.endpoint.endpoint_id in listed:
+                continue
+            state.missing_lists += 1
+            if state.missing_lists < MISSING_LISTS_BEFORE_GONE or state.own:
+                continue
+            self._drop(state)
+            gone.append(state)
+        return gone
+
+    def _put(self, endpoint: topology.Endpoint, now_s: float) -> None:
+        state = self._states.get(endpoint.endpoint_id)
+        if state is not None and state.endpoint.service != endpoint.service:
+            self._drop(state)
+            state = None
+        if state is None:
+            state = EndpointState(endpoint)
+            self._states[endpoint.endpoint_id] = state
+            peers = self._services.setdefault(endpoint.service, {})
+            peers[endpoint.endpoint_id] = state
+        state.endpoint = endpoint
+        state.missing_lists = 0
+        if endpoint.leaving:
+            leaves_at_s = endpoint.leaves_at_s
+            self.mark_leaving(endpoint.endpoint_id, leaves_at_s, now_s)
+
+    def _drop(self, state: EndpointState) -> None:
+        endpoint = state.endpoint
+        del self._states[endpoint.endpoint_id]
+        del self._services[endpoint.service][endpoint.endpoint_id]
+
+    def mark_leaving(
+        self, endpoint_id: str, leaves_at_s: float | None, now_s: float
+    ) -> bool:
+        """Give an endpoint no new work; return whether that is news."""
+        state = self._states.get(endpoint_id)
+        if state is None or state.leaving:
+            return False
+        if leaves_at_s is None:
+            leaves_at_s = now_s + UNSTATED_NOTICE_S
+        state.leaves_at_s = leaves_at_s
+        state.leaving_seen_s = now_s
+        return True
+
+    def note_failure(self, state: EndpointState, now_s: float) -> bool:
+        """Count a failed attempt; return whether it ejects the endpoint.
+
+        Most of a service always stays in use, however bad it looks.
+        """
+        state.failures += 1
+        if state.failures < EJECT_AFTER_FAILURES:
+            return False
+        peers = self.of_service(state.endpoint.service)
+        ejected = sum(1 for p in peers if p.ejected_until_s > now_s)
+        if ejected + 1 > MAX_EJECTED_FRACTION * len(peers):
+            return False
+        state.failures = 0
+        state.ejected_until_s = now_s + EJECT_S
+        return True
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/requests.py
@@ -0,0 +1,133 @@
+"""The life of one request and of its attempts.
+
+What a refusal may say about execution follows from the states here: a
+request that no attempt has sent a byte of has not run.
+"""
+
+import dataclasses
+import enum
+
+from fireflypulley.core import facts
+from fireflypulley.core import problems
+from fireflypulley.core import topology
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What the core knows of a request; the body stays outside.
+
+    ``deadline_s`` is a Unix time.  ``fingerprint`` is equal for equal
+    requests; ``prefix`` is equal for prompts that share their start.
+    """
+
+    request_id: str
+    workspace: str
+    route: str
+    service: str
+    kind: topology.ServiceKind
+    deadline_s: float
+    fingerprint: str
+    prefix: str = ""
+    at_most_once: bool = False
+    idempotency_key: str = ""
+    background: bool = False
+
+
+class Phase(enum.StrEnum):
+    """Where a request stands."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    DISPATCHED = "dispatched"
+    SENT = "sent"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+class Outcome(enum.StrEnum):
+    """How an attempt ended."""
+
+    COMPLETE = "complete"
+    UNREACHABLE = "unreachable"
+    BUSY = "busy"
+    SERVER_ERROR = "server-error"
+    CUT = "cut"
+    GARBAGE = "garbage"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+
+
+RETRY_REASONS = {
+    Outcome.UNREACHABLE: problems.RetryReason.UNREACHABLE,
+    Outcome.BUSY: problems.RetryReason.BUSY,
+    Outcome.SERVER_ERROR: problems.RetryReason.SERVER_ERROR,
+    Outcome.CUT: problems.RetryReason.CUT,
+    Outcome.GARBAGE: problems.RetryReason.GARBAGE,
+    Outcome.TIMEOUT: problems.RetryReason.TIMEOUT,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One try of a request at one endpoint."""
+
+    attempt_id: str
+    endpoint_id: str
+    arm: facts.Arm | None
+    started_s: float
+    sent_s: float | None = None
+    first_token_s: float | None = None
+    isolated: bool = False
+    slot_owner: str | None = None
+    observed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """A request with its attempts so far."""
+
+    request: Request
+    arrived_s: float
+    phase: Phase = Phase.QUEUED
+    attempt: Attempt | None = None
+    attempt_count: int = 0
+    ever_sent: bool = False
+    claimed_s: float | None = None
+    claim_asked: bool = False
+    tokens: int = 0
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    old_version_only: bool = False
+
+    def begin(self, attempt: Attempt) -> None:
+        """Enter a new attempt."""
+        self.attempt = attempt
+        self.attempt_count += 1
+        self.phase = Phase.DISPATCHED
+
+    def is_current(self, attempt_id: str) -> bool:
+        """Return whether an event belongs to the running attempt."""
+        return (
+            self.attempt is not None and self.attempt.attempt_id == attempt_id
+        )
+
+    def mark_sent(self, now_s: float) -> None:
+        """Record that bytes of the request have left the node."""
+        self.ever_sent = True
+        self.phase = Phase.SENT
+        if self.attempt is not None and self.attempt.sent_s is None:
+            self.attempt.sent_s = now_s
+
+    def mark_streaming(self, now_s: float) -> None:
+        """Record the first token of the running attempt."""
+        self.phase = Phase.STREAMING
+        if self.attempt is not None and self.attempt.first_token_s is None:
+            self.attempt.first_token_s = now_s
+
+    @property
+    def run(self) -> problems.Run:
+        """Return what a refusal may truthfully say now."""
+        if not self.ever_sent:
+            return problems.Run.NOT_RUN
+        if self.request.at_most_once:
+            return problems.Run.UNKNOWN
+        return problems.Run.FAILED
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/rollouts.py
@@ -0,0 +1,277 @@
+"""Moves traffic to a new version in steps, or takes the move back.
+
+Every node routes by the share in force, counts what it sees and passes
+its totals on.  Any node that finds the pooled evidence bad stops sending
+at once; the owner alone takes steps, and the table holds the verdict.
+"""
+
+import collections
+import dataclasses
+
+from fireflypulley.core import configuration
+from fireflypulley.core import facts
+from fireflypulley.core import ownership
+from fireflypulley.core import sequential
+
+SHARES = (0.05, 0.2, 0.5, 1.0)
+MIN_ANSWERS_PER_STEP = 20
+EVIDENCE_PERIOD_S = 0.5
+DEADLINE_MARGIN_S = 2.0
+FACT_KEPT_S = 86_400.0
+_RUNNING = configuration.RolloutState.RUNNING
+_DONE = configuration.RolloutState.DONE
+_UNDONE = configuration.RolloutState.UNDONE
+
+
+@dataclasses.dataclass(slots=True)
+class _Tally:
+    served: int = 0
+    failed: int = 0
+    slow: int = 0
+
+    def add(self, served: int, failed: int, slow: int) -> None:
+        self.served += served
+        self.failed += failed
+        self.slow += slow
+
+
+_Counts = dict[tuple[str, facts.Arm], _Tally]
+
+
+def _tallies() -> _Counts:
+    return collections.defaultdict(_Tally)
+
+
+@dataclasses.dataclass(slots=True)
+class _Watch:
+    counts: _Counts = dataclasses.field(default_factory=_tallies)
+    sequence: int = 0
+    changed: bool = False
+    sent_s: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """What the evidence on one rollout says."""
+
+    bad: bool
+    good: bool
+    answers: int
+    route: str = ""
+    reason: str = ""
+
+
+class Rollouts:
+    """The rollouts in force, with the evidence on each."""
+
+    def __init__(
+        self,
+        node_id: str,
+        config: configuration.Configuration,
+        shared: facts.SharedState,
+    ) -> None:
+        self._node_id = node_id
+        self._config = config
+        self._shared = shared
+        self._watches: dict[str, _Watch] = {}
+
+    def tripped(self, rollout: configuration.Rollout) -> bool:
+        """Return whether some node has found the new version bad."""
+        return self._shared.get("trip", rollout.rollout_id) is not None
+
+    def share(self, rollout: configuration.Rollout, now_s: float) -> float:
+        """Return the new version's share of requests now."""
+        if rollout.state is _DONE:
+            return 1.0
+        if rollout.state is _UNDONE or self.tripped(rollout):
+            return 0.0
+        if now_s > rollout.deadline_s:
+            return 0.0
+        return SHARES[min(rollout.step, len(SHARES) - 1)]
+
+    def versions(
+        self, workspace: str, service: str, request_id: str, now_s: float
+    ) -> list[tuple[str, facts.Arm | None]]:
+        """Return the versions a request may go to, the first preferred."""
+        rollout = self._config.rollout(workspace, service)
+        if rollout is None:
+            found = self._config.workspace(workspace)
+            target = found.service(service) if found else None
+            return [(target.version, None)] if target else []
+        if rollout.state is _DONE:
+            return [(rollout.to_version, None)]
+        if rollout.state is _UNDONE:
+            return [(rollout.from_version, None)]
+        old = (rollout.from_version, facts.Arm.OLD)
+        new = (rollout.to_version, facts.Arm.NEW)
+        share = self.share(rollout, now_s)
+        if ownership.fraction(request_id) >= share:
+            return [old]
+        return [new, old]
+
+    def observe(
+        self,
+        workspace: str,
+        service: str,
+        route: str,
+        arm: facts.Arm,
+        failed: bool,
+        slow: bool,
+    ) -> None:
+        """Count one attempt's end on one arm."""
+        rollout = self._config.rollout(workspace, service)
+        if rollout is None or rollout.ended:
+            return
+        watch = self._watches.setdefault(rollout.rollout_id, _Watch())
+        watch.counts[(route, arm)].add(1, failed, slow)
+        watch.changed = True
+
+    def evidence(self, now_s: float) -> list[facts.Evidence]:
+        """Return this node's totals that the others do not know yet."""
+        found = []
+        for rollout_id, watch in self._watches.items():
+            if not watch.changed:
+                continue
+            if now_s - watch.sent_s < EVIDENCE_PERIOD_S:
+                continue
+            watch.changed = False
+            watch.sent_s = now_s
+            watch.sequence += 1
+            found.append(self._fact(rollout_id, watch, now_s))
+        return found
+
+    def _fact(
+        self, rollout_id: str, watch: _Watch, now_s: float
+    ) -> facts.Evidence:
+        counts = tuple(
+            facts.ArmCount(route, arm, t.served, t.failed, t.slow)
+            for (route, arm), t in sorted(watch.counts.items())
+        )
+        return facts.Evidence(
+            rollout_id,
+            self._node_id,
+            watch.sequence,
+            counts,
+            now_s + FACT_KEPT_S,
+        )
+
+    def _pooled(self, rollout_id: str) -> _Counts:
+        pooled = _tallies()
+        watch = self._watches.get(rollout_id)
+        if watch is not None:
+            for key, tally in watch.counts.items():
+                pooled[key].add(tally.served, tally.failed, tally.slow)
+        for fact in self._shared.of_kind("evidence", rollout_id):
+            if not isinstance(fact, facts.Evidence):
+                continue
+            if fact.node_id == self._node_id:
+                continue
+            for count in fact.counts:
+                pooled[(count.route, count.arm)].add(
+                    count.served, count.failed, count.slow
+                )
+        return pooled
+
+    def finding(self, rollout: configuration.Rollout) -> Finding:
+        """Return what the pooled evidence says of the new version."""
+        pooled = self._pooled(rollout.rollout_id)
+        answers = 0
+        good = True
+        for (route, arm), new in pooled.items():
+            if arm is not facts.Arm.NEW:
+                continue
+            answers += new.served
+            old = pooled.get((route, facts.Arm.OLD), _Tally())
+            for reason, bad, base_bad in (
+                ("failures", new.failed, old.failed),
+                ("slow answers", new.slow, old.slow),
+            ):
+                base = sequential.base_rate(base_bad, old.served)
+                ratio = sequential.log_ratio(bad, new.served, base)
+                if ratio >= sequential.BAD_LOG_RATIO:
+                    return Finding(True, False, answers, route, reason)
+                good = good and ratio < 0.0
+        return Finding(False, good and answers > 0, answers)
+
+    def trips(self, now_s: float) -> list[facts.Trip]:
+        """Return a trip for every rollout newly found bad."""
+        found = []
+        for rollout in self.running():
+            if self.tripped(rollout):
+                continue
+            finding = self.finding(rollout)
+            if finding.bad:
+                found.append(
+                    facts.Trip(
+                        rollout.rollout_id,
+                        finding.route,
+                        finding.reason,
+                        now_s + FACT_KEPT_S,
+                    )
+                )
+        return found
+
+    def running(self) -> list[configuration.Rollout]:
+        """Return the rollouts without a verdict."""
+        return [r for r in self._config.rollouts() if not r.ended]
+
+    def verdicts(self, now_s: float) -> list[configuration.Rollout]:
+        """Return the rollouts whose bad end should be written now.
+
+        Any node may write these: a trip, or a deadline that has passed.
+        """
+        found = []
+        for rollout in self.running():
+            trip = self._shared.get("trip", rollout.rollout_id)
+            if isinstance(trip, facts.Trip):
+                reason = f"{trip.reason} on route {trip.route}"
+                found.append(self._ended(rollout, _UNDONE, reason, now_s))
+            elif now_s > rollout.deadline_s + DEADLINE_MARGIN_S:
+                reason = "not complete by the deadline"
+                found.append(self._ended(rollout, _UNDONE, reason, now_s))
+        return found
+
+    def _ended(
+        self,
+        rollout: configuration.Rollout,
+        state: configuration.RolloutState,
+        reason: str,
+        now_s: float,
+    ) -> configuration.Rollout:
+        return dataclasses.replace(
+            rollout, state=state, reason=reason, step_since_s=now_s
+        )
+
+    def next_step(
+        self, rollout: configuration.Rollout, now_s: float
+    ) -> configuration.Rollout | None:
+        """Return the rollout one step on, or None while it must wait.
+
+        A step needs enough good answers; the schedule spreads the steps
+        over half of the time to the deadline.
+        """
+        if rollout.ended or self.tripped(rollout):
+            return None
+        if now_s >= rollout.deadline_s:
+            return None
+        finding = self.finding(rollout)
+        if not finding.good:
+            return None
+        if finding.answers < MIN_ANSWERS_PER_STEP * (rollout.step + 1):
+            return None
+        total_s = rollout.deadline_s - rollout.started_s
+        pace_s = total_s / (2.0 * len(SHARES))
+        if now_s - rollout.step_since_s < pace_s:
+            return None
+        if rollout.step >= len(SHARES) - 1:
+            return self._ended(rollout, _DONE, "complete", now_s)
+        return dataclasses.replace(
+            rollout, step=rollout.step + 1, step_since_s=now_s
+        )
+
+    def forget_ended(self) -> None:
+        """Drop the evidence on rollouts that have ended."""
+        running = {r.rollout_id for r in self.running()}
+        for rollout_id in list(self._watches):
+            if rollout_id not in running:
+                del self._watches[rollout_id]
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/sequential.py
@@ -0,0 +1,40 @@
+"""A sequential test between two rates, safe to look at at any time.
+
+Wald's probability ratio test: the chance that a service with the lower
+rate ever crosses the upper bound is at most ``1 / e**BAD_LOG_RATIO``.
+"""
+
+import math
+
+BAD_LOG_RATIO = math.log(10_000.0)
+GOOD_LOG_RATIO = -math.log(20.0)
+PRIOR_BAD = 1.0
+PRIOR_GOOD = 49.0
+RATE_FACTOR = 4.0
+RATE_MARGIN = 0.08
+MAX_BASE_RATE = 0.6
+MAX_BAD_RATE = 0.95
+
+
+def base_rate(bad: int, total: int) -> float:
+    """Return the smoothed rate of bad answers on the old version."""
+    rate = (bad + PRIOR_BAD) / (total + PRIOR_BAD + PRIOR_GOOD)
+    return min(MAX_BASE_RATE, rate + _spread(rate, total))
+
+
+def _spread(rate: float, total: int) -> float:
+    seen = total + PRIOR_BAD + PRIOR_GOOD
+    return math.sqrt(rate * (1.0 - rate) / seen)
+
+
+def log_ratio(bad: int, total: int, base: float) -> float:
+    """Return the evidence that the rate is bad rather than ``base``.
+
+    Above ``BAD_LOG_RATIO`` the version is bad; below ``GOOD_LOG_RATIO``
+    it is as good as the old one.
+    """
+    worse = min(MAX_BAD_RATE, max(base * RATE_FACTOR, base + RATE_MARGIN))
+    good = total - bad
+    return bad * math.log(worse / base) + good * math.log(
+        (1.0 - worse) / (1.0 - base)
+    )
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, sockets and timers around the core."""
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -0,0 +1,229 @@
+"""Builds a daemon from its settings and runs it to its end."""
+
+import time
+
+from twisted.internet import endpoints as twisted_endpoints
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from fireflypulley.callers import gateway
+from fireflypulley.callers import site
+from fireflypulley.core import events
+from fireflypulley.core import node
+from fireflypulley.core import topology
+from fireflypulley.daemon import clock
+from fireflypulley.daemon import control
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import fetches
+from fireflypulley.daemon import frontend
+from fireflypulley.daemon import keyed
+from fireflypulley.daemon import logs
+from fireflypulley.daemon import metrics
+from fireflypulley.daemon import peers
+from fireflypulley.daemon import platform_poll
+from fireflypulley.daemon import registry
+from fireflypulley.daemon import settings
+from fireflypulley.daemon import store
+from fireflypulley.daemon import tasks
+from fireflypulley.endpoints import clients
+from fireflypulley.nodes import hub
+from fireflypulley.nodes import keys
+from fireflypulley.operators import api
+from fireflypulley.platform import http_client
+from fireflypulley.platform import http_services
+
+TICK_S = 0.1
+STOP_CHECK_S = 0.05
+
+
+class App(gateway.Gateway):
+    """One daemon."""
+
+    def __init__(
+        self, reactor: interfaces.IReactorCore, config: settings.Settings
+    ) -> None:
+        self._reactor = reactor
+        self._config = config
+        this = topology.Node(
+            config.node.node_id,
+            config.node.advertise,
+            config.node.failure_domain,
+            config.node.region,
+        )
+        incarnation = time.time_ns() // 1_000_000
+        self._core = node.Node(this, incarnation)
+        self._loop = driver.Driver(self._core, clock.Clock(reactor))
+        self._metrics = metrics.Metrics()
+        self._clients = clients.Clients(reactor)
+        self._build_platform()
+        self._build_streams(this, incarnation)
+        self._build_serving()
+        self._ticking = task.LoopingCall(self._tick)
+        self._due_s: float | None = None
+        self._ports: list[interfaces.IListeningPort] = []
+        self._leaving = False
+
+    def _build_platform(self) -> None:
+        config = self._config.platform
+        token = config.token_file.read_text().strip()
+        self._http = http_client.HttpClient(self._reactor, config.url, token)
+        table = http_services.HttpTable(self._http)
+        self._store = store.Store(self._loop, table, self._config.node.node_id)
+        self._poller = platform_poll.Poller(
+            self._loop,
+            self._store,
+            http_services.HttpInstanceList(self._http),
+            self._clients,
+            config,
+            self.shut_down,
+        )
+
+    def _build_streams(self, this: topology.Node, incarnation: int) -> None:
+        self._peers = peers.Peers(self._loop)
+        self._hub = hub.Hub(
+            self._reactor,
+            this,
+            incarnation,
+            keys.KeyRing(self._config.node.key_file),
+            self._config.node.dial,
+            self._peers,
+            self._core.state.members.node,
+        )
+        self._registry = registry.Registry(
+            self._loop, self._config.limits.kept_answer_s
+        )
+        self._directory = keyed.KeyDirectory(
+            self._reactor,
+            this.node_id,
+            self._core.state.members,
+            self._hub,
+            self._loop.now_s,
+            lambda key: self._registry.by_key(key) is not None,
+        )
+        self._fetches = fetches.Fetches(self._hub)
+        self._peers.connect(
+            self._hub, self._directory, self._fetches, self._registry
+        )
+
+    def _build_serving(self) -> None:
+        tools = tasks.Tools(
+            self._loop.feed,
+            self._clients,
+            self._metrics,
+            self._loop.now_s,
+            self._address_of,
+        )
+        self._frontend = frontend.Frontend(
+            self._loop,
+            tools,
+            self._registry,
+            self._directory,
+            self._fetches,
+        )
+        self._control = control.NodeControl(
+            self._loop, self._store, self._config.node.operator_token_file
+        )
+
+    def _address_of(self, endpoint_id: str) -> str | None:
+        state = self._core.state.pool.get(endpoint_id)
+        return None if state is None else state.endpoint.address
+
+    # Life
+
+    async def start(self) -> None:
+        """Listen and begin to work."""
+        for description, factory in (
+            (self._config.node.streams, self._hub.server_factory()),
+            (self._config.node.operators, api.create(self._control)),
+            (self._config.node.callers, site.create(self)),
+        ):
+            endpoint = twisted_endpoints.serverFromString(
+                self._reactor, description
+            )
+            self._ports.append(await endpoint.listen(factory))
+        self._poller.start()
+        self._hub.start()
+        self._ticking.start(TICK_S)
+        logs.note("node", self._config.node.node_id, "started")
+
+    def _tick(self) -> None:
+        now_s = self._reactor.seconds()
+        if self._due_s is not None:
+            lag_s = max(0.0, now_s - self._due_s)
+            self._metrics.reactor_lag_s.observe({}, lag_s)
+        self._due_s = now_s + TICK_S
+        self._loop.feed(events.Tick())
+        self._registry.tick(now_s)
+        self._directory.expire()
+
+    def shut_down(self) -> None:
+        """Leave: answer what was accepted, then stop the reactor."""
+        if self._leaving:
+            return
+        self._leaving = True
+        limits = self._config.limits
+        leaves_at_s = self._loop.now_s() + limits.shutdown_grace_s
+        self._loop.feed(events.ShutdownStarted(leaves_at_s))
+        self._reactor.callLater(
+            limits.balancer_delay_s, self._stop_when_idle, leaves_at_s
+        )
+
+    def _stop_when_idle(self, leaves_at_s: float) -> None:
+        late = self._loop.now_s() >= leaves_at_s
+        idle = self._core.idle and not len(self._fetches)
+        if idle or late:
+            state = "stopped" if idle else "stopped-with-open-requests"
+            logs.note("node", self._config.node.node_id, state)
+            store.spawn(self._stop())
+            return
+        self._reactor.callLater(
+            STOP_CHECK_S, self._stop_when_idle, leaves_at_s
+        )
+
+    async def _stop(self) -> None:
+        self._poller.stop()
+        self._ticking.stop()
+        for port in self._ports:
+            await port.stopListening()
+        self._hub.stop()
+        await self._clients.close()
+        await self._http.close()
+        self._reactor.stop()
+
+    # gateway.Gateway
+
+    def submit(self, call: gateway.Call, sink: gateway.Sink) -> None:
+        self._frontend.submit(call, sink)
+
+    def caller_left(self, sink: gateway.Sink) -> None:
+        self._fetches.caller_left(sink)
+        self._registry.caller_left(sink)
+
+    def submit_job(self, call: gateway.Call, sink: gateway.Sink) -> None:
+        raise NotImplementedError
+
+    def job_status(
+        self, call: gateway.Call, job_id: str, sink: gateway.Sink
+    ) -> None:
+        raise NotImplementedError
+
+    def job_text(
+        self,
+        call: gateway.Call,
+        job_id: str,
+        offset: int,
+        sink: gateway.Sink,
+    ) -> None:
+        raise NotImplementedError
+
+    def cancel_job(
+        self, call: gateway.Call, job_id: str, sink: gateway.Sink
+    ) -> None:
+        raise NotImplementedError
+
+    def ready(self) -> bool:
+        return self._core.ready(self._loop.now_s())
+
+    def metrics(self) -> bytes:
+        self._metrics.collect(self._core, self._hub, self._loop.now_s())
+        return self._metrics.render()
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/control.py
@@ -0,0 +1,168 @@
+"""The operators' view of a node and the changes they make."""
+
+import hmac
+import pathlib
+
+from fireflypulley.core import configuration
+from fireflypulley.core import events
+from fireflypulley.core import pool
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import store
+from fireflypulley.operators import control
+from fireflypulley.platform import base
+
+
+class NodeControl(control.Control):
+    """Serves the operators' API from one node."""
+
+    def __init__(
+        self,
+        loop: driver.Driver,
+        rows: store.Store,
+        token_file: pathlib.Path,
+    ) -> None:
+        self._loop = loop
+        self._store = rows
+        self._token_file = token_file
+
+    def authorized(self, token: str) -> bool:
+        try:
+            lines = self._token_file.read_text().split()
+        except OSError:
+            return False
+        return any(
+            hmac.compare_digest(token.encode(), line.encode())
+            for line in lines
+        )
+
+    def config(self) -> configuration.Configuration:
+        return self._loop.core.state.config
+
+    async def refresh(self) -> None:
+        if not await self._store.poll():
+            raise control.StoreDown("the table does not answer")
+
+    async def write(
+        self, entries: tuple[configuration.Entry, ...]
+    ) -> tuple[configuration.Entry, ...]:
+        try:
+            written = await self._store.config.write(entries)
+        except base.Conflict as error:
+            await self.refresh()
+            raise control.Raced(self._theirs(entries, error.indexes))
+        except base.Unavailable as error:
+            raise control.StoreDown(f"outcome unknown: {error}")
+        for entry in written:
+            self._loop.feed(events.EntryWritten(entry))
+        return written
+
+    def _theirs(
+        self,
+        entries: tuple[configuration.Entry, ...],
+        indexes: tuple[int, ...],
+    ) -> tuple[configuration.Entry, ...]:
+        mine = [entries[index] for index in indexes]
+        found = [self.config().get(one.kind, one.name) for one in mine]
+        return tuple(one for one in found if one is not None)
+
+    def now_s(self) -> float:
+        return self._loop.now_s()
+
+    def status(self) -> control.StatusView:
+        core = self._loop.core
+        now_s = self._loop.now_s()
+        return control.StatusView(
+            node_id=core.state.this.node_id,
+            failure_domain=core.state.this.failure_domain,
+            ready=core.ready(now_s),
+            confirmed=core.confirmed(now_s),
+            config_total_version=core.state.config.total_version,
+            open_requests=len(core.serving),
+            peers=core.state.members.connected,
+        )
+
+    def endpoints(self) -> list[control.EndpointView]:
+        return [self._endpoint(one) for one in self._loop.core.state.pool]
+
+    def _endpoint(self, one: pool.EndpointState) -> control.EndpointView:
+        spec = one.endpoint
+        return control.EndpointView(
+            endpoint_id=spec.endpoint_id,
+            service=spec.service,
+            version=spec.version,
+            failure_domain=spec.failure_domain,
+            state=self._state_of(one),
+            own_requests=one.own,
+            estimated_load=one.load,
+            capacity=spec.capacity,
+        )
+
+    def _state_of(self, one: pool.EndpointState) -> str:
+        state = self._loop.core.state
+        spec = one.endpoint
+        if one.leaving:
+            return "leaving"
+        if spec.failure_domain in state.config.drained_domains:
+            return "drained"
+        if one.ejected_until_s > self._loop.now_s():
+            return "ejected"
+        warm = state.warmup.is_warm(spec.endpoint_id)
+        return "warm" if warm else "cold"
+
+    def nodes(self) -> list[control.NodeView]:
+        state = self._loop.core.state
+        now_s = self._loop.now_s()
+        found = []
+        for node_id in state.members.known:
+            node = state.members.node(node_id)
+            if node is None:
+                continue
+            name = "alive"
+            if state.members.is_down(node_id, now_s):
+                name = "down"
+            elif node.leaving:
+                name = "leaving"
+            found.append(
+                control.NodeView(
+                    node_id, node.address, node.failure_domain, name
+                )
+            )
+        return found
+
+    def request(self, request_id: str) -> control.RequestView | None:
+        progress = self._loop.core.serving.progress(request_id)
+        if progress is None:
+            return None
+        attempt = progress.attempt
+        return control.RequestView(
+            request_id=request_id,
+            workspace=progress.request.workspace,
+            service=progress.request.service,
+            phase=progress.phase.value,
+            attempts=progress.attempt_count,
+            endpoint_id=attempt.endpoint_id if attempt else "",
+            tokens=progress.tokens,
+        )
+
+    def domains(self) -> list[control.DomainView]:
+        state = self._loop.core.state
+        names = {one.endpoint.failure_domain for one in state.pool}
+        names |= {
+            entry.name
+            for entry in state.config.of_kind(configuration.EntryKind.DOMAIN)
+        }
+        return [self._domain(name) for name in sorted(names)]
+
+    def _domain(self, name: str) -> control.DomainView:
+        state = self._loop.core.state
+        entry = state.config.get(configuration.EntryKind.DOMAIN, name)
+        there = [
+            one for one in state.pool if one.endpoint.failure_domain == name
+        ]
+        return control.DomainView(
+            name=name,
+            drained=name in state.config.drained_domains,
+            version=0 if entry is None else entry.version,
+            endpoints=len(there),
+            own_requests=sum(one.own for one in there),
+        )
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/driver.py
@@ -0,0 +1,54 @@
+"""Feeds events to the core and carries out its actions."""
+
+import collections
+import collections.abc
+import typing
+
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.core import node
+from fireflypulley.daemon import clock
+from fireflypulley.daemon import logs
+
+_Handler = collections.abc.Callable[[typing.Any], None]
+
+
+class Driver:
+    """The loop around the core's door.
+
+    An action that at once brings about an event does not re-enter the
+    core; the event waits its turn.
+    """
+
+    def __init__(self, core: node.Node, time: clock.Clock) -> None:
+        self.core = core
+        self._time = time
+        self._waiting: collections.deque[events.Event] = collections.deque()
+        self._running = False
+        self._handlers: dict[type[actions.Action], _Handler] = {
+            actions.StateChanged: logs.state_changed,
+        }
+
+    def handle(self, kind: type[actions.Action], handler: _Handler) -> None:
+        """Name who carries out a kind of action."""
+        self._handlers[kind] = handler
+
+    def now_s(self) -> float:
+        """Return the Unix time."""
+        return self._time.now_s()
+
+    def feed(self, event: events.Event) -> None:
+        """Give an event to the core and do what it asks."""
+        self._waiting.append(event)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._waiting:
+                self._step(self._waiting.popleft())
+        finally:
+            self._running = False
+
+    def _step(self, event: events.Event) -> None:
+        for action in self.core.handle(event, self._time.now_s()):
+            self._handlers[type(action)](action)
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -0,0 +1,144 @@
+"""Answers that one node passes to a caller of another node."""
+
+import collections.abc
+import dataclasses
+
+from fireflypulley.callers import gateway
+from fireflypulley.core import ledger_rows
+from fireflypulley.core import problems
+from fireflypulley.daemon import tasks
+from fireflypulley.nodes import hub
+from fireflypulley.nodes import messages
+
+RETRY_AFTER_S = 1.0
+
+
+class RemoteSink(gateway.Sink):
+    """Sends an answer to the node whose caller asked for it."""
+
+    def __init__(self, streams: hub.Hub, node_id: str, fetch_id: int) -> None:
+        self._streams = streams
+        self._node_id = node_id
+        self._fetch_id = fetch_id
+        self._open = True
+
+    @property
+    def open(self) -> bool:
+        return self._open
+
+    def events(self, data: bytes) -> None:
+        self._streams.send(
+            self._node_id, messages.FetchData(self._fetch_id, data)
+        )
+
+    def _end(
+        self,
+        refusal: problems.Refusal | None = None,
+        answer: ledger_rows.StoredAnswer | None = None,
+    ) -> None:
+        self._open = False
+        end = messages.FetchEnd(self._fetch_id, True, refusal, answer)
+        self._streams.send(self._node_id, end)
+
+    def finish(self, transcript: bytes) -> None:
+        self._end()
+
+    def answer(self, answer: ledger_rows.StoredAnswer) -> None:
+        self._end(answer=answer)
+
+    def refuse(self, refusal: problems.Refusal) -> None:
+        self._end(refusal=refusal)
+
+
+@dataclasses.dataclass(slots=True)
+class _Fetch:
+    key: str
+    node_id: str
+    sink: gateway.Sink
+    not_found: collections.abc.Callable[[], None]
+    transcript: bytearray
+
+
+class Fetches:
+    """The answers being fetched from and for other nodes."""
+
+    def __init__(self, streams: hub.Hub) -> None:
+        self._streams = streams
+        self._fetches: dict[int, _Fetch] = {}
+        self._asked = 0
+
+    def __len__(self) -> int:
+        return len(self._fetches)
+
+    def begin(
+        self,
+        key: str,
+        node_id: str,
+        last_event_id: int,
+        sink: gateway.Sink,
+        not_found: collections.abc.Callable[[], None],
+    ) -> None:
+        """Fetch an answer from the node that has it."""
+        self._asked += 1
+        self._fetches[self._asked] = _Fetch(
+            key, node_id, sink, not_found, bytearray()
+        )
+        ask = messages.FetchAsk(self._asked, key, last_event_id)
+        self._streams.send(node_id, ask)
+
+    def data(self, message: messages.FetchData) -> None:
+        """Pass fetched events on."""
+        fetch = self._fetches.get(message.fetch_id)
+        if fetch is None:
+            return
+        fetch.transcript += message.data
+        fetch.sink.events(message.data)
+
+    def end(self, message: messages.FetchEnd) -> None:
+        """End a fetched answer."""
+        fetch = self._fetches.pop(message.fetch_id, None)
+        if fetch is None:
+            return
+        if not message.found:
+            fetch.not_found()
+        elif message.refusal is not None:
+            fetch.sink.refuse(message.refusal)
+        elif message.answer is not None:
+            fetch.sink.answer(message.answer)
+        else:
+            fetch.sink.finish(bytes(fetch.transcript))
+
+    def node_lost(self, node_id: str) -> None:
+        """End the fetches from a node that is gone."""
+        for fetch_id, fetch in list(self._fetches.items()):
+            if fetch.node_id != node_id:
+                continue
+            del self._fetches[fetch_id]
+            fetch.sink.refuse(
+                problems.Refusal(
+                    problems.Reason.RETRIES_EXHAUSTED,
+                    problems.Run.FAILED,
+                    f"node {node_id!r}, which had the answer, is gone",
+                    RETRY_AFTER_S,
+                )
+            )
+
+    def caller_left(self, sink: gateway.Sink) -> None:
+        """Forget the fetches of a caller that is gone."""
+        for fetch_id, fetch in list(self._fetches.items()):
+            if fetch.sink is sink:
+                del self._fetches[fetch_id]
+
+    def serve(
+        self,
+        from_node: str,
+        message: messages.FetchAsk,
+        task: tasks.RequestTask | None,
+    ) -> None:
+        """Give another node the answer of a task of this one."""
+        if task is None:
+            end = messages.FetchEnd(message.fetch_id, False)
+            self._streams.send(from_node, end)
+            return
+        sink = RemoteSink(self._streams, from_node, message.fetch_id)
+        task.attach(sink, message.last_event_id)
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -0,0 +1,229 @@
+"""Turns callers' calls into requests of the core, and finds old ones."""
+
+import hashlib
+import json
+import secrets
+
+from fireflypulley.callers import gateway
+from fireflypulley.core import configuration
+from fireflypulley.core import events
+from fireflypulley.core import matching
+from fireflypulley.core import problems
+from fireflypulley.core import requests
+from fireflypulley.core import topology
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import fetches
+from fireflypulley.daemon import keyed
+from fireflypulley.daemon import registry
+from fireflypulley.daemon import tasks
+
+PREFIX_CHARACTERS = 512
+REQUEST_ID_BYTES = 9
+
+
+class Frontend:
+    """Admits calls: credentials, route, key, then the core."""
+
+    def __init__(
+        self,
+        loop: driver.Driver,
+        tools: tasks.Tools,
+        found: registry.Registry,
+        directory: keyed.KeyDirectory,
+        remote: fetches.Fetches,
+    ) -> None:
+        self._loop = loop
+        self._tools = tools
+        self._registry = found
+        self._directory = directory
+        self._remote = remote
+
+    def _refuse(
+        self,
+        sink: gateway.Sink,
+        reason: problems.Reason,
+        detail: str,
+    ) -> None:
+        self.give_refusal(
+            sink,
+            problems.Refusal(reason, problems.Run.NOT_RUN, detail),
+        )
+
+    def give_refusal(
+        self, sink: gateway.Sink, refusal: problems.Refusal
+    ) -> None:
+        """Refuse a call before it has become a request."""
+        self._loop.core.state.counters.refused[refusal.reason] += 1
+        sink.refuse(refusal)
+
+    def workspace_of(
+        self, call: gateway.Call, sink: gateway.Sink
+    ) -> tuple[str, configuration.Workspace] | None:
+        """Return the caller's workspace; refuses a wrong token."""
+        config = self._loop.core.state.config
+        name = config.workspace_of_token(call.token_sha256)
+        workspace = config.workspace(name) if name else None
+        if name is None or workspace is None:
+            self._refuse(
+                sink,
+                problems.Reason.BAD_CREDENTIALS,
+                "this token belongs to no workspace",
+            )
+            return None
+        return name, workspace
+
+    def submit(self, call: gateway.Call, sink: gateway.Sink) -> None:
+        """Serve a call."""
+        known = self.workspace_of(call, sink)
+        if known is None:
+            return
+        name, workspace = known
+        route = self.route_of(workspace, call)
+        if isinstance(route, problems.Refusal):
+            self.give_refusal(sink, route)
+            return
+        if route.at_most_once and not call.idempotency_key:
+            self._refuse(
+                sink,
+                problems.Reason.KEY_REQUIRED,
+                f"route {route.name!r} needs an Idempotency-Key",
+            )
+            return
+        request = self.request_of(name, route, call)
+        key = request.request_id
+        if call.idempotency_key and call.model:
+            key = f"{name}/{call.idempotency_key}"
+            self._submit_keyed(request, call, key, sink)
+            return
+        self._begin(request, call, key, sink)
+
+    def route_of(
+        self, workspace: configuration.Workspace, call: gateway.Call
+    ) -> configuration.Route | problems.Refusal:
+        """Return the route of a call."""
+        sent = call.payload
+        if call.model:
+            return matching.model_route(workspace, sent.path, call.model)
+        path = sent.path.partition("?")[0]
+        return matching.service_route(
+            workspace, call.service, sent.method, path
+        )
+
+    def request_of(
+        self, workspace: str, route: configuration.Route, call: gateway.Call
+    ) -> requests.Request:
+        """Return the core's view of a call."""
+        kind = topology.ServiceKind.PLAIN
+        if call.model:
+            kind = topology.ServiceKind.MODEL
+        return requests.Request(
+            request_id=secrets.token_hex(REQUEST_ID_BYTES),
+            workspace=workspace,
+            route=route.name,
+            service=route.service,
+            kind=kind,
+            deadline_s=self._loop.now_s() + route.deadline_s,
+            fingerprint=_fingerprint(workspace, call),
+            prefix=_prefix(call),
+            at_most_once=route.at_most_once,
+            idempotency_key=call.idempotency_key,
+        )
+
+    def _begin(
+        self,
+        request: requests.Request,
+        call: gateway.Call,
+        key: str,
+        sink: gateway.Sink,
+    ) -> None:
+        task = tasks.RequestTask(self._tools, request, call.payload, key)
+        self._registry.add(task)
+        task.attach(sink, -1)
+        self._loop.feed(events.RequestArrived(request))
+
+    def _submit_keyed(
+        self,
+        request: requests.Request,
+        call: gateway.Call,
+        key: str,
+        sink: gateway.Sink,
+    ) -> None:
+        task = self._registry.by_key(key)
+        if task is not None:
+            self._join(task, request, call, sink)
+            return
+        returning = call.last_event_id is not None
+
+        def answered(node_id: str | None) -> None:
+            if not sink.open:
+                return
+            if node_id is None:
+                self._begin_or_join(request, call, key, sink)
+                return
+            last_event_id = -1
+            if call.last_event_id is not None:
+                last_event_id = call.last_event_id
+            self._remote.begin(
+                key,
+                node_id,
+                last_event_id,
+                sink,
+                lambda: self._begin_or_join(request, call, key, sink),
+            )
+
+        self._directory.find(key, returning, answered)
+
+    def _begin_or_join(
+        self,
+        request: requests.Request,
+        call: gateway.Call,
+        key: str,
+        sink: gateway.Sink,
+    ) -> None:
+        task = self._registry.by_key(key)
+        if task is None:
+            self._begin(request, call, key, sink)
+        else:
+            self._join(task, request, call, sink)
+
+    def _join(
+        self,
+        task: tasks.RequestTask,
+        request: requests.Request,
+        call: gateway.Call,
+        sink: gateway.Sink,
+    ) -> None:
+        if task.request.fingerprint != request.fingerprint:
+            self._refuse(
+                sink,
+                problems.Reason.KEY_REUSED,
+                "the idempotency key belongs to another request",
+            )
+            return
+        last_event_id = -1
+        if call.last_event_id is not None:
+            last_event_id = call.last_event_id
+        task.attach(sink, last_event_id)
+
+
+def _fingerprint(workspace: str, call: gateway.Call) -> str:
+    sent = call.payload
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (workspace, sent.method, sent.path):
+        digest.update(part.encode() + b"\x00")
+    digest.update(sent.body)
+    return digest.hexdigest()
+
+
+def _prefix(call: gateway.Call) -> str:
+    if not call.model:
+        return ""
+    fields = json.loads(call.payload.body)
+    messages = fields.get("messages") or []
+    text = str(fields.get("prompt") or "")
+    if messages:
+        text = str(messages[0].get("content"))
+    if len(text) < PREFIX_CHARACTERS:
+        return ""
+    start = text[:PREFIX_CHARACTERS].encode()
+    return hashlib.blake2b(start, digest_size=8).hexdigest()
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/logs.py
@@ -0,0 +1,30 @@
+"""Log lines, for changes of state only."""
+
+import pathlib
+import sys
+
+import eliot
+
+from fireflypulley.core import actions
+
+
+def open_log(path: pathlib.Path | None, node_id: str) -> None:
+    """Send log lines to a file, or to standard error."""
+    file = sys.stderr if path is None else path.open("a", buffering=1)
+    eliot.add_global_fields(node_id=node_id)
+    eliot.to_file(file)
+
+
+def state_changed(change: actions.StateChanged) -> None:
+    """Write the line of a change of state."""
+    eliot.log_message(
+        message_type=f"fireflypulley:{change.subject}",
+        name=change.name,
+        state=change.state,
+        detail=change.detail,
+    )
+
+
+def note(subject: str, name: str, state: str, detail: str = "") -> None:
+    """Write a line about the daemon itself."""
+    state_changed(actions.StateChanged(subject, name, state, detail))
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/peers.py
@@ -0,0 +1,123 @@
+"""Node streams: what comes in goes to the core, the directory, fetches."""
+
+import collections.abc
+import typing
+
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import fetches
+from fireflypulley.daemon import keyed
+from fireflypulley.daemon import registry
+from fireflypulley.nodes import hub
+from fireflypulley.nodes import messages
+
+_Handler = collections.abc.Callable[[str, typing.Any], None]
+
+
+class Peers(hub.HubListener):
+    """Hands messages of other nodes to whom they concern."""
+
+    def __init__(self, loop: driver.Driver) -> None:
+        self._loop = loop
+        self._streams: hub.Hub | None = None
+        self._handlers: dict[type[messages.Message], _Handler] = {
+            messages.Facts: self._facts,
+            messages.SlotAsk: self._slot_ask,
+            messages.SlotAnswer: self._slot_answer,
+            messages.SlotReturn: self._slot_return,
+        }
+        self._fetches: fetches.Fetches | None = None
+
+    def connect(
+        self,
+        streams: hub.Hub,
+        directory: keyed.KeyDirectory,
+        remote: fetches.Fetches,
+        found: registry.Registry,
+    ) -> None:
+        """Name the parts that messages go to."""
+        self._streams = streams
+        self._fetches = remote
+        self._handlers |= {
+            messages.KeyHeld: lambda _, m: directory.held(m.key, m.node_id),
+            messages.KeyQuestion: directory.question,
+            messages.KeyAnswer: lambda _, m: directory.answer(m),
+            messages.FetchAsk: lambda node_id, m: remote.serve(
+                node_id, m, found.by_key(m.key)
+            ),
+            messages.FetchData: lambda _, m: remote.data(m),
+            messages.FetchEnd: lambda _, m: remote.end(m),
+        }
+        loop = self._loop
+        loop.handle(
+            actions.Spread,
+            lambda a: streams.spread(messages.Facts(a.facts), a.except_node),
+        )
+        loop.handle(
+            actions.ConnectPeers, lambda a: streams.want_peers(a.node_ids)
+        )
+        loop.handle(actions.DropPeer, lambda a: streams.drop_peer(a.node_id))
+        loop.handle(
+            actions.AskSlot,
+            lambda a: streams.send(
+                a.owner_node, messages.SlotAsk(a.endpoint_id, a.hold_s)
+            ),
+        )
+        loop.handle(
+            actions.GrantSlot,
+            lambda a: streams.send(
+                a.to_node,
+                messages.SlotAnswer(a.endpoint_id, a.granted, a.expires_s),
+            ),
+        )
+        loop.handle(
+            actions.ReturnSlot,
+            lambda a: streams.send(
+                a.owner_node,
+                messages.SlotReturn(a.endpoint_id, a.answered_well),
+            ),
+        )
+
+    def add(self, kind: type[messages.Message], handler: _Handler) -> None:
+        """Name who takes a kind of message."""
+        self._handlers[kind] = handler
+
+    def peer_up(self, node_id: str, incarnation: int) -> None:
+        self._loop.feed(events.PeerConnected(node_id, incarnation))
+        facts = self._loop.core.state.shared.snapshot()
+        if self._streams is not None and facts:
+            self._streams.send(node_id, messages.Facts(facts))
+
+    def peer_down(self, node_id: str) -> None:
+        self._loop.feed(events.PeerLost(node_id))
+        if self._fetches is not None:
+            self._fetches.node_lost(node_id)
+
+    def heard(self, node_id: str, message: messages.Message) -> None:
+        self._loop.feed(events.PeerHeard(node_id))
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(node_id, message)
+
+    def _facts(self, node_id: str, message: messages.Facts) -> None:
+        self._loop.feed(events.FactsReceived(node_id, message.facts))
+
+    def _slot_ask(self, node_id: str, message: messages.SlotAsk) -> None:
+        self._loop.feed(
+            events.SlotAsked(node_id, message.endpoint_id, message.hold_s)
+        )
+
+    def _slot_answer(self, node_id: str, message: messages.SlotAnswer) -> None:
+        self._loop.feed(
+            events.SlotAnswered(
+                message.endpoint_id, message.granted, message.expires_s
+            )
+        )
+
+    def _slot_return(self, node_id: str, message: messages.SlotReturn) -> None:
+        self._loop.feed(
+            events.SlotReturned(
+                node_id, message.endpoint_id, message.answered_well
+            )
+        )
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/platform_poll.py
@@ -0,0 +1,95 @@
+"""Asks the platform and the endpoints for what changes."""
+
+import collections.abc
+
+from twisted.internet import task
+
+from fireflypulley.core import events
+from fireflypulley.core import topology
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import settings
+from fireflypulley.daemon import store
+from fireflypulley.endpoints import clients
+from fireflypulley.platform import base
+
+_Work = collections.abc.Callable[
+    [], collections.abc.Coroutine[object, object, None]
+]
+
+
+class Poller:
+    """The regular reads of a node; each waits for its last to end."""
+
+    def __init__(
+        self,
+        loop: driver.Driver,
+        rows: store.Store,
+        instances: base.InstanceList,
+        endpoint_clients: clients.Clients,
+        config: settings.PlatformSettings,
+        own_leave: collections.abc.Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._rows = rows
+        self._instances = instances
+        self._clients = endpoint_clients
+        self._own_leave = own_leave
+        self._busy: set[str] = set()
+        self._loops = [
+            (
+                self._looping("config", self._poll_config),
+                config.config_period_s,
+            ),
+            (
+                self._looping("instances", self._poll_instances),
+                config.instances_period_s,
+            ),
+            (self._looping("load", self._poll_load), config.load_period_s),
+        ]
+
+    def _looping(self, name: str, work: _Work) -> task.LoopingCall:
+        def once() -> None:
+            if name not in self._busy:
+                self._busy.add(name)
+                store.spawn(self._run(name, work))
+
+        return task.LoopingCall(once)
+
+    async def _run(self, name: str, work: _Work) -> None:
+        try:
+            await work()
+        finally:
+            self._busy.discard(name)
+
+    def start(self) -> None:
+        """Begin to poll."""
+        for loop, period_s in self._loops:
+            loop.start(period_s)
+
+    def stop(self) -> None:
+        """Poll no more."""
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
+
+    async def _poll_config(self) -> None:
+        await self._rows.poll()
+
+    async def _poll_instances(self) -> None:
+        try:
+            found = await self._instances.instances()
+        except base.Unavailable:
+            return
+        this = self._loop.core.state.this.node_id
+        self._loop.feed(events.InstancesListed(found.endpoints, found.nodes))
+        if any(n.leaving for n in found.nodes if n.node_id == this):
+            self._own_leave()
+
+    async def _poll_load(self) -> None:
+        for state in list(self._loop.core.state.pool):
+            store.spawn(self._poll_endpoint(state.endpoint))
+
+    async def _poll_endpoint(self, endpoint: topology.Endpoint) -> None:
+        report = await self._clients.load(endpoint.address)
+        if report is not None:
+            self._loop.feed(events.LoadReported(endpoint.endpoint_id, report))
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/registry.py
@@ -0,0 +1,114 @@
+"""The request tasks of a node, by id and by key."""
+
+import collections.abc
+
+from fireflypulley.callers import gateway
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.core import topology
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import tasks
+
+
+class Registry:
+    """Finds tasks, and carries out the core's actions on them."""
+
+    def __init__(self, loop: driver.Driver, kept_s: float) -> None:
+        self._loop = loop
+        self._kept_s = kept_s
+        self._tasks: dict[str, tasks.RequestTask] = {}
+        self._keys: dict[str, tasks.RequestTask] = {}
+        self._ended: dict[str, tasks.RequestTask] = {}
+        loop.handle(actions.SendAttempt, self._send)
+        loop.handle(actions.CancelAttempt, self._cancel)
+        loop.handle(actions.Finish, self._finish)
+        loop.handle(actions.Refuse, self._refuse)
+        loop.handle(actions.Replay, self._replay)
+
+    def __iter__(self) -> collections.abc.Iterator[tasks.RequestTask]:
+        return iter(list(self._tasks.values()))
+
+    def add(self, task: tasks.RequestTask) -> None:
+        """Take in a new task."""
+        self._tasks[task.request.request_id] = task
+        self._keys[task.key] = task
+
+    def by_key(self, key: str) -> tasks.RequestTask | None:
+        """Return the task of a key, running or ended of late."""
+        return self._keys.get(key)
+
+    def by_id(self, request_id: str) -> tasks.RequestTask | None:
+        """Return a running task."""
+        return self._tasks.get(request_id)
+
+    def drop(self, task: tasks.RequestTask) -> None:
+        """Forget a task that another node has taken over."""
+        self._tasks.pop(task.request.request_id, None)
+        if self._keys.get(task.key) is task:
+            del self._keys[task.key]
+
+    def caller_left(self, sink: gateway.Sink) -> None:
+        """Learn that a caller is gone.
+
+        A keyed request runs on, since its caller may come back.
+        """
+        for task in self:
+            if not task.detach(sink):
+                continue
+            if task.request.idempotency_key or task.job_id:
+                continue
+            self._loop.feed(events.CallerLeft(task.request.request_id))
+            if self._loop.core.serving.progress(task.request.request_id):
+                continue
+            self.drop(task)
+
+    # Actions
+
+    def _send(self, action: actions.SendAttempt) -> None:
+        task = self._tasks.get(action.request_id)
+        endpoint = self._endpoint(action.endpoint_id)
+        if task is not None and endpoint is not None:
+            task.send(action, endpoint)
+
+    def _endpoint(self, endpoint_id: str) -> topology.Endpoint | None:
+        state = self._loop.core.state.pool.get(endpoint_id)
+        return None if state is None else state.endpoint
+
+    def _cancel(self, action: actions.CancelAttempt) -> None:
+        task = self._tasks.get(action.request_id)
+        if task is not None:
+            task.cancel_attempt()
+
+    def _finish(self, action: actions.Finish) -> None:
+        task = self._tasks.pop(action.request_id, None)
+        if task is not None:
+            self._keep(task)
+            task.finish()
+
+    def _replay(self, action: actions.Replay) -> None:
+        task = self._tasks.pop(action.request_id, None)
+        if task is not None:
+            self._keep(task)
+            task.replay(action.answer)
+
+    def _refuse(self, action: actions.Refuse) -> None:
+        task = self._tasks.get(action.request_id)
+        if task is not None:
+            self.drop(task)
+            task.refuse(action.refusal)
+
+    def _keep(self, task: tasks.RequestTask) -> None:
+        if not task.request.idempotency_key:
+            self.drop(task)
+            return
+        self._ended[task.request.request_id] = task
+
+    def tick(self, reactor_s: float) -> None:
+        """End silent attempts and forget answers that are old."""
+        for task in self:
+            task.check_idle(reactor_s)
+        oldest_s = self._loop.now_s() - self._kept_s
+        for request_id, task in list(self._ended.items()):
+            if task.ended_s < oldest_s:
+                del self._ended[request_id]
+                self.drop(task)
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/settings.py
@@ -0,0 +1,135 @@
+"""The daemon's settings, from INI to checked models."""
+
+import pathlib
+import typing
+
+import pydantic
+
+from fireflypulley.core import findings
+from fireflypulley.core import inifile
+
+_KINDS = frozenset({"node", "platform", "limits"})
+_M = typing.TypeVar("_M", bound=pydantic.BaseModel)
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSettings(_Model):
+    """Who the node is and where it listens.
+
+    ``callers``, ``operators`` and ``streams`` are Twisted server
+    endpoint strings; ``dial`` is a client endpoint string in which
+    ``{host}`` and ``{port}`` stand for another node's address.
+    """
+
+    node_id: str = pydantic.Field(pattern=r"^[A-Za-z0-9_-]{1,64}$")
+    failure_domain: str = pydantic.Field(min_length=1)
+    region: str = "local"
+    callers: str
+    operators: str
+    streams: str
+    advertise: str = pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")
+    dial: str = "tcp:host={host}:port={port}"
+    key_file: pathlib.Path
+    operator_token_file: pathlib.Path
+    log_file: pathlib.Path | None = None
+
+
+class PlatformSettings(_Model):
+    """Where the platform answers and how often it is asked."""
+
+    url: str = pydantic.Field(pattern="^https?://")
+    token_file: pathlib.Path
+    config_period_s: float = pydantic.Field(1.0, gt=0, le=60)
+    instances_period_s: float = pydantic.Field(0.5, gt=0, le=60)
+    load_period_s: float = pydantic.Field(0.5, gt=0, le=60)
+
+
+class LimitSettings(_Model):
+    """Bounds of the node."""
+
+    shutdown_grace_s: float = pydantic.Field(30.0, gt=0)
+    balancer_delay_s: float = pydantic.Field(1.0, ge=0)
+    kept_answer_s: float = pydantic.Field(60.0, ge=0)
+
+
+class Settings(_Model):
+    """All settings of a daemon."""
+
+    node: NodeSettings
+    platform: PlatformSettings
+    limits: LimitSettings = LimitSettings()
+
+
+def _section(ini: inifile.IniFile, kind: str, model: type[_M]) -> _M | None:
+    sections = ini.of_kind(kind)
+    options = sections[0].options if sections else {}
+    try:
+        return model.model_validate(options)
+    except pydantic.ValidationError as error:
+        for one in error.errors():
+            option = str(one["loc"][0]) if one["loc"] else ""
+            problem = _problem(one, options.get(option), model)
+            if sections:
+                ini.add_at(sections[0], option, problem)
+            else:
+                ini.add(kind, option, problem, 0)
+        return None
+
+
+def _problem(
+    one: typing.Any, value: str | None, model: type[pydantic.BaseModel]
+) -> str:
+    if one["type"] == "extra_forbidden":
+        known = ", ".join(sorted(model.model_fields))
+        return f"unknown option; known: {known}"
+    if one["type"] == "missing":
+        return "this option is required"
+    return f"{one['msg']}, not {value!r}"
+
+
+def _check_file(
+    ini: inifile.IniFile, kind: str, option: str, path: pathlib.Path
+) -> None:
+    try:
+        if path.read_text().strip():
+            return
+        problem = f"the file {str(path)!r} is empty"
+    except (OSError, UnicodeDecodeError) as error:
+        problem = f"cannot read {str(path)!r}: {error}"
+    ini.add_at(ini.of_kind(kind)[0], option, problem)
+
+
+def parse(text: str, file: str) -> Settings:
+    """Return the settings in a text.
+
+    Raises ``findings.InvalidInput`` with every finding at once.
+    """
+    ini = inifile.IniFile(text, file)
+    ini.raise_findings()
+    ini.reject_others(_KINDS)
+    node = _section(ini, "node", NodeSettings)
+    platform = _section(ini, "platform", PlatformSettings)
+    limits = _section(ini, "limits", LimitSettings)
+    if node is not None:
+        _check_file(ini, "node", "key_file", node.key_file)
+        token_file = node.operator_token_file
+        _check_file(ini, "node", "operator_token_file", token_file)
+    if platform is not None:
+        _check_file(ini, "platform", "token_file", platform.token_file)
+    ini.raise_findings()
+    assert node and platform and limits
+    return Settings(node=node, platform=platform, limits=limits)
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Return the settings of a file; raises as ``parse``."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise findings.InvalidInput(
+            [findings.Finding(str(path), "", "", 0, str(error))]
+        )
+    return parse(text, str(path))
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/store.py
@@ -0,0 +1,109 @@
+"""Carries out the core's reads and writes of the platform's table."""
+
+import collections.abc
+
+from twisted.internet import defer
+
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.core import ledger_rows
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import logs
+from fireflypulley.platform import base
+from fireflypulley.platform import repository
+
+
+def spawn(coroutine: collections.abc.Coroutine[object, object, None]) -> None:
+    """Run a coroutine; what it raises is logged."""
+    running = defer.ensureDeferred(coroutine)
+    running.addErrback(
+        lambda reason: logs.note(
+            "daemon", "task", "failed", reason.getTraceback()
+        )
+    )
+
+
+class Store:
+    """The table, as the core uses it."""
+
+    def __init__(
+        self, loop: driver.Driver, table: base.Table, node_id: str
+    ) -> None:
+        self._loop = loop
+        self._node_id = node_id
+        self._config = repository.ConfigurationRows(table)
+        self._ledger = repository.LedgerRows(table)
+        self._leases = repository.LeaseRows(table)
+        self._reading = False
+        loop.handle(actions.Transact, lambda a: spawn(self._transact(a)))
+        loop.handle(actions.ReadRow, lambda a: spawn(self._read_row(a)))
+        loop.handle(actions.AskLease, lambda a: spawn(self._lease(a)))
+        loop.handle(actions.WriteEntry, lambda a: spawn(self._entry(a)))
+
+    @property
+    def config(self) -> repository.ConfigurationRows:
+        """Return the configuration rows."""
+        return self._config
+
+    async def poll(self) -> bool:
+        """Read what has changed; return whether the table answered."""
+        if self._reading:
+            return False
+        self._reading = True
+        try:
+            entries = await self._config.news()
+        except base.Unavailable:
+            return False
+        finally:
+            self._reading = False
+        self._loop.feed(events.EntriesRead(entries))
+        return True
+
+    async def _transact(self, action: actions.Transact) -> None:
+        commit = ledger_rows.Commit.COMMITTED
+        conflicts: tuple[int, ...] = ()
+        try:
+            await self._ledger.transact(action.operation_id, action.writes)
+        except base.Conflict as error:
+            commit = ledger_rows.Commit.CONFLICT
+            conflicts = error.indexes
+        except base.Unavailable:
+            commit = ledger_rows.Commit.LOST
+        self._loop.feed(
+            events.TransactionEnded(action.operation_id, commit, conflicts)
+        )
+
+    async def _read_row(self, action: actions.ReadRow) -> None:
+        found = None
+        failed = False
+        try:
+            found = await self._ledger.read(action.row_key)
+        except base.Unavailable:
+            failed = True
+        self._loop.feed(events.RowRead(action.row_key, found, failed))
+
+    async def _lease(self, action: actions.AskLease) -> None:
+        asked_s = self._loop.now_s()
+        try:
+            lease = await self._leases.acquire(
+                action.name, self._node_id, asked_s, action.ttl_s
+            )
+        except base.Unavailable:
+            lease = None
+        if lease is None:
+            self._loop.feed(events.LeaseRefused(action.name))
+            return
+        self._loop.feed(
+            events.LeaseHeld(action.name, lease.fencing, lease.expires_s)
+        )
+
+    async def _entry(self, action: actions.WriteEntry) -> None:
+        try:
+            written = await self._config.write((action.entry,))
+        except base.Conflict:
+            await self.poll()
+            return
+        except base.Unavailable:
+            return
+        for entry in written:
+            self._loop.feed(events.EntryWritten(entry))
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -0,0 +1,236 @@
+"""One task per request: its attempt, its answer and its callers."""
+
+import collections.abc
+import dataclasses
+import enum
+
+from fireflypulley.callers import events as sse
+from fireflypulley.callers import gateway
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.core import ledger_rows
+from fireflypulley.core import payload
+from fireflypulley.core import problems
+from fireflypulley.core import requests
+from fireflypulley.core import topology
+from fireflypulley.daemon import metrics
+from fireflypulley.endpoints import base
+from fireflypulley.endpoints import clients
+
+_Feed = collections.abc.Callable[[events.Event], None]
+
+
+class TaskState(enum.Enum):
+    """Where a task stands."""
+
+    RUNNING = "running"
+    WHOLE = "whole"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What every task uses."""
+
+    feed: _Feed
+    clients: clients.Clients
+    metrics: metrics.Metrics
+    now_s: collections.abc.Callable[[], float]
+    address_of: collections.abc.Callable[[str], str | None]
+
+
+class _Listener(base.Listener):
+    """Turns what an attempt says into events of the core."""
+
+    def __init__(self, task: "RequestTask", attempt_id: str) -> None:
+        self._task = task
+        self._attempt_id = attempt_id
+        self._attempt_bytes = attempt_id.encode()
+        self._request_bytes = task.request.request_id.encode()
+        self._started_s = task.tools.now_s()
+        self._first_s = 0.0
+        self._tokens = 0
+
+    def sent(self) -> None:
+        self._task.tools.feed(
+            events.AttemptSent(self._task.request.request_id, self._attempt_id)
+        )
+
+    def frames(self, frames: list[bytes]) -> None:
+        if not self._tokens:
+            self._first_token()
+        self._tokens += len(frames)
+        self._task.add_frames(
+            [
+                frame.replace(self._attempt_bytes, self._request_bytes)
+                for frame in frames
+            ]
+        )
+
+    def _first_token(self) -> None:
+        tools = self._task.tools
+        self._first_s = tools.now_s()
+        waited_s = self._first_s - self._started_s
+        tools.metrics.first_token_s.observe({}, waited_s)
+        tools.feed(
+            events.AttemptFirstToken(
+                self._task.request.request_id, self._attempt_id
+            )
+        )
+
+    def ended(
+        self, outcome: requests.Outcome, answer: base.Answer | None
+    ) -> None:
+        tools = self._task.tools
+        if self._tokens > 1:
+            took_s = tools.now_s() - self._first_s
+            gap_s = took_s / (self._tokens - 1)
+            tools.metrics.token_gap_s.observe({}, gap_s)
+        stored = None
+        if answer is not None:
+            stored = ledger_rows.stored_answer(
+                answer.status, answer.content_type, answer.body
+            )
+            self._task.stored = stored
+        tools.feed(
+            events.AttemptEnded(
+                self._task.request.request_id,
+                self._attempt_id,
+                outcome,
+                self._task.tokens,
+                stored,
+            )
+        )
+
+
+class RequestTask:
+    """Owns a request, its sockets and its answer from end to end.
+
+    ``transcript`` holds the numbered events that the caller may have;
+    ``key`` is by which a caller or another node finds the task.
+    """
+
+    def __init__(
+        self,
+        tools: Tools,
+        request: requests.Request,
+        call: payload.Payload,
+        key: str,
+    ) -> None:
+        self.tools = tools
+        self.request = request
+        self.payload = call
+        self.key = key
+        self.state = TaskState.RUNNING
+        self.tokens = 0
+        self.transcript = bytearray()
+        self.stored: ledger_rows.StoredAnswer | None = None
+        self.refusal: problems.Refusal | None = None
+        self.ended_s = 0.0
+        self.job_id = ""
+        self._sinks: list[gateway.Sink] = []
+        self._attempt: base.Attempt | None = None
+
+    def preload(self, transcript: bytes, tokens: int) -> None:
+        """Start from what an earlier owner received."""
+        self.transcript = bytearray(transcript)
+        self.tokens = tokens
+
+    # Callers
+
+    def attach(self, sink: gateway.Sink, last_event_id: int) -> None:
+        """Give a caller what it lacks, and what is to come."""
+        missing = bytes(self.transcript)
+        if last_event_id >= 0:
+            missing = sse.after(missing, last_event_id)
+        if missing:
+            sink.events(missing)
+        if self.state is TaskState.RUNNING:
+            self._sinks.append(sink)
+        else:
+            self._give_end(sink)
+
+    def detach(self, sink: gateway.Sink) -> bool:
+        """Forget a caller; return whether none is left."""
+        if sink in self._sinks:
+            self._sinks.remove(sink)
+        return not self._sinks
+
+    def add_frames(self, frames: list[bytes]) -> None:
+        """Take in tokens and pass them on in one write."""
+        data = sse.number(frames, self.tokens)
+        self.tokens += len(frames)
+        self.transcript += data
+        for sink in self._sinks:
+            sink.events(data)
+
+    def _give_end(self, sink: gateway.Sink) -> None:
+        if self.refusal is not None:
+            sink.refuse(self.refusal)
+        elif self.stored is not None:
+            sink.answer(self.stored)
+        else:
+            sink.finish(bytes(self.transcript))
+
+    def _end(self, state: TaskState) -> None:
+        if self.state is not TaskState.RUNNING:
+            return
+        self.state = state
+        self.ended_s = self.tools.now_s()
+        sinks, self._sinks = self._sinks, []
+        for sink in sinks:
+            self._give_end(sink)
+
+    def finish(self) -> None:
+        """End with the whole answer."""
+        self._end(TaskState.WHOLE)
+
+    def replay(self, answer: ledger_rows.StoredAnswer) -> None:
+        """End with an answer from the ledger."""
+        self.stored = answer
+        self._end(TaskState.WHOLE)
+
+    def refuse(self, refusal: problems.Refusal) -> None:
+        """End with a refusal."""
+        self.refusal = refusal
+        self._end(TaskState.REFUSED)
+
+    # Attempts
+
+    def send(
+        self, action: actions.SendAttempt, endpoint: topology.Endpoint
+    ) -> None:
+        """Start an attempt."""
+        resume = None
+        if self.tokens:
+            text = sse.text_of(bytes(self.transcript))
+            resume = base.Resume(text, self.tokens)
+        kv_address = ""
+        if action.kv_from is not None:
+            kv_address = self.tools.address_of(action.kv_from) or ""
+        order = base.Order(
+            action.attempt_id,
+            endpoint.address,
+            self.payload,
+            self.request.idempotency_key,
+            resume=resume,
+            background=self.request.background,
+            kv_address=kv_address,
+        )
+        self._attempt = self.tools.clients.start(
+            self.request.kind,
+            order,
+            _Listener(self, action.attempt_id),
+            repeatable=not self.request.at_most_once,
+        )
+
+    def cancel_attempt(self) -> None:
+        """Stop the running attempt."""
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._attempt = None
+
+    def check_idle(self, reactor_s: float) -> None:
+        """End an attempt whose endpoint has fallen silent."""
+        if self._attempt is not None:
+            self._attempt.check_idle(reactor_s)
--- /dev/null
+++ b/packages/endpoints/src/fireflypulley/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and of plain services."""
--- /dev/null
+++ b/packages/endpoints/src/fireflypulley/endpoints/clients.py
@@ -0,0 +1,106 @@
+"""Starts attempts and asks endpoints for their load."""
+
+import pydantic
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.web import client
+
+from fireflypulley.core import topology
+from fireflypulley.endpoints import base
+from fireflypulley.endpoints import engines
+from fireflypulley.endpoints import http_attempt
+from fireflypulley.endpoints import plain
+
+LOAD_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 30.0
+MAX_CONNECTIONS_PER_ENDPOINT = 64
+
+
+class _LoadModel(pydantic.BaseModel):
+    running: int = pydantic.Field(ge=0)
+    waiting: int = pydantic.Field(ge=0)
+    answered_total: int = pydantic.Field(ge=0)
+    started_s: float
+
+
+class Clients:
+    """All attempts of a node, over one pool of connections."""
+
+    def __init__(self, reactor: interfaces.IReactorCore) -> None:
+        self._reactor = reactor
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_ENDPOINT
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        timeout_s = http_attempt.CONNECT_TIMEOUT_S
+        self._agent = client.Agent(
+            reactor, connectTimeout=timeout_s, pool=self._pool
+        )
+        self._fresh = client.Agent(reactor, connectTimeout=timeout_s)
+
+    def start(
+        self,
+        kind: topology.ServiceKind,
+        order: base.Order,
+        listener: base.Listener,
+        repeatable: bool,
+    ) -> base.Attempt:
+        """Send an attempt and return it.
+
+        A call that may run only once gets a new connection, so that a
+        kept one that is just closing cannot leave its outcome unknown.
+        """
+        attempt: http_attempt.HttpAttempt
+        agent = self._agent if repeatable else self._fresh
+        if kind is topology.ServiceKind.MODEL:
+            attempt = engines.EngineAttempt(
+                agent,
+                self._reactor,
+                order,
+                listener,
+                engines.IDLE_TIMEOUT_S,
+            )
+        else:
+            call = plain.PlainAttempt(
+                agent, self._reactor, order, listener, plain.IDLE_TIMEOUT_S
+            )
+            call.repeatable = repeatable
+            attempt = call
+        attempt.start()
+        return attempt
+
+    async def load(self, address: str) -> topology.LoadReport | None:
+        """Return an endpoint's load report, None when it gives none."""
+        url = f"http://{address}/load".encode()
+        answering = self._agent.request(b"GET", url)
+        answering.addCallback(_read_report)
+        answering.addTimeout(LOAD_TIMEOUT_S, self._reactor)
+        try:
+            report: topology.LoadReport | None = await answering
+        except Exception:
+            return None
+        return report
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self._pool.closeCachedConnections()
+
+
+def _read_report(
+    response: client.Response,
+) -> defer.Deferred[topology.LoadReport | None]:
+    return defer.ensureDeferred(_parse_report(response))
+
+
+async def _parse_report(
+    response: client.Response,
+) -> topology.LoadReport | None:
+    body = await client.readBody(response)
+    if response.code != 200:
+        return None
+    model = _LoadModel.model_validate_json(body)
+    return topology.LoadReport(
+        model.running,
+        model.waiting,
+        model.answered_total,
+        model.started_s,
+    )
--- /dev/null
+++ b/packages/endpoints/src/fireflypulley/endpoints/engines.py
@@ -0,0 +1,80 @@
+"""Attempts at model engines: OpenAI-style requests, SSE answers."""
+
+import json
+
+from twisted.web import http_headers
+from twisted.web import iweb
+
+from fireflypulley.core import requests
+from fireflypulley.endpoints import base
+from fireflypulley.endpoints import frames
+from fireflypulley.endpoints import http_attempt
+
+IDLE_TIMEOUT_S = 10.0
+BACKGROUND_PRIORITY = "10"
+INTERACTIVE_PRIORITY = "0"
+
+
+class EngineAttempt(http_attempt.HttpAttempt):
+    """A stream of tokens from an engine."""
+
+    _reader: frames.FrameReader | None = None
+    _status = 0
+    _content_type = ""
+    _plain = b""
+
+    def headers(self) -> http_headers.Headers:
+        headers = super().headers()
+        priority = INTERACTIVE_PRIORITY
+        if self._order.background:
+            priority = BACKGROUND_PRIORITY
+        headers.setRawHeaders("X-Priority", [priority])
+        return headers
+
+    def body(self) -> bytes:
+        fields = json.loads(self._order.payload.body)
+        fields["stream"] = True
+        order = self._order
+        if order.resume is not None:
+            fields["resume"] = {
+                "text": order.resume.text,
+                "tokens": order.resume.tokens,
+            }
+        if order.kv_address:
+            fields["kv_import"] = {
+                "address": order.kv_address,
+                "attempt_id": order.kv_attempt_id,
+            }
+        return json.dumps(fields, separators=(",", ":")).encode()
+
+    def response_started(self, response: iweb.IResponse) -> None:
+        self._status = response.code
+        types = response.headers.getRawHeaders("Content-Type", [""])
+        self._content_type = types[0]
+        if response.code == 200:
+            self._reader = frames.FrameReader(self._order.attempt_id)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard()
+        if self._listener is None:
+            return
+        if self._reader is None:
+            self._plain += data[: http_attempt.MAX_ANSWER_BYTES]
+            return
+        found = self._reader.feed(data)
+        if found:
+            self._listener.frames(found)
+        if self._reader.state is frames.State.WHOLE:
+            self.end(requests.Outcome.COMPLETE)
+        elif self._reader.state is frames.State.GARBAGE:
+            self.end(requests.Outcome.GARBAGE)
+
+    def body_ended(self, whole: bool) -> None:
+        if self._reader is not None or not whole:
+            self.end(requests.Outcome.CUT)
+            return
+        outcome = http_attempt.outcome_of_status(self._status)
+        answer = None
+        if outcome is requests.Outcome.COMPLETE:
+            answer = base.Answer(self._status, self._content_type, self._plain)
+        self.end(outcome, answer)
--- /dev/null
+++ b/packages/endpoints/src/fireflypulley/endpoints/frames.py
@@ -0,0 +1,65 @@
+"""Finds the events of an SSE stream without parsing what they carry."""
+
+import enum
+
+DELIMITER = b"\n\n"
+DONE = b"data: [DONE]"
+MAX_FRAME_BYTES = 1 << 20
+_FINISH = b'"finish_reason":'
+_NO_FINISH = (b'"finish_reason":null', b'"finish_reason": null')
+
+
+class State(enum.Enum):
+    """What the bytes so far amount to."""
+
+    OPEN = "open"
+    WHOLE = "whole"
+    GARBAGE = "garbage"
+
+
+class FrameReader:
+    """Splits one attempt's bytes into events.
+
+    Every event must carry the attempt's id.  The event with the finish
+    reason is held back until the end mark has come, so that a cut just
+    before it does not show the caller two ends.
+    """
+
+    def __init__(self, attempt_id: str) -> None:
+        self._id = attempt_id.encode()
+        self._tail = b""
+        self._held: list[bytes] = []
+        self.state = State.OPEN
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take in bytes; return the events that are whole."""
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        data = self._tail + data if self._tail else data
+        end = data.rfind(DELIMITER)
+        if end < 0:
+            self._tail = data
+            if len(data) > MAX_FRAME_BYTES:
+                self.state = State.GARBAGE
+            return []
+        self._tail = data[end + 2 :]
+        return self._split(data[:end])
+
+    def _split(self, block: bytes) -> list[bytes]:
+        found: list[bytes] = []
+        for frame in block.split(DELIMITER):
+            if self.state is not State.OPEN:
+                break
+            if self._id in frame:
+                if _FINISH in frame and not any(
+                    mark in frame for mark in _NO_FINISH
+                ):
+                    self._held.append(frame)
+                else:
+                    found.append(frame)
+            elif frame == DONE:
+                self.state = State.WHOLE
+                found += self._held
+            elif frame and not frame.startswith(b":"):
+                self.state = State.GARBAGE
+        return found
--- /dev/null
+++ b/packages/endpoints/src/fireflypulley/endpoints/http_attempt.py
@@ -0,0 +1,193 @@
+"""What attempts at engines and at plain services share."""
+
+import collections.abc
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
+
+from fireflypulley.core import requests
+from fireflypulley.endpoints import base
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 4 << 20
+_BUSY = frozenset({429, 503})
+
+
+@interface.implementer(iweb.IBodyProducer)
+class SentBody:
+    """A body that tells when the request starts to be written."""
+
+    def __init__(
+        self, body: bytes, sent: collections.abc.Callable[[], None]
+    ) -> None:
+        self.length = len(body)
+        self._body = body
+        self._sent = sent
+
+    def startProducing(
+        self, consumer: interfaces.IConsumer
+    ) -> defer.Deferred[None]:
+        self._sent()
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def stopProducing(self) -> None:
+        """Do nothing; all is written at once."""
+
+    def pauseProducing(self) -> None:
+        """Do nothing; all is written at once."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing; all is written at once."""
+
+
+class Body(protocol.Protocol):
+    """Hands an answer's bytes to its attempt."""
+
+    def __init__(self, attempt: "HttpAttempt") -> None:
+        self._attempt = attempt
+
+    def dataReceived(self, data: bytes) -> None:
+        self._attempt.data_received(data)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        whole = reason.check(client.ResponseDone) is not None
+        self._attempt.body_ended(whole)
+
+    def abort(self) -> None:
+        """Close the connection to the endpoint."""
+        transport = getattr(self.transport, "_producer", self.transport)
+        if hasattr(transport, "abortConnection"):
+            transport.abortConnection()
+        elif transport is not None:
+            transport.loseConnection()
+
+
+class HttpAttempt(base.Attempt):
+    """One HTTP request to an endpoint; subclasses read the answer."""
+
+    def __init__(
+        self,
+        agent: client.Agent,
+        reactor: interfaces.IReactorTime,
+        order: base.Order,
+        listener: base.Listener,
+        idle_timeout_s: float,
+    ) -> None:
+        self._agent = agent
+        self._reactor = reactor
+        self._order = order
+        self._listener: base.Listener | None = listener
+        self._idle_timeout_s = idle_timeout_s
+        self._heard_s = reactor.seconds()
+        self._was_sent = False
+        self._answering: defer.Deferred[iweb.IResponse] | None = None
+        self._body: Body | None = None
+
+    def start(self) -> None:
+        """Send the request."""
+        order = self._order
+        headers = self.headers()
+        self._answering = self._agent.request(
+            order.payload.method.encode(),
+            f"http://{order.address}{order.payload.path}".encode(),
+            headers,
+            SentBody(self.body(), self._mark_sent),
+        )
+        self._answering.addCallbacks(self._on_response, self._on_failure)
+
+    def headers(self) -> http_headers.Headers:
+        """Return the headers of the request."""
+        order = self._order
+        headers = http_headers.Headers()
+        headers.setRawHeaders("X-Request-Id", [order.attempt_id])
+        if order.payload.content_type:
+            headers.setRawHeaders("Content-Type", [order.payload.content_type])
+        if order.idempotency_key:
+            headers.setRawHeaders("Idempotency-Key", [order.idempotency_key])
+        if order.fencing is not None:
+            headers.setRawHeaders("Fencing-Token", [str(order.fencing)])
+        return headers
+
+    def body(self) -> bytes:
+        """Return the body of the request."""
+        return self._order.payload.body
+
+    def _mark_sent(self) -> None:
+        self._was_sent = True
+        if self._listener is not None:
+            self._listener.sent()
+
+    def _on_response(self, response: iweb.IResponse) -> None:
+        self._heard_s = self._reactor.seconds()
+        self._body = Body(self)
+        self.response_started(response)
+        response.deliverBody(self._body)
+
+    def response_started(self, response: iweb.IResponse) -> None:
+        """Take in the head of the answer."""
+        raise NotImplementedError
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of the answer."""
+        raise NotImplementedError
+
+    def body_ended(self, whole: bool) -> None:
+        """Take in the end of the answer, by its framing or by a cut."""
+        raise NotImplementedError
+
+    def _on_failure(self, reason: failure.Failure) -> None:
+        if self._was_sent:
+            self.end(requests.Outcome.CUT)
+        else:
+            self.end(requests.Outcome.UNREACHABLE)
+
+    def heard(self) -> None:
+        """Record that the endpoint is not silent."""
+        self._heard_s = self._reactor.seconds()
+
+    def end(
+        self,
+        outcome: requests.Outcome,
+        answer: base.Answer | None = None,
+    ) -> None:
+        """Tell the listener that the attempt is over, once."""
+        listener = self._listener
+        if listener is None:
+            return
+        self._listener = None
+        if outcome is not requests.Outcome.COMPLETE:
+            self._abort()
+        listener.ended(outcome, answer)
+
+    def _abort(self) -> None:
+        if self._body is not None:
+            self._body.abort()
+        elif self._answering is not None:
+            self._answering.addErrback(lambda _: None)
+            self._answering.cancel()
+
+    def cancel(self) -> None:
+        self._listener = None
+        self._abort()
+
+    def check_idle(self, now_s: float) -> None:
+        if now_s - self._heard_s > self._idle_timeout_s:
+            self.end(requests.Outcome.TIMEOUT)
+
+
+def outcome_of_status(status: int) -> requests.Outcome:
+    """Return how an attempt with a bad status ended."""
+    if status in _BUSY:
+        return requests.Outcome.BUSY
+    if status >= 500:
+        return requests.Outcome.SERVER_ERROR
+    return requests.Outcome.COMPLETE
--- /dev/null
+++ b/packages/endpoints/src/fireflypulley/endpoints/plain.py
@@ -0,0 +1,49 @@
+"""Attempts at plain services: any method and body, one whole answer."""
+
+from twisted.web import iweb
+
+from fireflypulley.core import requests
+from fireflypulley.endpoints import base
+from fireflypulley.endpoints import http_attempt
+
+IDLE_TIMEOUT_S = 30.0
+
+
+class PlainAttempt(http_attempt.HttpAttempt):
+    """One call of a plain service.
+
+    ``repeatable`` calls may end as a failure, to be made again; of the
+    others every answer is final, whatever its status.
+    """
+
+    repeatable = True
+    _status = 0
+    _content_type = ""
+    _length = 0
+
+    def response_started(self, response: iweb.IResponse) -> None:
+        self._status = response.code
+        types = response.headers.getRawHeaders("Content-Type", [""])
+        self._content_type = types[0]
+        self._parts: list[bytes] = []
+
+    def data_received(self, data: bytes) -> None:
+        self.heard()
+        self._length += len(data)
+        if self._length > http_attempt.MAX_ANSWER_BYTES:
+            self.end(requests.Outcome.GARBAGE)
+            return
+        self._parts.append(data)
+
+    def body_ended(self, whole: bool) -> None:
+        if not whole:
+            self.end(requests.Outcome.CUT)
+            return
+        outcome = requests.Outcome.COMPLETE
+        if self.repeatable:
+            outcome = http_attempt.outcome_of_status(self._status)
+        if outcome is not requests.Outcome.COMPLETE:
+            self.end(outcome)
+            return
+        body = b"".join(self._parts)
+        self.end(outcome, base.Answer(self._status, self._content_type, body))
--- /dev/null
+++ b/packages/nodes/src/fireflypulley/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between the product's own nodes."""
--- /dev/null
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -0,0 +1,112 @@
+"""Messages as msgpack, checked where they come in."""
+
+import typing
+
+import msgpack
+import pydantic
+
+from fireflypulley.core import configuration
+from fireflypulley.core import facts
+from fireflypulley.nodes import messages
+
+MAX_MESSAGE_BYTES = 16 << 20
+
+
+class BadMessage(ValueError):
+    """Bytes that are no message of ours."""
+
+
+_FACTS: dict[str, type[facts.Fact]] = {
+    one.__name__: one
+    for one in (
+        facts.Warmth,
+        facts.Leaving,
+        facts.Suspicion,
+        facts.Evidence,
+        facts.Trip,
+        facts.NodeDown,
+        configuration.Entry,
+    )
+}
+_MESSAGES: dict[str, type[messages.Message]] = {
+    one.__name__: one
+    for one in (
+        messages.Hello,
+        messages.Proof,
+        messages.Heartbeat,
+        messages.SlotAsk,
+        messages.SlotAnswer,
+        messages.SlotReturn,
+        messages.KeyHeld,
+        messages.KeyQuestion,
+        messages.KeyAnswer,
+        messages.FetchAsk,
+        messages.FetchData,
+        messages.FetchEnd,
+        messages.Handover,
+        messages.HandoverTaken,
+    )
+}
+_ADAPTERS: dict[str, pydantic.TypeAdapter[typing.Any]] = {
+    name: pydantic.TypeAdapter(one)
+    for name, one in (*_FACTS.items(), *_MESSAGES.items())
+}
+
+
+def _dump(value: typing.Any) -> list[typing.Any]:
+    name = type(value).__name__
+    return [name, _ADAPTERS[name].dump_python(value)]
+
+
+def encode(message: messages.Message) -> bytes:
+    """Return a message's bytes."""
+    if isinstance(message, messages.Facts):
+        packed = ["Facts", [_dump(fact) for fact in message.facts]]
+    else:
+        packed = _dump(message)
+    data: bytes = msgpack.packb(packed)
+    return data
+
+
+def _load(packed: typing.Any, known: dict[str, typing.Any]) -> typing.Any:
+    if not isinstance(packed, list) or len(packed) != 2:
+        raise BadMessage("not a pair of a name and fields")
+    name, fields = packed
+    if not isinstance(name, str) or name not in known:
+        raise BadMessage(f"unknown name {name!r}")
+    try:
+        return _ADAPTERS[name].validate_python(fields)
+    except pydantic.ValidationError as error:
+        raise BadMessage(f"{name}: {error.error_count()} bad fields")
+
+
+def decode(packed: typing.Any) -> messages.Message:
+    """Return the message of an unpacked object; raises ``BadMessage``."""
+    if isinstance(packed, list) and packed[:1] == ["Facts"]:
+        if len(packed) != 2 or not isinstance(packed[1], list):
+            raise BadMessage("Facts: not a list")
+        return messages.Facts(tuple(_load(fact, _FACTS) for fact in packed[1]))
+    message: messages.Message = _load(packed, _MESSAGES)
+    return message
+
+
+class Reader:
+    """Cuts a stream of bytes into messages."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=max_bytes, raw=False, strict_map_key=False
+        )
+
+    def feed(self, data: bytes) -> list[messages.Message]:
+        """Take in bytes; return the messages that are whole.
+
+        Raises ``BadMessage``.
+        """
+        try:
+            self._unpacker.feed(data)
+            return [decode(packed) for packed in self._unpacker]
+        except BadMessage:
+            raise
+        except (msgpack.exceptions.UnpackException, ValueError) as error:
+            raise BadMessage(repr(error))
--- /dev/null
+++ b/packages/operators/src/fireflypulley/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface: templates, changes and the HTTP API."""
--- /dev/null
+++ b/packages/operators/src/fireflypulley/operators/changes.py
@@ -0,0 +1,198 @@
+"""Works out which rows a change by an operator writes.
+
+A change of a workspace's version of a service starts a rollout in the
+same transaction; while one runs, its target cannot be changed.
+"""
+
+import dataclasses
+
+from fireflypulley.core import configuration
+from fireflypulley.operators import templates
+
+_KIND = configuration.EntryKind
+
+
+class Rejected(ValueError):
+    """A change that cannot be made now; the text says why."""
+
+
+class Missing(Rejected):
+    """What the change is about does not exist."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Who changes what is in force, and when (Unix time)."""
+
+    operation_id: str
+    now_s: float
+
+
+class Planner:
+    """Plans changes against one configuration."""
+
+    def __init__(
+        self, config: configuration.Configuration, origin: Origin
+    ) -> None:
+        self._config = config
+        self._origin = origin
+
+    def _entry(
+        self,
+        kind: configuration.EntryKind,
+        name: str,
+        body: configuration.Body,
+    ) -> configuration.Entry:
+        known = self._config.get(kind, name)
+        version = 0 if known is None else known.version
+        return configuration.Entry(
+            kind, name, version, self._origin.operation_id, body
+        )
+
+    def template(
+        self, template: templates.TemplateFile
+    ) -> tuple[configuration.Entry, ...]:
+        """Return the rows for a template and all that it is used by.
+
+        Raises ``findings.InvalidInput`` and ``Rejected``.
+        """
+        body = configuration.Template(template.text)
+        found = [self._entry(_KIND.TEMPLATE, template.name, body)]
+        for entry in self._config.of_kind(_KIND.WORKSPACE):
+            known = entry.body
+            if not isinstance(known, configuration.Workspace):
+                continue
+            if known.template != template.name:
+                continue
+            file = templates.WorkspaceFile(
+                entry.name,
+                known.template,
+                known.token_sha256,
+                dict(known.parameters),
+            )
+            filled = templates.fill_in(template.text, file)
+            found += self._workspace(entry.name, filled)
+        return tuple(found)
+
+    def workspace(
+        self, file: templates.WorkspaceFile
+    ) -> tuple[configuration.Entry, ...]:
+        """Return the rows for a workspace; raises as ``template``."""
+        template = self._config.get(_KIND.TEMPLATE, file.template)
+        if template is None:
+            raise Missing(f"no template {file.template!r}")
+        assert isinstance(template.body, configuration.Template)
+        filled = templates.fill_in(template.body.text, file)
+        self._check_tokens(file)
+        return tuple(self._workspace(file.name, filled))
+
+    def _check_tokens(self, file: templates.WorkspaceFile) -> None:
+        for token in file.token_sha256:
+            other = self._config.workspace_of_token(token)
+            if other is not None and other != file.name:
+                raise Rejected(
+                    f"a token of {file.name!r} belongs to {other!r}"
+                )
+
+    def _workspace(
+        self, name: str, filled: configuration.Workspace
+    ) -> list[configuration.Entry]:
+        found = [self._entry(_KIND.WORKSPACE, name, filled)]
+        known = self._config.workspace(name)
+        for service in filled.services:
+            before = known.service(service.name) if known else None
+            if before is None or before.version == service.version:
+                continue
+            found.append(self._rollout(name, before, service))
+        return found
+
+    def _rollout(
+        self,
+        workspace: str,
+        before: configuration.Service,
+        service: configuration.Service,
+    ) -> configuration.Entry:
+        last = self._config.rollout(workspace, service.name)
+        from_version = before.version
+        if last is not None and not last.ended:
+            raise Rejected(
+                f"a rollout of {service.name!r} to {last.to_version!r}"
+                " runs; wait for its end or abort it"
+            )
+        if last is not None:
+            done = last.state is configuration.RolloutState.DONE
+            from_version = last.to_version if done else last.from_version
+        now_s = self._origin.now_s
+        state = configuration.RolloutState.RUNNING
+        reason = ""
+        if from_version == service.version:
+            state = configuration.RolloutState.DONE
+            reason = "already in force"
+        name = configuration.rollout_name(workspace, service.name)
+        body = configuration.Rollout(
+            f"{name}@{self._origin.operation_id}",
+            workspace,
+            service.name,
+            from_version,
+            service.version,
+            now_s,
+            now_s + service.move_within_s,
+            0,
+            now_s,
+            state,
+            reason,
+        )
+        return self._entry(_KIND.ROLLOUT, name, body)
+
+    def domain(
+        self, name: str, drained: bool
+    ) -> tuple[configuration.Entry, ...]:
+        """Return the row that takes a failure domain out or back."""
+        body = configuration.Domain(drained, self._origin.now_s)
+        return (self._entry(_KIND.DOMAIN, name, body),)
+
+    def start_rollout(
+        self,
+        workspace: str,
+        service: str,
+        version: str,
+        within_s: float | None,
+    ) -> tuple[configuration.Entry, ...]:
+        """Return the rows for a move that no parameter describes.
+
+        Raises ``Missing`` and ``Rejected``.
+        """
+        known = self._config.workspace(workspace)
+        before = known.service(service) if known else None
+        if known is None or before is None:
+            raise Missing(f"{workspace!r} reaches no service {service!r}")
+        time_s = before.move_within_s if within_s is None else within_s
+        target = dataclasses.replace(
+            before, version=version, move_within_s=time_s
+        )
+        services = tuple(
+            target if one.name == service else one for one in known.services
+        )
+        changed = dataclasses.replace(known, services=services)
+        return (
+            self._entry(_KIND.WORKSPACE, workspace, changed),
+            self._rollout(workspace, before, target),
+        )
+
+    def abort_rollout(
+        self, workspace: str, service: str
+    ) -> tuple[configuration.Entry, ...]:
+        """Return the row that takes a move back; raises ``Rejected``."""
+        rollout = self._config.rollout(workspace, service)
+        if rollout is None:
+            raise Missing(f"no rollout of {service!r} in {workspace!r}")
+        if rollout.ended:
+            raise Rejected(f"the rollout has ended as {rollout.state.value}")
+        body = dataclasses.replace(
+            rollout,
+            state=configuration.RolloutState.UNDONE,
+            reason="aborted by an operator",
+            step_since_s=self._origin.now_s,
+        )
+        name = configuration.rollout_name(workspace, service)
+        return (self._entry(_KIND.ROLLOUT, name, body),)
--- /dev/null
+++ b/packages/platform/src/fireflypulley/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: table, objects, instances, cloud, weights."""
--- /dev/null
+++ b/packages/platform/src/fireflypulley/platform/http_client.py
@@ -0,0 +1,102 @@
+"""HTTP requests to the platform over kept-alive connections."""
+
+import dataclasses
+import io
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.web import client
+from twisted.web import http_headers
+
+from fireflypulley.platform import base
+
+TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+IDLE_S = 30.0
+MAX_CONNECTIONS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole HTTP answer."""
+
+    code: int
+    etag: str
+    body: bytes
+
+
+class HttpClient:
+    """Requests to one base URL with one credential."""
+
+    def __init__(
+        self, reactor: interfaces.IReactorCore, url: str, token: str
+    ) -> None:
+        self._reactor = reactor
+        self._url = url.rstrip("/")
+        self._token = token
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
+        self._pool.cachedConnectionTimeout = IDLE_S
+        self._agent = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+        )
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Return the answer; raises ``base.Unavailable``.
+
+        An answer of 5xx counts as none, since its write may have been
+        done.
+        """
+        all_headers = http_headers.Headers(
+            {"Authorization": [f"Bearer {self._token}"]}
+        )
+        for name, value in (headers or {}).items():
+            all_headers.setRawHeaders(name, [value])
+        producer = None
+        if body is not None:
+            producer = client.FileBodyProducer(io.BytesIO(body))
+            all_headers.setRawHeaders("Content-Type", ["application/json"])
+        answering = self._agent.request(
+            method.encode(),
+            (self._url + path).encode(),
+            all_headers,
+            producer,
+        )
+        answering.addCallback(_read)
+        answering.addTimeout(TIMEOUT_S, self._reactor)
+        try:
+            reply: Reply = await answering
+        except (
+            error.ConnectError,
+            error.ConnectionClosed,
+            defer.TimeoutError,
+            defer.CancelledError,
+            client.ResponseFailed,
+            client.RequestGenerationFailed,
+            client.RequestTransmissionFailed,
+        ) as failure:
+            raise base.Unavailable(f"{method} {path}: {failure!r}")
+        if reply.code >= 500:
+            raise base.Unavailable(f"{method} {path}: {reply.code}")
+        return reply
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self._pool.closeCachedConnections()
+
+
+async def _read_body(response: client.Response) -> Reply:
+    body = await client.readBody(response)
+    etag = response.headers.getRawHeaders("ETag", [""])[0]
+    return Reply(response.code, etag, body)
+
+
+def _read(response: client.Response) -> defer.Deferred[Reply]:
+    return defer.ensureDeferred(_read_body(response))
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,178 @@
+"""Shows the whole path on loopback, with real processes."""
+
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+from fireflystandins import engine
+from fireflystandins import local
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+PROMPT = "hearing of the fourth of December"
+TOKENS = 120
+CHANGED = ("accepted", "answered", "retried", "attempts", "refused")
+
+
+def say(text: str) -> None:
+    """Print one line of what happens."""
+    print(f"demo: {text}", flush=True)
+
+
+def start(system: local.Local) -> None:
+    """Start the stand-ins and three daemons."""
+    system.start_platform()
+    for number, domain in enumerate(("dakar-a", "dakar-b"), start=1):
+        system.start_endpoint(
+            local.EndpointSpec(
+                f"shorthand-{number}", "engine", "shorthand", "v1", domain
+            )
+        )
+    system.start_endpoint(
+        local.EndpointSpec("filing-1", "service", "filing", "v1", "dakar-b")
+    )
+    for number, domain in enumerate("abc", start=1):
+        system.start_daemon(f"node{number}", f"dakar-{domain}")
+    system.publish()
+
+
+def configure(system: local.Local) -> None:
+    """Apply the example template with the operators' client."""
+    system.wait_ports()
+    system.apply(
+        (EXAMPLES / "court.ini").read_text(),
+        (EXAMPLES / "court-dakar.ini").read_text(),
+    )
+    system.wait_ready()
+
+
+def text_of(events: bytes) -> str:
+    """Return the text of a stream of events."""
+    found = []
+    for line in events.splitlines():
+        if line.startswith(b"data: {"):
+            choice = json.loads(line[6:])["choices"][0]
+            found.append(choice["delta"].get("content", ""))
+    return "".join(found)
+
+
+def stream(system: local.Local, daemon: local.Daemon) -> str:
+    """Stream an answer while the endpoint that serves it is killed."""
+    body = {
+        "model": "shorthand",
+        "stream": True,
+        "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": PROMPT}],
+    }
+    answers = []
+
+    def call() -> None:
+        path = "/v1/chat/completions"
+        answers.append(system.call(daemon, "POST", path, body))
+
+    caller = threading.Thread(target=call)
+    caller.start()
+
+    def serving() -> str | None:
+        for name, process in system.endpoints.items():
+            if not process.alive or not name.startswith("shorthand"):
+                continue
+            url = f"http://{process.address}/load"
+            report = json.loads(local.http("GET", url)[1])
+            if report["running"] and report["tokens_total"] > TOKENS / 4:
+                return name
+        return None
+
+    victim = local.wait_for("a stream half-way", serving, 10)
+    system.endpoints[victim].kill()
+    say(f"killed {victim} while it streamed")
+    caller.join()
+    status, events, _ = answers[0]
+    say(f"the stream ended with status {status}")
+    return text_of(events)
+
+
+def file_once(system: local.Local, daemon: local.Daemon) -> None:
+    """File once, and ask again with the same key."""
+    key = f"filing-{time.time_ns()}"
+    for _ in range(2):
+        status, body, _ = system.call(
+            daemon,
+            "POST",
+            "/services/filing/filings",
+            {"case": 7},
+            Idempotency_Key=key,
+        )
+        say(f"filing answered {status}: {body.decode()}")
+    address = system.endpoints["filing-1"].address
+    url = f"http://{address}/executions"
+    runs = json.loads(local.http("GET", url)[1])[key]
+    if runs != 1:
+        raise local.NotReached(f"the filing ran {runs} times")
+    say("the filing ran once")
+
+
+def counters(system: local.Local) -> dict[str, float]:
+    """Return the sum of each counter over the daemons."""
+    total: dict[str, float] = {}
+    for daemon in system.daemons:
+        for name, value in system.metrics(daemon).items():
+            if any(f"_{word}_total" in name for word in CHANGED):
+                total[name] = total.get(name, 0.0) + value
+    return total
+
+
+def drain(system: local.Local) -> None:
+    """Take a failure domain out and wait for the system's word."""
+    for command in ("drain", "watch", "restore"):
+        code, printed = system.cli("domain", command, "dakar-a")
+        last = printed.strip().splitlines()[-1]
+        say(f"domain {command} dakar-a: exit {code}: {last}")
+        if code:
+            raise local.NotReached(printed)
+
+
+def run(system: local.Local) -> None:
+    """Run the demo."""
+    start(system)
+    configure(system)
+    say("template and workspace are in force on three nodes")
+    before = counters(system)
+    text = stream(system, system.daemons[0])
+    wanted = "".join(engine.token(PROMPT, n) for n in range(TOKENS))
+    if text != wanted:
+        raise local.NotReached(f"the answer is not whole: {text!r}")
+    say(f"the answer is whole: {TOKENS} tokens, none twice")
+    file_once(system, system.daemons[1])
+    drain(system)
+    for name, value in sorted(counters(system).items()):
+        change = value - before.get(name, 0.0)
+        if change:
+            say(f"{name} +{change:.0f}")
+    for daemon in system.daemons:
+        daemon.signal(signal.SIGTERM)
+    codes = [daemon.popen.wait(30) for daemon in system.daemons]
+    say(f"the daemons shut down with codes {codes}")
+    if any(codes):
+        raise local.NotReached("a daemon did not shut down cleanly")
+
+
+def main() -> int:
+    """Run the demo in a folder of its own; return the exit code."""
+    with tempfile.TemporaryDirectory(prefix="fireflypulley-") as folder:
+        with local.running(pathlib.Path(folder)) as system:
+            try:
+                run(system)
+            except local.NotReached as error:
+                say(f"failed: {error}")
+                for process in system.processes:
+                    print(process.name, process.log.read_text()[-2000:])
+                return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/fireflystandins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of endpoints, with faults."""
--- /dev/null
+++ b/standins/fireflystandins/__main__.py
@@ -0,0 +1,43 @@
+"""Starts one stand-in: ``python -m fireflystandins KIND ADDRESS``."""
+
+import argparse
+
+from fireflystandins import engine
+from fireflystandins import platform
+from fireflystandins import service
+from fireflystandins import web
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="fireflystandins")
+    parser.add_argument("kind", choices=("platform", "engine", "service"))
+    parser.add_argument("address", help="host:port to listen on")
+    parser.add_argument("--first-token-s", type=float, default=0.02)
+    parser.add_argument("--token-s", type=float, default=0.01)
+    parser.add_argument("--capacity", type=int, default=16)
+    parser.add_argument("--cold-capacity", type=int, default=1)
+    parser.add_argument("--cold", action="store_true")
+    return parser
+
+
+def main() -> None:
+    """Run a stand-in until it is stopped."""
+    options = _parser().parse_args()
+    if options.kind == "platform":
+        handler = platform.Platform().handle
+    elif options.kind == "service":
+        handler = service.Service().handle
+    else:
+        shape = engine.Shape(
+            first_token_s=options.first_token_s,
+            token_s=options.token_s,
+            capacity=options.capacity,
+            cold_capacity=options.cold_capacity,
+            cold=options.cold,
+        )
+        handler = engine.Engine(shape).handle
+    web.serve(handler, options.address)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fireflystandins/engine.py
@@ -0,0 +1,196 @@
+"""A stand-in of a model engine: OpenAI-style streams over SSE.
+
+Tokens depend on the prompt and the position alone, so a resumed answer
+can be checked against a whole one.  A cold engine bears ``cold_capacity``
+requests, twice as many after each round of answers, and crashes beyond.
+``POST /faults`` sets any field of ``Faults``.
+"""
+
+import dataclasses
+import hashlib
+import json
+import os
+import time
+
+from twisted.internet import reactor
+from twisted.internet import task
+
+from fireflystandins import web
+
+DEFAULT_TOKENS = 40
+ANSWERS_PER_DOUBLING = 2
+
+
+@dataclasses.dataclass
+class Faults:
+    """The faults that are switched on."""
+
+    fail_all: bool = False
+    extra_first_token_s: float = 0.0
+    garbage: bool = False
+    wrong_id: bool = False
+    stall: bool = False
+    crash_on: str = ""
+    die_after_tokens: int = 0
+
+
+@dataclasses.dataclass
+class Shape:
+    """How the engine behaves."""
+
+    first_token_s: float = 0.02
+    token_s: float = 0.01
+    capacity: int = 16
+    cold_capacity: int = 1
+    cold: bool = False
+    exact_cold: bool = True
+
+
+def token(prompt: str, index: int) -> str:
+    """Return the token at a position of the answer to a prompt."""
+    digest = hashlib.sha256(f"{prompt}:{index}".encode()).hexdigest()
+    return f"w{digest[:4]} "
+
+
+def prompt_of(body: web.Json) -> str:
+    """Return the text that decides the answer."""
+    if "messages" in body:
+        return "\n".join(str(m.get("content")) for m in body["messages"])
+    return str(body.get("prompt", ""))
+
+
+class Stream:
+    """One answer being generated."""
+
+    def __init__(
+        self, engine: "Engine", request: web.JsonRequest, body: web.Json
+    ) -> None:
+        self._engine = engine
+        self._raw = request.raw
+        self._id = request.header("X-Request-Id") or "none"
+        self._prompt = prompt_of(body)
+        self._index = int(body.get("resume", {}).get("tokens", 0))
+        self._total = int(body.get("max_tokens") or DEFAULT_TOKENS)
+        self._loop = task.LoopingCall(self._next)
+        self._over = False
+        self._raw.notifyFinish().addErrback(lambda _: self._end())
+
+    def begin(self) -> None:
+        """Start after the time to the first token."""
+        faults = self._engine.faults
+        if faults.stall:
+            return
+        delay_s = self._engine.shape.first_token_s
+        reactor.callLater(delay_s + faults.extra_first_token_s, self._start)
+
+    def _start(self) -> None:
+        if self._over:
+            return
+        self._raw.setHeader("Content-Type", "text/event-stream")
+        self._loop.start(self._engine.shape.token_s)
+
+    def _next(self) -> None:
+        if self._over:
+            return
+        if self._index >= self._total:
+            self._finish()
+            return
+        text = token(self._prompt, self._index)
+        self._index += 1
+        self._engine.tokens += 1
+        self._write({"delta": {"content": text}, "index": 0})
+        dies = self._engine.faults.die_after_tokens
+        if dies and self._engine.tokens >= dies:
+            os._exit(1)
+
+    def _write(self, choice: web.Json) -> None:
+        if self._engine.faults.garbage:
+            self._raw.write(b"data: {not json\n\n")
+            return
+        known = "other" if self._engine.faults.wrong_id else self._id
+        event = {"id": known, "choices": [choice]}
+        text = json.dumps(event, separators=(",", ":"))
+        self._raw.write(f"data: {text}\n\n".encode())
+
+    def _finish(self) -> None:
+        self._write({"delta": {}, "index": 0, "finish_reason": "stop"})
+        self._raw.write(b"data: [DONE]\n\n")
+        self._engine.answered += 1
+        self._end()
+        self._raw.finish()
+
+    def _end(self) -> None:
+        if self._over:
+            return
+        self._over = True
+        self._engine.streams.discard(self)
+        if self._loop.running:
+            self._loop.stop()
+
+
+class Engine:
+    """The engine's state."""
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        self.faults = Faults()
+        self.streams: set[Stream] = set()
+        self.answered = 0
+        self.tokens = 0
+        self.peak = 0
+        self.started_s = time.time()
+
+    @property
+    def bears(self) -> int:
+        """Return how many requests the engine bears now."""
+        if not self.shape.cold:
+            return self.shape.capacity * 4
+        bears = self.shape.cold_capacity
+        left = self.answered
+        while left >= ANSWERS_PER_DOUBLING * bears:
+            left -= ANSWERS_PER_DOUBLING * bears
+            bears *= 2
+        return min(bears, self.shape.capacity)
+
+    def handle(self, request: web.JsonRequest) -> None:
+        """Serve one request."""
+        path = "/".join(request.parts)
+        if path == "load":
+            self._report(request)
+        elif path == "faults":
+            for name, value in request.body().items():
+                setattr(self.faults, name, value)
+            request.answer(200, dataclasses.asdict(self.faults))
+        elif path in ("v1/chat/completions", "v1/completions"):
+            self._complete(request)
+        else:
+            request.answer(404, {})
+
+    def _report(self, request: web.JsonRequest) -> None:
+        request.answer(
+            200,
+            {
+                "running": len(self.streams),
+                "waiting": 0,
+                "answered_total": self.answered,
+                "started_s": self.started_s,
+                "tokens_total": self.tokens,
+                "peak": self.peak,
+            },
+        )
+
+    def _complete(self, request: web.JsonRequest) -> None:
+        body = request.body()
+        crash_on = self.faults.crash_on
+        if crash_on and crash_on in prompt_of(body):
+            os._exit(1)
+        if self.faults.fail_all:
+            request.answer(500, {"error": "bad version"})
+            return
+        stream = Stream(self, request, body)
+        self.streams.add(stream)
+        self.peak = max(self.peak, len(self.streams))
+        if len(self.streams) > self.bears:
+            print("crashed: more load than it bears", flush=True)
+            os._exit(1)
+        stream.begin()
--- /dev/null
+++ b/standins/fireflystandins/local.py
@@ -0,0 +1,381 @@
+"""Starts a small system on loopback: stand-ins and real daemons.
+
+Every process has a port range of its own and is stopped by its id.
+"""
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+OPERATOR_TOKEN = "operator-secret"
+NODE_KEY = "node-secret"
+CALLER_TOKEN = "caller-secret"
+Json = typing.Any
+
+
+class NotReached(AssertionError):
+    """A state that was waited for has not come."""
+
+
+def free_port() -> int:
+    """Return a loopback port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_for(
+    what: str,
+    check: typing.Callable[[], typing.Any],
+    timeout_s: float = START_TIMEOUT_S,
+) -> typing.Any:
+    """Return the first true result of ``check``.
+
+    Raises ``NotReached`` after the time is up.
+    """
+    ends_s = time.monotonic() + timeout_s
+    last: typing.Any = None
+    while time.monotonic() < ends_s:
+        try:
+            last = check()
+        except OSError:
+            last = None
+        if last:
+            return last
+        time.sleep(POLL_S)
+    raise NotReached(f"{what}: not within {timeout_s} s, last {last!r}")
+
+
+def http(
+    method: str,
+    url: str,
+    body: Json = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> tuple[int, bytes, dict[str, str]]:
+    """Return status, body and headers of one HTTP request."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data, method=method)
+    for name, value in (headers or {}).items():
+        request.add_header(name, value)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            return reply.status, reply.read(), dict(reply.headers)
+    except urllib.error.HTTPError as error:
+        return error.code, error.read(), dict(error.headers)
+
+
+@dataclasses.dataclass
+class Process:
+    """A process that this system started."""
+
+    name: str
+    address: str
+    popen: subprocess.Popen[bytes]
+    log: pathlib.Path
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    @property
+    def alive(self) -> bool:
+        """Return whether the process runs."""
+        return self.popen.poll() is None
+
+
+@dataclasses.dataclass
+class EndpointSpec:
+    """An endpoint to start, and its line in the instance list."""
+
+    endpoint_id: str
+    kind: str
+    service: str
+    version: str
+    failure_domain: str
+    options: tuple[str, ...] = ()
+    capacity: int = 16
+    cold_capacity: int = 2
+
+
+@dataclasses.dataclass
+class Daemon(Process):
+    """A daemon with its addresses."""
+
+    node_id: str = ""
+    failure_domain: str = ""
+    callers: str = ""
+    operators: str = ""
+    settings: pathlib.Path = pathlib.Path()
+
+
+class Local:
+    """A running system in one folder."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.processes: list[Process] = []
+        self.daemons: list[Daemon] = []
+        self.endpoints: dict[str, Process] = {}
+        self.platform: Process | None = None
+        self.instances: dict[str, list[Json]] = {
+            "endpoints": [],
+            "nodes": [],
+        }
+        (folder / "keys").write_text(NODE_KEY + "\n")
+        (folder / "operator").write_text(OPERATOR_TOKEN + "\n")
+        (folder / "platform").write_text("platform-secret\n")
+
+    def _start(self, name: str, command: list[str]) -> Process:
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as file:
+            popen = subprocess.Popen(
+                command, stdout=file, stderr=file, cwd=self.folder
+            )
+        process = Process(name, "", popen, log)
+        self.processes.append(process)
+        return process
+
+    def _standin(self, kind: str, name: str, *options: str) -> Process:
+        address = f"127.0.0.1:{free_port()}"
+        command = [sys.executable, "-m", "fireflystandins", kind, address]
+        process = self._start(name, [*command, *options])
+        process.address = address
+        return process
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        self.platform = self._standin("platform", "platform")
+        address = self.platform.address
+        wait_for(
+            "platform",
+            lambda: http("GET", f"http://{address}/counts")[0] == 200,
+        )
+
+    def start_endpoint(self, spec: EndpointSpec) -> Process:
+        """Start an endpoint; ``publish`` lists it."""
+        options = list(spec.options)
+        if spec.kind == "engine":
+            options += ["--capacity", str(spec.capacity)]
+            options += ["--cold-capacity", str(spec.cold_capacity)]
+        process = self._standin(spec.kind, spec.endpoint_id, *options)
+        self.endpoints[spec.endpoint_id] = process
+        address = process.address
+        wait_for(
+            spec.endpoint_id,
+            lambda: http("GET", f"http://{address}/load")[0] == 200,
+        )
+        self.instances["endpoints"].append(
+            {
+                "endpoint_id": spec.endpoint_id,
+                "address": address,
+                "service": spec.service,
+                "version": spec.version,
+                "failure_domain": spec.failure_domain,
+                "capacity": spec.capacity,
+                "cold_capacity": spec.cold_capacity,
+            }
+        )
+        return process
+
+    def publish(self) -> None:
+        """Give the platform the instance list as it is now."""
+        assert self.platform is not None
+        url = f"http://{self.platform.address}/instances"
+        http("PUT", url, self.instances)
+
+    def remove(self, endpoint_id: str) -> None:
+        """Take an endpoint off the list."""
+        self.instances["endpoints"] = [
+            one
+            for one in self.instances["endpoints"]
+            if one["endpoint_id"] != endpoint_id
+        ]
+        self.publish()
+
+    def announce_leave(
+        self, endpoint_ids: list[str], leaves_at_s: float
+    ) -> None:
+        """Announce that endpoints will be reclaimed."""
+        for one in self.instances["endpoints"]:
+            if one["endpoint_id"] in endpoint_ids:
+                one["leaving"] = True
+                one["leaves_at_s"] = leaves_at_s
+        self.publish()
+
+    def faults(self, address: str, **faults: Json) -> None:
+        """Switch faults of a stand-in on or off."""
+        http("POST", f"http://{address}/faults", faults)
+
+    def start_daemon(
+        self, node_id: str, failure_domain: str, more: str = ""
+    ) -> Daemon:
+        """Start a daemon with settings of its own."""
+        assert self.platform is not None
+        ports = [free_port() for _ in range(3)]
+        path = self.folder / f"{node_id}.ini"
+        path.write_text(
+            f"""[node]
+node_id = {node_id}
+failure_domain = {failure_domain}
+callers = tcp:{ports[0]}:interface=127.0.0.1
+operators = tcp:{ports[1]}:interface=127.0.0.1
+streams = tcp:{ports[2]}:interface=127.0.0.1
+advertise = 127.0.0.1:{ports[2]}
+key_file = keys
+operator_token_file = operator
+
+[platform]
+url = http://{self.platform.address}
+token_file = platform
+config_period_s = 0.5
+instances_period_s = 0.25
+load_period_s = 0.25
+
+[limits]
+shutdown_grace_s = 20
+balancer_delay_s = 0.5
+{more}
+"""
+        )
+        program = pathlib.Path(sys.executable).parent / "fireflypulleyd"
+        process = self._start(node_id, [str(program), str(path)])
+        daemon = Daemon(
+            node_id,
+            "",
+            process.popen,
+            process.log,
+            node_id,
+            failure_domain,
+            f"http://127.0.0.1:{ports[0]}",
+            f"http://127.0.0.1:{ports[1]}",
+            path,
+        )
+        self.daemons.append(daemon)
+        self.instances["nodes"].append(
+            {
+                "node_id": node_id,
+                "address": f"127.0.0.1:{ports[2]}",
+                "failure_domain": failure_domain,
+            }
+        )
+        self.publish()
+        self._write_client()
+        return daemon
+
+    def _write_client(self) -> None:
+        urls = ",".join(d.operators for d in self.daemons)
+        text = f"[client]\nurls = {urls}\ntoken_file = operator\n"
+        (self.folder / "fireflypulley.ini").write_text(text)
+
+    def wait_ports(self) -> None:
+        """Wait until every daemon listens."""
+        for daemon in self.daemons:
+            url = f"{daemon.callers}/livez"
+            wait_for(
+                f"{daemon.node_id} live",
+                lambda u=url: http("GET", u)[0] == 200,
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until every daemon takes callers."""
+        for daemon in self.daemons:
+            if daemon.alive:
+                wait_for(
+                    f"{daemon.node_id} ready",
+                    lambda d=daemon: self.ready(d),
+                )
+
+    def ready(self, daemon: Daemon) -> bool:
+        """Return whether a daemon takes callers."""
+        return http("GET", f"{daemon.callers}/readyz")[0] == 200
+
+    def cli(self, *arguments: str) -> tuple[int, str]:
+        """Run the operators' client; return its code and output."""
+        program = pathlib.Path(sys.executable).parent / "fireflypulley"
+        done = subprocess.run(
+            [str(program), *arguments],
+            cwd=self.folder,
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def apply(self, template: str, workspace: str) -> None:
+        """Put a template and a workspace in force."""
+        for kind, text in (("template", template), ("workspace", workspace)):
+            path = self.folder / f"apply-{kind}.ini"
+            path.write_text(text)
+            code, printed = self.cli(kind, "apply", str(path))
+            if code:
+                raise NotReached(printed)
+
+    def call(
+        self,
+        daemon: Daemon,
+        method: str,
+        path: str,
+        body: Json = None,
+        **headers: str,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Make one call as the workspace's caller."""
+        named = {k.replace("_", "-"): v for k, v in headers.items()}
+        named.setdefault("Authorization", f"Bearer {CALLER_TOKEN}")
+        return http(method, daemon.callers + path, body, named)
+
+    def metrics(self, daemon: Daemon) -> dict[str, float]:
+        """Return a daemon's metrics by their full names."""
+        page = http("GET", f"{daemon.callers}/metrics")[1].decode()
+        lines = [ln for ln in page.splitlines() if not ln.startswith("#")]
+        pairs = [line.rsplit(" ", 1) for line in lines if " " in line]
+        return {name: float(value) for name, value in pairs}
+
+    def stop(self) -> None:
+        """End all processes, the daemons gracefully."""
+        for process in self.processes:
+            if process.alive:
+                process.signal(signal.SIGCONT)
+                process.signal(signal.SIGTERM)
+        ends_s = time.monotonic() + 5.0
+        for process in self.processes:
+            left_s = max(0.1, ends_s - time.monotonic())
+            try:
+                process.popen.wait(timeout=left_s)
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+
+def token_sha256(token: str = CALLER_TOKEN) -> str:
+    """Return a caller's token as workspaces keep it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+@contextlib.contextmanager
+def running(folder: pathlib.Path) -> typing.Iterator[Local]:
+    """Give a system that is stopped at the end."""
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    local = Local(folder)
+    try:
+        yield local
+    finally:
+        local.stop()
--- /dev/null
+++ b/standins/fireflystandins/web.py
@@ -0,0 +1,86 @@
+"""What the stand-ins share: JSON resources on loopback ports."""
+
+import json
+import typing
+
+from twisted.internet import reactor
+from twisted.python import log
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+Json = typing.Any
+
+
+class JsonRequest:
+    """A request with its path parts and its JSON body."""
+
+    def __init__(self, request: http.Request) -> None:
+        self.raw = request
+        self.method = request.method.decode()
+        self.parts = [part.decode() for part in request.postpath]
+
+    def body(self) -> Json:
+        """Return the body, ``None`` when it is empty."""
+        content = self.raw.content.read()
+        return json.loads(content) if content else None
+
+    def argument(self, name: str, default: str = "") -> str:
+        """Return a query argument."""
+        values = self.raw.args.get(name.encode(), [default.encode()])
+        return values[0].decode()
+
+    def header(self, name: str) -> str:
+        """Return a header, empty when missing."""
+        return self.raw.getHeader(name) or ""
+
+    def answer(self, code: int, body: Json = None, etag: str = "") -> None:
+        """Send a JSON answer."""
+        if self.raw._disconnected:
+            return
+        self.raw.setResponseCode(code)
+        if etag:
+            self.raw.setHeader("ETag", etag)
+        if body is not None:
+            self.raw.setHeader("Content-Type", "application/json")
+            self.raw.write(json.dumps(body).encode())
+        self.raw.finish()
+
+    def answer_bytes(self, code: int, content: bytes, etag: str) -> None:
+        """Send an answer of bytes."""
+        self.raw.setResponseCode(code)
+        self.raw.setHeader("ETag", etag)
+        self.raw.write(content)
+        self.raw.finish()
+
+    def cut(self) -> None:
+        """Close the connection with no answer."""
+        self.raw.transport.abortConnection()
+
+
+class Root(resource.Resource):
+    """Hands every request to one function."""
+
+    isLeaf = True
+
+    def __init__(self, handler: typing.Callable[[JsonRequest], None]) -> None:
+        super().__init__()
+        self._handler = handler
+
+    def render(self, request: http.Request) -> int:
+        try:
+            self._handler(JsonRequest(request))
+        except Exception:
+            log.err()
+            request.setResponseCode(500)
+            request.finish()
+        return server.NOT_DONE_YET
+
+
+def serve(handler: typing.Callable[[JsonRequest], None], address: str) -> None:
+    """Listen on ``host:port`` and run until stopped."""
+    host, port = address.rsplit(":", 1)
+    site = server.Site(Root(handler))
+    reactor.listenTCP(int(port), site, interface=host)
+    print(f"listening on {address}", flush=True)
+    reactor.run()
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,40 @@
+"""A running system of real processes for each module of tests."""
+
+import pathlib
+import typing
+
+import pytest
+
+from fireflystandins import local
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+
+
+def start(folder: pathlib.Path, system: local.Local) -> None:
+    """Start two engines, one service and three daemons, configured."""
+    system.start_platform()
+    for number, domain in enumerate(("dakar-a", "dakar-b"), start=1):
+        system.start_endpoint(
+            local.EndpointSpec(
+                f"shorthand-{number}", "engine", "shorthand", "v1", domain
+            )
+        )
+    system.start_endpoint(
+        local.EndpointSpec("filing-1", "service", "filing", "v1", "dakar-b")
+    )
+    for number, domain in enumerate("abc", start=1):
+        system.start_daemon(f"node{number}", f"dakar-{domain}")
+    system.wait_ports()
+    system.apply(
+        (EXAMPLES / "court.ini").read_text(),
+        (EXAMPLES / "court-dakar.ini").read_text(),
+    )
+    system.wait_ready()
+
+
+@pytest.fixture
+def system(tmp_path: pathlib.Path) -> typing.Iterator[local.Local]:
+    """Give a configured system with three ready daemons."""
+    with local.running(tmp_path) as found:
+        start(tmp_path, found)
+        yield found
--- /dev/null
+++ b/tests/processes/test_path.py
@@ -0,0 +1,222 @@
+"""The whole path through real processes, under kills and outages."""
+
+import json
+import threading
+import time
+
+import pytest
+
+from fireflystandins import engine
+from fireflystandins import local
+
+pytestmark = pytest.mark.processes
+
+PROMPT = "a late hearing"
+
+
+def chat(
+    system: local.Local,
+    daemon: local.Daemon,
+    tokens: int = 40,
+    stream: bool = True,
+    **headers: str,
+) -> tuple[int, bytes, dict[str, str]]:
+    body = {
+        "model": "shorthand",
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": PROMPT}],
+    }
+    path = "/v1/chat/completions"
+    return system.call(daemon, "POST", path, body, **headers)
+
+
+def text_of(events: bytes) -> str:
+    found = []
+    for line in events.splitlines():
+        if line.startswith(b"data: {"):
+            choice = json.loads(line[6:])["choices"][0]
+            found.append(choice["delta"].get("content", ""))
+    return "".join(found)
+
+
+def whole(tokens: int) -> str:
+    return "".join(engine.token(PROMPT, n) for n in range(tokens))
+
+
+def executions(system: local.Local, endpoint_id: str) -> dict[str, int]:
+    address = system.endpoints[endpoint_id].address
+    url = f"http://{address}/executions"
+    return json.loads(local.http("GET", url)[1])
+
+
+def file(
+    system: local.Local, daemon: local.Daemon, key: str
+) -> tuple[int, dict]:
+    status, body, _ = system.call(
+        daemon,
+        "POST",
+        "/services/filing/filings",
+        {"case": 1},
+        Idempotency_Key=key,
+    )
+    return status, json.loads(body)
+
+
+def serving(system: local.Local, tokens: int) -> str:
+    def check() -> str | None:
+        for name, process in system.endpoints.items():
+            if not process.alive or not name.startswith("shorthand"):
+                continue
+            url = f"http://{process.address}/load"
+            report = json.loads(local.http("GET", url)[1])
+            if report["running"] and report["tokens_total"] >= tokens:
+                return name
+        return None
+
+    return local.wait_for("a stream half-way", check, 10)
+
+
+def in_background(work):
+    found = []
+    thread = threading.Thread(target=lambda: found.append(work()))
+    thread.start()
+    return thread, found
+
+
+def test_whole_answer_streamed_and_joined(system):
+    daemon = system.daemons[0]
+    status, events, _ = chat(system, daemon)
+    assert status == 200
+    assert text_of(events) == whole(40)
+    assert events.endswith(b"data: [DONE]\n\n")
+    status, body, _ = chat(system, daemon, stream=False)
+    message = json.loads(body)["choices"][0]["message"]
+    assert (status, message["content"]) == (200, whole(40))
+
+
+def test_endpoint_killed_while_streaming(system):
+    daemon = system.daemons[0]
+    thread, found = in_background(lambda: chat(system, daemon, 120))
+    system.endpoints[serving(system, 20)].kill()
+    thread.join()
+    assert found[0][0] == 200
+    assert text_of(found[0][1]) == whole(120)
+
+
+def test_announced_reclaim_moves_the_stream(system):
+    daemon = system.daemons[0]
+    thread, found = in_background(lambda: chat(system, daemon, 400))
+    victim = serving(system, 20)
+    system.announce_leave([victim], time.time() + 3.0)
+    time.sleep(3.0)
+    system.endpoints[victim].kill()
+    thread.join()
+    assert text_of(found[0][1]) == whole(400)
+
+
+def test_key_finds_its_answer_at_another_node(system):
+    first, second = system.daemons[0], system.daemons[1]
+    thread, found = in_background(
+        lambda: chat(system, first, 150, Idempotency_Key="k1")
+    )
+    serving(system, 20)
+    status, events, _ = chat(
+        system, second, 150, Idempotency_Key="k1", Last_Event_ID="9"
+    )
+    thread.join()
+    assert status == 200
+    assert events.startswith(b"id: 10\n")
+    assert text_of(found[0][1]) == whole(150)
+    assert whole(150).endswith(text_of(events))
+    before = system.metrics(second).get("fireflypulley_accepted_total")
+    assert before == 0
+
+
+def test_graceful_shutdown_cuts_no_stream(system):
+    daemon = system.daemons[0]
+    thread, found = in_background(lambda: chat(system, daemon, 150))
+    serving(system, 20)
+    daemon.signal(15)
+    thread.join()
+    assert text_of(found[0][1]) == whole(150)
+    assert daemon.popen.wait(20) == 0
+
+
+def test_filing_runs_once_from_two_nodes_at_once(system):
+    results = [
+        in_background(lambda d=daemon: file(system, d, "f1"))
+        for daemon in system.daemons
+    ]
+    for thread, _ in results:
+        thread.join()
+    assert [found[0][0] for _, found in results] == [200, 200, 200]
+    assert executions(system, "filing-1") == {"f1": 1}
+
+
+def test_filing_cut_after_it_ran_is_unknown_and_never_repeated(system):
+    address = system.endpoints["filing-1"].address
+    system.faults(address, cut_after_run=1)
+    status, body = file(system, system.daemons[0], "f2")
+    assert (status, body["run"]) == (502, "unknown")
+    status, body = file(system, system.daemons[1], "f2")
+    assert (status, body["run"]) == (502, "unknown")
+    assert executions(system, "filing-1") == {"f2": 1}
+
+
+def test_filing_refused_as_not_run_while_the_store_is_down(system):
+    platform = system.platform.address
+    system.faults(platform, down=True)
+    status, body = file(system, system.daemons[0], "f3")
+    assert (status, body["run"]) == (503, "not-run")
+    assert executions(system, "filing-1") == {}
+    system.faults(platform, down=False)
+
+    def accepted() -> bool:
+        return file(system, system.daemons[1], "f3")[0] == 200
+
+    local.wait_for("the filing is accepted", accepted)
+    assert executions(system, "filing-1") == {"f3": 1}
+
+
+def test_lost_claim_answer_is_settled(system):
+    system.faults(system.platform.address, lose_answers=1)
+    status, _ = file(system, system.daemons[0], "f4")
+    assert status == 200
+    assert executions(system, "filing-1") == {"f4": 1}
+
+
+def test_models_are_served_while_the_store_is_down(system):
+    system.faults(system.platform.address, down=True)
+    time.sleep(1.0)
+    status, events, _ = chat(system, system.daemons[1])
+    assert (status, text_of(events)) == (200, whole(40))
+
+
+def test_drained_domain_gets_no_new_work(system):
+    code, printed = system.cli("domain", "drain", "dakar-a")
+    assert code == 0, printed
+
+    def drained() -> bool:
+        listed = [
+            json.loads(
+                local.http(
+                    "GET",
+                    f"{d.operators}/v1/domains/dakar-a",
+                    headers={
+                        "Authorization": f"Bearer {local.OPERATOR_TOKEN}"
+                    },
+                )[1]
+            )["drained"]
+            for d in system.daemons
+        ]
+        return all(listed)
+
+    local.wait_for("drained on all nodes", drained, 3.0)
+    address = system.endpoints["shorthand-1"].address
+    url = f"http://{address}/load"
+    before = json.loads(local.http("GET", url)[1])["tokens_total"]
+    for daemon in system.daemons:
+        assert chat(system, daemon)[0] == 200
+    after = json.loads(local.http("GET", url)[1])["tokens_total"]
+    assert after == before
