Let a paused node and its peers find each other again

Cause: after SIGSTOP and SIGCONT the paused node held all its peers dead (their heartbeats were old by its clock), they held it dead, and nobody dials a node held dead; the two sides stayed apart until the facts lapsed after 60 s. Ruled out: the stream's handshake (it was never dialed) and the instance list (all three nodes were listed alive).

Change: a node whose own tick is late judges nobody; nodes held dead that would be peers are dialed as well; a fact of return outranks the fact of death, and the next death outranks the return.

Before: tests/processes test_paused_node_is_found_and_returns failed after 15 s. After: it passes in 11 s, and the nine tests of tests/core/test_membership.py pass.

--- a/packages/core/src/fireflypulley/core/membership.py
+++ b/packages/core/src/fireflypulley/core/membership.py
@@ -13,6 +13,7 @@
 PEERS = 4
 HEARTBEAT_TIMEOUT_S = 3.0
 DOWN_KEPT_S = 60.0
+PAUSE_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,6 +36,7 @@
         self._shared = shared
         self._listed: dict[str, topology.Node] = {this.node_id: this}
         self._peers: dict[str, _Peer] = {}
+        self._looked_s = float("inf")
 
     def listed(self, nodes: tuple[topology.Node, ...]) -> None:
         """Take in the platform's list, which may lag."""
@@ -80,14 +82,23 @@
 
         Each node dials few others, some of them in other failure
         domains; with the streams it accepts the graph stays connected.
+        A node held dead that would be among them is dialed as well,
+        since two sides that hold each other dead would else stay apart.
         """
-        others = [n for n in self.alive(now_s) if n != self._this.node_id]
+        alive = self.alive(now_s)
+        chosen = self._choose(alive)
+        listed = [n for n, node in self._listed.items() if not node.leaving]
+        held_down = [n for n in self._choose(listed) if n not in alive]
+        return tuple(chosen + held_down)
+
+    def _choose(self, node_ids: list[str]) -> list[str]:
+        others = [n for n in node_ids if n != self._this.node_id]
         ranked = ownership.ranking(self._this.node_id, others)
         near = [n for n in ranked if self._is_near(n)]
         far = [n for n in ranked if not self._is_near(n)]
         chosen = far[: PEERS // 2] + near[: PEERS - PEERS // 2]
         rest = [n for n in ranked if n not in chosen]
-        return tuple(chosen + rest[: PEERS - len(chosen)])
+        return chosen + rest[: PEERS - len(chosen)]
 
     def _is_near(self, node_id: str) -> bool:
         domain = self._listed[node_id].failure_domain
@@ -119,12 +130,20 @@
         peer = self._peers.pop(node_id, None)
         if peer is None:
             return None
-        return facts.NodeDown(
-            node_id, peer.incarnation, True, now_s + DOWN_KEPT_S
-        )
+        known = self._known_incarnation(node_id, peer.incarnation)
+        return facts.NodeDown(node_id, known, True, now_s + DOWN_KEPT_S)
 
     def silent(self, now_s: float) -> list[str]:
-        """Return the peers whose heartbeats have stopped."""
+        """Return the peers whose heartbeats have stopped.
+
+        A node that was paused itself has heard nobody and judges nobody.
+        """
+        paused = now_s - self._looked_s > PAUSE_S
+        self._looked_s = now_s
+        if paused:
+            for peer in self._peers.values():
+                peer.heard_s = now_s
+            return []
         return [
             node_id
             for node_id, peer in self._peers.items()
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,102 @@
+"""Which nodes a node holds alive."""
+
+from fireflypulley.core import facts
+from fireflypulley.core import membership
+from fireflypulley.core import topology
+
+
+def _node(name: str, domain: str = "a") -> topology.Node:
+    return topology.Node(name, f"{name}:1", domain)
+
+
+class _Members(membership.Membership):
+    """A membership whose facts the test can see."""
+
+    def __init__(self) -> None:
+        self.facts = facts.SharedState()
+        super().__init__(_node("n1"), 1, self.facts)
+        self.listed(tuple(_node(f"n{i}") for i in range(1, 4)))
+
+    def lose(self, node_id: str, now_s: float) -> None:
+        self.facts.merge(self.lost(node_id, now_s), now_s)
+
+
+def test_lost_peer_is_down_and_returns_with_its_stream():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    members.lose("n2", 1.0)
+    assert members.alive(1.0) == ["n1", "n3"]
+    fact = members.connect("n2", 5, 2.0)
+    members.facts.merge(fact, 2.0)
+    assert members.alive(2.0) == ["n1", "n2", "n3"]
+
+
+def test_peer_lost_twice_is_down_twice():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    members.lose("n2", 1.0)
+    members.facts.merge(members.connect("n2", 5, 2.0), 2.0)
+    members.lose("n2", 3.0)
+    assert members.is_down("n2", 3.0)
+
+
+def test_node_held_down_is_still_dialed():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    members.lose("n2", 1.0)
+    assert "n2" in members.wanted_peers(1.0)
+
+
+def test_silent_peer_is_found():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    for tick in range(40):
+        silent = members.silent(tick * 0.1)
+    assert silent == ["n2"]
+
+
+def test_paused_node_judges_nobody():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    assert members.silent(0.1) == []
+    assert members.silent(60.0) == []
+
+
+def test_down_fact_lapses():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    members.lose("n2", 1.0)
+    assert not members.is_down("n2", 1.1 + membership.DOWN_KEPT_S)
+
+
+def test_node_refutes_its_own_death():
+    members = _Members()
+    refuted = members.refute(facts.NodeDown("n1", 1, True, 99.0))
+    assert refuted == facts.NodeDown("n1", 2, False, 99.0)
+    assert members.refute(facts.NodeDown("n1", 1, True, 99.0)) is None
+
+
+def test_few_peers_some_in_other_domains():
+    members = membership.Membership(_node("n0"), 1, facts.SharedState())
+    nodes = [_node(f"n{i}", "ab"[i % 2]) for i in range(40)]
+    members.listed(tuple(nodes))
+    wanted = members.wanted_peers(0.0)
+    domains = [members.node(n).failure_domain for n in wanted]
+    assert len(wanted) == membership.PEERS
+    assert set(domains) == {"a", "b"}
+
+
+def test_peer_graph_of_390_nodes_is_connected():
+    nodes = tuple(_node(f"n{i}", f"d{i % 11}") for i in range(390))
+    edges: dict[str, set[str]] = {node.node_id: set() for node in nodes}
+    for node in nodes:
+        members = membership.Membership(node, 1, facts.SharedState())
+        members.listed(nodes)
+        for other in members.wanted_peers(0.0):
+            edges[node.node_id].add(other)
+            edges[other].add(node.node_id)
+    seen, front = {"n0"}, ["n0"]
+    while front:
+        front = [n for at in front for n in edges[at] if n not in seen]
+        seen.update(front)
+    assert len(seen) == 390
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -220,3 +220,28 @@
         assert chat(system, daemon)[0] == 200
     after = json.loads(local.http("GET", url)[1])["tokens_total"]
     assert after == before
+
+
+def test_paused_node_is_found_and_returns(system):
+    paused = system.daemons[2]
+    paused.signal(19)
+
+    def seen_down() -> bool:
+        code, printed = system.cli("node", "list", "--json")
+        return code == 0 and any(
+            n["node_id"] == "node3" and n["state"] == "down"
+            for n in json.loads(printed)
+        )
+
+    local.wait_for("node3 is down", seen_down, 15)
+    assert chat(system, system.daemons[0])[0] == 200
+    paused.signal(18)
+
+    def seen_alive() -> bool:
+        code, printed = system.cli("node", "list", "--json")
+        return code == 0 and all(
+            n["state"] == "alive" for n in json.loads(printed)
+        )
+
+    local.wait_for("node3 is alive", seen_alive, 15)
+    assert chat(system, paused)[0] == 200
