Complete the mending of a node's return

Before: 1 of 9 membership tests failed at once; the paused-node process test failed after 26 s. After: 9 passed in 2.3 s; the process test passed in 11.4 s.

--- a/packages/core/src/fireflypulley/core/membership.py
+++ b/packages/core/src/fireflypulley/core/membership.py
@@ -114,10 +114,17 @@
     ) -> facts.NodeDown | None:
         """Record a stream; return the fact if the node was held dead."""
         held_down = self.is_down(node_id, now_s)
+        known = self._known_incarnation(node_id, incarnation)
         self._peers[node_id] = _Peer(incarnation, now_s)
         if not held_down:
             return None
-        return facts.NodeDown(node_id, incarnation, False, now_s + DOWN_KEPT_S)
+        return facts.NodeDown(node_id, known + 1, False, now_s + DOWN_KEPT_S)
+
+    def _known_incarnation(self, node_id: str, incarnation: int) -> int:
+        fact = self._shared.get("node", node_id)
+        if not isinstance(fact, facts.NodeDown):
+            return incarnation
+        return max(incarnation, fact.incarnation)
 
     def heard(self, node_id: str, now_s: float) -> None:
         """Record a heartbeat."""
