Drive the core on a virtual clock, and mend what it showed at once

Cause: at 83% load on Dakar's size, warm endpoints were taken for cold: their first tokens were late because requests waited, and each one that was held cold put its load on the rest. Waiting requests were refused since the drain rate was taken over idle time as well. Ruled out: the ledger, the budgets and the membership (no finding of what must always hold in any run).

Change: small fakes of table, endpoints and nodes on a virtual clock in standins. An endpoint is cold again only after a run of slow answers that no report of waiting requests explains, and only if it is far slower than its peers. The drain rate counts only while requests wait.

--- a/packages/core/src/fireflypulley/core/actions.py
+++ b/packages/core/src/fireflypulley/core/actions.py
@@ -16,16 +16,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendAttempt(Action):
-    """Send a request to an endpoint.
+    """Send a request to an endpoint, from where its answer stands.
 
-    ``resume_tokens`` counts the tokens that the caller already has;
     ``kv_from`` names the endpoint whose KV cache may be imported.
     """
 
     request_id: str
     attempt_id: str
     endpoint_id: str
-    resume_tokens: int = 0
     kv_from: str | None = None
 
 
--- a/packages/core/src/fireflypulley/core/admission.py
+++ b/packages/core/src/fireflypulley/core/admission.py
@@ -9,7 +9,8 @@
 import enum
 
 MAX_QUEUED_PER_WORKSPACE = 256
-RATE_WINDOW_S = 5.0
+DECAY = 0.97
+MIN_DISPATCHES = 8.0
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 
@@ -27,33 +28,38 @@
 
 
 class DrainRate:
-    """Requests dispatched a second, smoothed."""
+    """Requests dispatched a second while requests had to wait.
+
+    A queue that is seldom used drains faster than it is fed, so only
+    the time with a backlog counts.
+    """
 
     def __init__(self) -> None:
-        self._rate_per_s = 0.0
-        self._count = 0
+        self._count = 0.0
+        self._time_s = 0.0
         self._since_s: float | None = None
 
+    def backlog(self, now_s: float, waiting: int) -> None:
+        """Record whether requests wait after all that could go went."""
+        if not waiting:
+            self._since_s = None
+        elif self._since_s is None:
+            self._since_s = now_s
+
     def count(self, now_s: float) -> None:
         """Count one dispatch."""
         if self._since_s is None:
-            self._since_s = now_s
-        self._count += 1
-        elapsed_s = now_s - self._since_s
-        if elapsed_s < RATE_WINDOW_S / 5:
             return
-        rate = self._count / elapsed_s
-        weight = min(1.0, elapsed_s / RATE_WINDOW_S)
-        if self._rate_per_s == 0.0:
-            weight = 1.0
-        self._rate_per_s += weight * (rate - self._rate_per_s)
-        self._count = 0
+        self._time_s = self._time_s * DECAY + now_s - self._since_s
+        self._count = self._count * DECAY + 1.0
         self._since_s = now_s
 
     @property
     def per_s(self) -> float:
-        """Return the smoothed rate, 0 when nothing is known."""
-        return self._rate_per_s
+        """Return the smoothed rate, 0 while too little is known."""
+        if self._count < MIN_DISPATCHES or self._time_s <= 0.0:
+            return 0.0
+        return self._count / self._time_s
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/src/fireflypulley/core/dispatch.py
+++ b/packages/core/src/fireflypulley/core/dispatch.py
@@ -121,7 +121,6 @@
                 request.request_id,
                 attempt.attempt_id,
                 endpoint_id,
-                progress.tokens,
                 kv_from,
             )
         ]
--- a/packages/core/src/fireflypulley/core/pool.py
+++ b/packages/core/src/fireflypulley/core/pool.py
@@ -12,6 +12,9 @@
 LATENCY_WEIGHT = 0.1
 COLD_LATENCY_FACTOR = 6.0
 COLD_SLOW_ANSWERS = 3
+COLD_CONFIRM_S = 1.0
+COLD_PEER_FACTOR = 3.0
+RECENT_WEIGHT = 0.3
 MISSING_LISTS_BEFORE_GONE = 3
 UNSTATED_NOTICE_S = 10.0
 
@@ -30,7 +33,9 @@
     leaves_at_s: float | None = None
     leaving_seen_s: float = 0.0
     first_token_s: float | None = None
+    recent_s: float | None = None
     slow_in_a_row: int = 0
+    slow_since_s: float = 0.0
     missing_lists: int = 0
 
     @property
@@ -61,30 +66,45 @@
         old = self.report
         self.report = report
         self.own_at_report = self.own
+        if report.waiting:
+            self.slow_in_a_row = 0
         if old is None:
             return False
         restarted = report.started_s > old.started_s
         return restarted or report.answered_total < old.answered_total
 
-    def note_answer(self, first_token_s: float, slow_after_s: float) -> bool:
-        """Count an answer; return whether it looks like a cold start."""
+    def note_answer(
+        self, first_token_s: float, slow_after_s: float, now_s: float
+    ) -> bool:
+        """Count an answer; return whether a run of slow ones stands.
+
+        A run ends with a fast answer or with a report that requests
+        wait at the endpoint, since then the load explains it.
+        """
         self.failures = 0
+        recent_s = first_token_s if self.recent_s is None else self.recent_s
+        self.recent_s = recent_s + RECENT_WEIGHT * (first_token_s - recent_s)
         usual_s = self.first_token_s
         if usual_s is None:
             self.first_token_s = first_token_s
             return False
         bound_s = max(usual_s * COLD_LATENCY_FACTOR, slow_after_s)
-        if first_token_s > bound_s:
-            self.slow_in_a_row += 1
-            return self.slow_in_a_row >= COLD_SLOW_ANSWERS
-        self.slow_in_a_row = 0
-        change_s = LATENCY_WEIGHT * (first_token_s - usual_s)
-        self.first_token_s = usual_s + change_s
-        return False
+        if first_token_s <= bound_s:
+            self.slow_in_a_row = 0
+            change_s = LATENCY_WEIGHT * (first_token_s - usual_s)
+            self.first_token_s = usual_s + change_s
+            return False
+        if not self.slow_in_a_row:
+            self.slow_since_s = now_s
+        self.slow_in_a_row += 1
+        if self.slow_in_a_row < COLD_SLOW_ANSWERS:
+            return False
+        return now_s - self.slow_since_s >= COLD_CONFIRM_S
 
     def reset_latency(self) -> None:
         """Forget the usual latency, as after a cold start."""
         self.first_token_s = None
+        self.recent_s = None
         self.slow_in_a_row = 0
 
 
@@ -162,6 +182,22 @@
         state.leaving_seen_s = now_s
         return True
 
+    def slower_than_peers(self, state: EndpointState) -> bool:
+        """Return whether an endpoint is far slower than its service's.
+
+        Without others to compare with, its own history decides.
+        """
+        endpoint = state.endpoint
+        recent_s = sorted(
+            peer.recent_s
+            for peer in self.of_service(endpoint.service)
+            if peer is not state and peer.recent_s is not None
+        )
+        if not recent_s or state.recent_s is None:
+            return True
+        middle_s = recent_s[len(recent_s) // 2]
+        return state.recent_s > COLD_PEER_FACTOR * middle_s
+
     def note_failure(self, state: EndpointState, now_s: float) -> bool:
         """Count a failed attempt; return whether it ejects the endpoint.
 
--- a/packages/core/src/fireflypulley/core/serving.py
+++ b/packages/core/src/fireflypulley/core/serving.py
@@ -171,6 +171,7 @@
                     found += sent
                     moved = True
                     break
+        queue.rate.backlog(now_s, len(queue))
         for request_id in queue.order():
             progress = self._open[request_id]
             found += self._dispatcher.ask_slots(progress, now_s)
@@ -267,9 +268,11 @@
         slow_after_s = self._slow_after_s(progress.request)
         self._observe(progress, False, latency_s > slow_after_s)
         endpoint = self._node.pool.get(attempt.endpoint_id)
-        if endpoint is None or not endpoint.note_answer(
-            latency_s, slow_after_s
-        ):
+        if endpoint is None:
+            return []
+        if not endpoint.note_answer(latency_s, slow_after_s, now_s):
+            return []
+        if not self._node.pool.slower_than_peers(endpoint):
             return []
         return self.turned_cold(endpoint)
 
--- a/packages/core/src/fireflypulley/core/state.py
+++ b/packages/core/src/fireflypulley/core/state.py
@@ -45,7 +45,7 @@
         members=membership.Membership(this, incarnation, shared),
         pool=pool.Pool(),
         warmup=warmup.Warmup(),
-        router=routing.Router(this.failure_domain),
+        router=routing.create(this.failure_domain),
         rollouts=rollouts.Rollouts(this.node_id, config, shared),
         quarantine=poison.Quarantine(shared),
         ledger=ledger.Ledger(f"{this.node_id}.{incarnation}"),
--- /dev/null
+++ b/standins/fireflystandins/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes on a virtual clock, around the real core decisions."""
--- /dev/null
+++ b/standins/fireflystandins/virtual/node.py
@@ -0,0 +1,393 @@
+"""A node on the virtual clock: the real core, fake sockets."""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.core import ledger_rows
+from fireflypulley.core import node
+from fireflypulley.core import requests
+from fireflypulley.core import topology
+from fireflystandins.virtual import endpoint
+from fireflystandins.virtual import store
+
+if typing.TYPE_CHECKING:
+    from fireflystandins.virtual import system
+
+HOP_S = 0.0005
+TICK_S = 0.1
+CONFIG_POLL_S = 1.0
+LIST_POLL_S = 0.5
+LOAD_POLL_S = 0.5
+HEARTBEAT_S = 1.0
+_ANSWER = ledger_rows.stored_answer(200, "text/plain", b"done")
+
+
+@dataclasses.dataclass
+class Task:
+    """A request at the node, as the daemon's task would hold it."""
+
+    job: endpoint.Job
+    tokens: int = 0
+    run: endpoint.Run | None = None
+    endpoint_id: str = ""
+
+
+class VirtualNode:
+    """One node; it may be killed, or paused and resumed."""
+
+    def __init__(
+        self, world: "system.System", this: topology.Node, incarnation: int
+    ) -> None:
+        self.world = world
+        self.this = this
+        self.core = node.Node(this, incarnation)
+        self.incarnation = incarnation
+        self.alive = True
+        self.paused = False
+        self.tasks: dict[str, Task] = {}
+        self.peers: set[str] = set()
+        self.sent_facts = 0
+        self._wanted: tuple[str, ...] = ()
+        self._held: list[events.Event] = []
+        self._queue: collections.deque[events.Event] = collections.deque()
+        self._running = False
+        self._config_seen: dict[tuple[str, str], int] = {}
+        self._reading = False
+        self._handlers: dict[
+            type[actions.Action],
+            collections.abc.Callable[[typing.Any], None],
+        ] = {
+            actions.SendAttempt: self._send,
+            actions.CancelAttempt: self._cancel,
+            actions.Finish: self._finish,
+            actions.Refuse: self._refuse,
+            actions.Replay: self._replay,
+            actions.Transact: self._transact,
+            actions.ReadRow: self._read_row,
+            actions.AskLease: self._ask_lease,
+            actions.WriteEntry: self._write_entry,
+            actions.Spread: self._spread,
+            actions.ConnectPeers: self._connect,
+            actions.DropPeer: self._drop,
+            actions.AskSlot: self._ask_slot,
+            actions.GrantSlot: self._grant_slot,
+            actions.ReturnSlot: self._return_slot,
+            actions.StateChanged: self._changed,
+        }
+        time = world.time
+        offset_s = (incarnation % 97) / 1000.0
+        time.every(TICK_S, lambda: self._timer(self._tick), offset_s)
+        time.every(CONFIG_POLL_S, lambda: self._timer(self._poll_config))
+        time.every(LIST_POLL_S, lambda: self._timer(self._poll_list))
+        time.every(LOAD_POLL_S, lambda: self._timer(self._poll_load), offset_s)
+        time.every(HEARTBEAT_S, lambda: self._timer(self._beat), offset_s)
+
+    @property
+    def node_id(self) -> str:
+        """Return the node's id."""
+        return self.this.node_id
+
+    def _timer(self, work: collections.abc.Callable[[], None]) -> bool:
+        if self.alive and not self.paused:
+            work()
+        return self.alive
+
+    # Events
+
+    def feed(self, event: events.Event) -> None:
+        """Give an event to the core, unless dead or paused."""
+        if not self.alive:
+            return
+        if self.paused:
+            self._held.append(event)
+            return
+        self._queue.append(event)
+        if self._running:
+            return
+        self._running = True
+        while self._queue:
+            one = self._queue.popleft()
+            for action in self.core.handle(one, self.world.time.now_s):
+                self._handlers[type(action)](action)
+        self._running = False
+
+    def later(self, event: events.Event, delay_s: float = HOP_S) -> None:
+        """Give an event after a delay."""
+        self.world.time.after(delay_s, lambda: self.feed(event))
+
+    def pause(self) -> None:
+        """Stop, as under SIGSTOP."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Go on with all that has come in meanwhile."""
+        self.paused = False
+        self.feed(events.Tick())
+        held, self._held = self._held, []
+        for event in held:
+            self.feed(event)
+
+    def kill(self) -> None:
+        """Die at once; attempts and peers see closed connections."""
+        self.alive = False
+        for task in self.tasks.values():
+            if task.run is not None:
+                self.world.endpoints[task.endpoint_id].cancel(task.run)
+        for peer in list(self.peers):
+            self.world.nodes[peer].lose(self.node_id)
+        self.world.node_died(self)
+
+    def lose(self, node_id: str) -> None:
+        """See the stream to a node closed."""
+        if node_id in self.peers:
+            self.peers.discard(node_id)
+            self.later(events.PeerLost(node_id))
+
+    def submit(self, job: endpoint.Job, tokens: int = 0) -> None:
+        """Take in a request of a caller."""
+        self.tasks[job.request.request_id] = Task(job, tokens)
+        self.feed(events.RequestArrived(job.request, tokens))
+
+    # Timers
+
+    def _tick(self) -> None:
+        self.feed(events.Tick())
+
+    def _poll_config(self) -> None:
+        if self._reading:
+            return
+        self._reading = True
+        rows = self.world.store
+
+        def news() -> object:
+            return tuple(
+                entry
+                for key, entry in rows.entries.items()
+                if entry.version > self._config_seen.get(key, 0)
+            )
+
+        def done(found: object) -> None:
+            self._reading = False
+            if isinstance(found, store.Unavailable):
+                return
+            for entry in found:
+                key = (entry.kind.value, entry.name)
+                self._config_seen[key] = entry.version
+            self.feed(events.EntriesRead(found))
+
+        rows.call(news, done)
+
+    def _poll_list(self) -> None:
+        listed = self.world.listed()
+        self.feed(events.InstancesListed(*listed))
+
+    def _poll_load(self) -> None:
+        for endpoint_id, report in self.world.reports().items():
+            self.feed(events.LoadReported(endpoint_id, report))
+
+    def _beat(self) -> None:
+        for peer in list(self.peers):
+            other = self.world.nodes[peer]
+            if self.world.linked(self.node_id, peer) and other.alive:
+                other.later(events.PeerHeard(self.node_id))
+        self._dial()
+
+    # Actions on requests
+
+    def _send(self, action: actions.SendAttempt) -> None:
+        task = self.tasks[action.request_id]
+        found = self.world.endpoints[action.endpoint_id]
+
+        def heard(what: str, outcome: requests.Outcome | None) -> None:
+            self.world.time.after(
+                HOP_S, lambda: self._heard(task, run, what, outcome)
+            )
+
+        resumed = task.tokens if self.world.policy.resume else 0
+        run = endpoint.Run(task.job, action.attempt_id, resumed, heard)
+        task.run = run
+        task.endpoint_id = action.endpoint_id
+        self.world.note_attempt(task, run, found.alive)
+        self.world.time.after(HOP_S, lambda: found.arrive(run))
+
+    def _heard(
+        self,
+        task: Task,
+        run: endpoint.Run,
+        what: str,
+        outcome: requests.Outcome | None,
+    ) -> None:
+        request_id = task.job.request.request_id
+        if what == "sent":
+            self.feed(events.AttemptSent(request_id, run.attempt_id))
+        elif task.run is not run:
+            return
+        elif what == "first":
+            self.world.note_first(task, run)
+            self.feed(events.AttemptFirstToken(request_id, run.attempt_id))
+        elif outcome is not None:
+            self._ended(task, run, outcome)
+
+    def _ended(
+        self, task: Task, run: endpoint.Run, outcome: requests.Outcome
+    ) -> None:
+        request = task.job.request
+        task.tokens = max(task.tokens, run.tokens(self.world.time.now_s))
+        answer = None
+        if outcome is requests.Outcome.COMPLETE:
+            task.tokens = task.job.output_tokens
+            if request.kind is topology.ServiceKind.PLAIN:
+                answer = _ANSWER
+        task.run = None
+        self.feed(
+            events.AttemptEnded(
+                request.request_id,
+                run.attempt_id,
+                outcome,
+                task.tokens,
+                answer,
+            )
+        )
+
+    def _cancel(self, action: actions.CancelAttempt) -> None:
+        task = self.tasks.get(action.request_id)
+        if task is None or task.run is None:
+            return
+        task.tokens = max(task.tokens, task.run.tokens(self.world.time.now_s))
+        self.world.endpoints[task.endpoint_id].cancel(task.run)
+        task.run = None
+
+    def _finish(self, action: actions.Finish) -> None:
+        task = self.tasks.pop(action.request_id)
+        self.world.answered(self, task)
+
+    def _refuse(self, action: actions.Refuse) -> None:
+        task = self.tasks.pop(action.request_id)
+        self.world.refused(self, task, action.refusal)
+
+    def _replay(self, action: actions.Replay) -> None:
+        task = self.tasks.pop(action.request_id)
+        self.world.replayed(self, task)
+
+    # Actions on the store
+
+    def _transact(self, action: actions.Transact) -> None:
+        def done(found: object) -> None:
+            commit = ledger_rows.Commit.COMMITTED
+            conflicts: tuple[int, ...] = ()
+            if isinstance(found, store.Unavailable):
+                commit = ledger_rows.Commit.LOST
+            elif found:
+                commit = ledger_rows.Commit.CONFLICT
+                conflicts = found
+            self.feed(
+                events.TransactionEnded(action.operation_id, commit, conflicts)
+            )
+
+        rows = self.world.store
+        rows.call(lambda: rows.transact(action.writes), done, writes=True)
+
+    def _read_row(self, action: actions.ReadRow) -> None:
+        def done(found: object) -> None:
+            failed = isinstance(found, store.Unavailable)
+            row = None if failed else found
+            self.feed(events.RowRead(action.row_key, row, failed))
+
+        rows = self.world.store
+        rows.call(lambda: rows.ledger.get(action.row_key), done)
+
+    def _ask_lease(self, action: actions.AskLease) -> None:
+        asked_s = self.world.time.now_s
+
+        def done(found: object) -> None:
+            if found is None or isinstance(found, store.Unavailable):
+                self.feed(events.LeaseRefused(action.name))
+                return
+            self.feed(
+                events.LeaseHeld(action.name, found.fencing, found.expires_s)
+            )
+
+        rows = self.world.store
+        rows.call(
+            lambda: rows.acquire(
+                action.name, self.node_id, asked_s, action.ttl_s
+            ),
+            done,
+            writes=True,
+        )
+
+    def _write_entry(self, action: actions.WriteEntry) -> None:
+        def done(found: object) -> None:
+            if isinstance(found, tuple):
+                self.feed(events.EntryWritten(found[0]))
+
+        rows = self.world.store
+        rows.call(
+            lambda: rows.write_entries((action.entry,)), done, writes=True
+        )
+
+    # Actions on other nodes
+
+    def _to(self, node_id: str, event: events.Event) -> None:
+        other = self.world.nodes.get(node_id)
+        if other is not None and self.world.linked(self.node_id, node_id):
+            other.later(event)
+
+    def _spread(self, action: actions.Spread) -> None:
+        for peer in self.peers:
+            if peer != action.except_node:
+                self.sent_facts += len(action.facts)
+                event = events.FactsReceived(self.node_id, action.facts)
+                self._to(peer, event)
+
+    def _connect(self, action: actions.ConnectPeers) -> None:
+        self._wanted = action.node_ids
+        self._dial()
+
+    def _dial(self) -> None:
+        for node_id in self._wanted:
+            if node_id not in self.peers:
+                self.world.time.after(
+                    HOP_S, lambda n=node_id: self.world.connect(self, n)
+                )
+
+    def peer_up(self, other: "VirtualNode") -> None:
+        """See a stream to a node open."""
+        self.peers.add(other.node_id)
+        self.feed(events.PeerConnected(other.node_id, other.incarnation))
+        facts = self.core.state.shared.snapshot()
+        if facts:
+            self._to(other.node_id, events.FactsReceived(self.node_id, facts))
+
+    def _drop(self, action: actions.DropPeer) -> None:
+        self.peers.discard(action.node_id)
+        other = self.world.nodes.get(action.node_id)
+        if other is not None:
+            other.lose(self.node_id)
+
+    def _ask_slot(self, action: actions.AskSlot) -> None:
+        event = events.SlotAsked(
+            self.node_id, action.endpoint_id, action.hold_s
+        )
+        self._to(action.owner_node, event)
+
+    def _grant_slot(self, action: actions.GrantSlot) -> None:
+        event = events.SlotAnswered(
+            action.endpoint_id, action.granted, action.expires_s
+        )
+        self._to(action.to_node, event)
+
+    def _return_slot(self, action: actions.ReturnSlot) -> None:
+        event = events.SlotReturned(
+            self.node_id, action.endpoint_id, action.answered_well
+        )
+        self._to(action.owner_node, event)
+
+    def _changed(self, action: actions.StateChanged) -> None:
+        self.world.changes.append(
+            (self.world.time.now_s, self.node_id, action)
+        )
--- /dev/null
+++ b/standins/fireflystandins/virtual/store.py
@@ -0,0 +1,119 @@
+"""A fake of the platform's table, with outages and lost answers."""
+
+import collections.abc
+import dataclasses
+
+from fireflypulley.core import configuration
+from fireflypulley.core import leases
+from fireflypulley.core import ledger_rows
+from fireflystandins.virtual import clock
+
+LATENCY_S = 0.005
+TIMEOUT_S = 2.0
+
+
+class Unavailable(Exception):
+    """The table gave no answer."""
+
+
+@dataclasses.dataclass
+class Faults:
+    """What is wrong with the table."""
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+
+
+class Store:
+    """Configuration, ledger and leases as typed rows."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._time = time
+        self.faults = Faults()
+        self.entries: dict[tuple[str, str], configuration.Entry] = {}
+        self.ledger: dict[str, ledger_rows.VersionedRow] = {}
+        self.leases: dict[str, leases.Lease] = {}
+        self.writes = 0
+        self.reads = 0
+
+    def call(
+        self,
+        work: collections.abc.Callable[[], object],
+        done: collections.abc.Callable[[object], None],
+        writes: bool = False,
+    ) -> None:
+        """Do work in the table and pass on its result.
+
+        The result is ``Unavailable`` when no answer comes.
+        """
+        if self.faults.down:
+            self._time.after(LATENCY_S, lambda: done(Unavailable()))
+            return
+        slow_s = self.faults.slow_s
+        self._time.after(
+            LATENCY_S + slow_s / 2, lambda: self._do(work, done, writes)
+        )
+
+    def _do(
+        self,
+        work: collections.abc.Callable[[], object],
+        done: collections.abc.Callable[[object], None],
+        writes: bool,
+    ) -> None:
+        found = work()
+        self.writes += writes
+        self.reads += not writes
+        lost = writes and self.faults.lose_answers > 0
+        if lost:
+            self.faults.lose_answers -= 1
+        slow_s = self.faults.slow_s
+        if lost or slow_s >= TIMEOUT_S:
+            self._time.after(TIMEOUT_S, lambda: done(Unavailable()))
+        else:
+            self._time.after(slow_s / 2, lambda: done(found))
+
+    # Work for ``call``
+
+    def transact(
+        self, writes: tuple[ledger_rows.RowWrite, ...]
+    ) -> tuple[int, ...]:
+        """Do all writes or none; return the conflicting indexes."""
+        conflicts = []
+        for index, write in enumerate(writes):
+            known = self.ledger.get(write.row_key)
+            version = None if known is None else known.version
+            if version != write.version:
+                conflicts.append(index)
+        if conflicts:
+            return tuple(conflicts)
+        for write in writes:
+            self.ledger[write.row_key] = ledger_rows.VersionedRow(
+                write.row, (write.version or 0) + 1
+            )
+        return ()
+
+    def write_entries(
+        self, entries: tuple[configuration.Entry, ...]
+    ) -> tuple[configuration.Entry, ...] | None:
+        """Write entries over their versions, or return None."""
+        for entry in entries:
+            known = self.entries.get((entry.kind.value, entry.name))
+            if (known.version if known else 0) != entry.version:
+                return None
+        written = []
+        for entry in entries:
+            one = dataclasses.replace(entry, version=entry.version + 1)
+            self.entries[(entry.kind.value, entry.name)] = one
+            written.append(one)
+        return tuple(written)
+
+    def acquire(
+        self, name: str, holder: str, asked_s: float, ttl_s: float
+    ) -> leases.Lease | None:
+        """Take or renew a lease, or return None."""
+        known = self.leases.get(name)
+        wanted = leases.renewal(known, holder, asked_s, ttl_s)
+        if wanted is not None:
+            self.leases[name] = wanted
+        return wanted
