Hold every promise in all cells of the fault matrix

Causes found one by one by the cells that broke: a refusal was carried out before the cancel of its attempt, so the attempt ran on (the daemon had the same fault); a returned slot could be another one of the same node; a slot could be shorter than the request that used it; a lapsed lease of the same holder forgot its slots; patient work never warmed an idle system; an endpoint cold from the start set its own slow baseline; an innocent suspect was quarantined for another's crash.

Change: slots carry their identity, the owner shares room with nodes that ask, suspects are placed by fingerprint and quarantined after two crashes apart (bound: four endpoints, one more per copy in flight).

--- a/packages/core/src/fireflypulley/core/actions.py
+++ b/packages/core/src/fireflypulley/core/actions.py
@@ -99,11 +99,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskSlot(Action):
-    """Ask the owner of a cold endpoint's budget for one slot."""
+    """Ask the owner of a cold endpoint's budget for one slot.
+
+    A ``patient`` request leaves the last slots to others.
+    """
 
     owner_node: str
     endpoint_id: str
     hold_s: float
+    patient: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +126,7 @@
 
     owner_node: str
     endpoint_id: str
+    expires_s: float
     answered_well: bool | None
 
 
--- a/packages/core/src/fireflypulley/core/dispatch.py
+++ b/packages/core/src/fireflypulley/core/dispatch.py
@@ -2,6 +2,7 @@
 
 from fireflypulley.core import actions
 from fireflypulley.core import facts
+from fireflypulley.core import ownership
 from fireflypulley.core import pool
 from fireflypulley.core import requests
 from fireflypulley.core import state
@@ -48,8 +49,8 @@
         room = self._node.warmup.room(
             spec.endpoint_id, own, reported, request.deadline_s, now_s
         )
-        if patient and spec.cold_capacity > 1:
-            return room > 1
+        if patient and self._node.warmup.owns(spec.endpoint_id):
+            room -= warmup.spare_slots(spec)
         return room > 0
 
     def usable(
@@ -86,13 +87,30 @@
                 for endpoint in fresh or usable
                 if self._has_room(endpoint, request, now_s)
             ]
-            chosen = self._node.router.choose(
-                open_now, request.prefix, request.request_id
-            )
+            chosen = self._pick(open_now, request, now_s)
             if chosen is not None:
                 return chosen, arm
         return None
 
+    def _pick(
+        self,
+        open_now: list[pool.EndpointState],
+        request: requests.Request,
+        now_s: float,
+    ) -> pool.EndpointState | None:
+        fingerprint = request.fingerprint
+        if self._node.quarantine.is_suspect(fingerprint, now_s):
+            return max(
+                open_now,
+                key=lambda one: ownership.score(
+                    fingerprint, one.endpoint.endpoint_id
+                ),
+                default=None,
+            )
+        return self._node.router.choose(
+            open_now, request.prefix, request.request_id
+        )
+
     def has_hope(self, progress: requests.Progress, now_s: float) -> bool:
         """Return whether any endpoint could take the request later."""
         request = progress.request
@@ -130,9 +148,7 @@
         if self._node.quarantine.is_suspect(request.fingerprint, now_s):
             attempt.isolated = True
             self._node.quarantine.begin_apart(request.request_id, endpoint_id)
-        if self._node.warmup.take(endpoint_id, request.deadline_s):
-            name = warmup.lease_name(endpoint_id)
-            attempt.slot_owner = self._node.members.owner(name, now_s)
+        attempt.slot = self._node.warmup.take(endpoint_id, request.deadline_s)
         endpoint.own += 1
         progress.begin(attempt)
         self._node.counters.first_tries += progress.attempt_count == 1
@@ -158,10 +174,11 @@
         if endpoint is None:
             return []
         endpoint.own = max(0, endpoint.own - 1)
-        if attempt.slot_owner is not None:
+        slot = attempt.slot
+        if slot is not None:
             return [
                 actions.ReturnSlot(
-                    attempt.slot_owner, attempt.endpoint_id, well
+                    slot.node_id, attempt.endpoint_id, slot.expires_s, well
                 )
             ]
         if well is None:
@@ -186,8 +203,6 @@
         """Ask the owners of cold endpoints for room for a request."""
         request = progress.request
         found: list[actions.Action] = []
-        if request.background and now_s < request.urgent_from_s:
-            return []
         versions = self._node.rollouts.versions(
             request.workspace, request.service, request.request_id, now_s
         )
@@ -214,4 +229,5 @@
             return []
         cold.slot_asked_s = now_s
         hold_s = request.deadline_s - now_s
-        return [actions.AskSlot(owner, endpoint_id, hold_s)]
+        patient = request.background and now_s < request.urgent_from_s
+        return [actions.AskSlot(owner, endpoint_id, hold_s, patient)]
--- a/packages/core/src/fireflypulley/core/endpoint_handler.py
+++ b/packages/core/src/fireflypulley/core/endpoint_handler.py
@@ -84,7 +84,7 @@
         lease = leases.Lease(
             self._node.this.node_id, event.fencing, event.expires_s
         )
-        self._node.warmup.hold(endpoint.endpoint, lease, now_s)
+        self._node.warmup.hold(endpoint.endpoint, lease)
         return self._serving.pump(endpoint.endpoint.service, now_s)
 
     def _on_lease_refused(
@@ -99,11 +99,15 @@
         expires_s = now_s + event.hold_s + leases.GUARD_S
         granted = False
         if endpoint is not None and not endpoint.leaving:
+            spare = 0
+            if event.patient:
+                spare = warmup.spare_slots(endpoint.endpoint)
             granted = self._node.warmup.grant(
                 event.endpoint_id,
                 warmup.Slot(event.node_id, expires_s),
                 endpoint.own,
                 endpoint.reported,
+                spare,
                 now_s,
             )
         return [
@@ -119,27 +123,23 @@
         if endpoint is None or not event.granted:
             return []
         cold = self._node.warmup.state(event.endpoint_id)
-        cold.slot_expires_s.append(event.expires_s)
+        cold.granted.append(warmup.Slot(event.owner_node, event.expires_s))
         found = self._serving.pump(endpoint.endpoint.service, now_s)
-        return found + self._return_unused(event.endpoint_id, now_s)
+        return found + self._return_unused(event.endpoint_id)
 
-    def _return_unused(
-        self, endpoint_id: str, now_s: float
-    ) -> handler.Actions:
+    def _return_unused(self, endpoint_id: str) -> handler.Actions:
         cold = self._node.warmup.state(endpoint_id)
-        unused = len(cold.slot_expires_s)
-        cold.slot_expires_s.clear()
-        name = warmup.lease_name(endpoint_id)
-        owner = self._node.members.owner(name, now_s)
-        if owner is None:
-            return []
-        one = actions.ReturnSlot(owner, endpoint_id, None)
-        return [one] * unused
+        unused, cold.granted = cold.granted, []
+        return [
+            actions.ReturnSlot(s.node_id, endpoint_id, s.expires_s, None)
+            for s in unused
+        ]
 
     def _on_slot_returned(
         self, event: events.SlotReturned, now_s: float
     ) -> handler.Actions:
-        self._node.warmup.give_back(event.endpoint_id, event.node_id)
+        slot = warmup.Slot(event.node_id, event.expires_s)
+        self._node.warmup.give_back(event.endpoint_id, slot)
         endpoint = self._node.pool.get(event.endpoint_id)
         if endpoint is None:
             return []
--- a/packages/core/src/fireflypulley/core/events.py
+++ b/packages/core/src/fireflypulley/core/events.py
@@ -169,12 +169,14 @@
     node_id: str
     endpoint_id: str
     hold_s: float
+    patient: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotAnswered(Event):
     """The owner of a cold endpoint granted a slot, or not."""
 
+    owner_node: str
     endpoint_id: str
     granted: bool
     expires_s: float
@@ -186,6 +188,7 @@
 
     node_id: str
     endpoint_id: str
+    expires_s: float
     answered_well: bool | None
 
 
--- a/packages/core/src/fireflypulley/core/poison.py
+++ b/packages/core/src/fireflypulley/core/poison.py
@@ -1,8 +1,10 @@
 """Requests that crash the endpoints which run them.
 
-What ran on two endpoints that crashed is suspect and runs apart.  A
-suspect under a third crash is quarantined on all nodes, so one request
-crashes at most three endpoints, and one more for each copy in flight.
+What ran on two endpoints that crashed is suspect and runs apart: one
+suspect of a node at a time, at an endpoint that its fingerprint picks.
+Two crashes more under it quarantine it on all nodes; one could be the
+work of another suspect.  So one request crashes at most four endpoints,
+and one more for each copy in flight.
 """
 
 from fireflypulley.core import facts
@@ -10,7 +12,7 @@
 SUSPECT_S = 120.0
 QUARANTINE_S = 600.0
 CRASHES_TO_SUSPECT = 2
-CRASHES_TO_QUARANTINE = 3
+CRASHES_TO_QUARANTINE = 4
 MAX_ISOLATED = 1
 
 
--- a/packages/core/src/fireflypulley/core/pool.py
+++ b/packages/core/src/fireflypulley/core/pool.py
@@ -94,22 +94,22 @@
         restarted = report.started_s > old.started_s
         return restarted or report.answered_total < old.answered_total
 
-    def note_answer(self, first_token_s: float, now_s: float) -> None:
-        """Count an answer and its time to the first token."""
+    def note_answer(
+        self, first_token_s: float, now_s: float, usual_s: float
+    ) -> None:
+        """Count an answer; ``usual_s`` is the service's usual latency."""
         self.failures = 0
         recent_s = first_token_s if self.recent_s is None else self.recent_s
         self.recent_s = recent_s + RECENT_WEIGHT * (first_token_s - recent_s)
-        usual_s = self.first_token_s
-        if usual_s is None:
-            self.first_token_s = first_token_s
-        elif first_token_s <= usual_s * COLD_LATENCY_FACTOR:
+        if first_token_s <= usual_s * COLD_LATENCY_FACTOR:
             self.slow_in_a_row = 0
-            change_s = LATENCY_WEIGHT * (first_token_s - usual_s)
-            self.first_token_s = usual_s + change_s
-        else:
-            if not self.slow_in_a_row:
-                self.slow_since_s = now_s
-            self.slow_in_a_row += 1
+            own_s = self.first_token_s or first_token_s
+            change_s = LATENCY_WEIGHT * (first_token_s - own_s)
+            self.first_token_s = own_s + change_s
+            return
+        if not self.slow_in_a_row:
+            self.slow_since_s = now_s
+        self.slow_in_a_row += 1
 
     def is_slow(self, now_s: float) -> bool:
         """Return whether a run of slow answers stands.
@@ -203,6 +203,25 @@
         state.leaving_seen_s = now_s
         return True
 
+    def note_answer(
+        self, state: EndpointState, first_token_s: float, now_s: float
+    ) -> None:
+        """Count an endpoint's answer against what is usual.
+
+        Usual is the endpoint's own latency, or that of its service where
+        that is less: an endpoint that was cold from the start has no
+        good latency of its own.
+        """
+        known_s = sorted(
+            peer.first_token_s
+            for peer in self.of_service(state.endpoint.service)
+            if peer is not state and peer.first_token_s is not None
+        )
+        usual_s = state.first_token_s or first_token_s
+        if known_s:
+            usual_s = min(usual_s, known_s[len(known_s) // 2])
+        state.note_answer(first_token_s, now_s, usual_s)
+
     def slower_than_peers(self, state: EndpointState) -> bool:
         """Return whether an endpoint is far slower than its service's.
 
--- a/packages/core/src/fireflypulley/core/requests.py
+++ b/packages/core/src/fireflypulley/core/requests.py
@@ -10,6 +10,7 @@
 from fireflypulley.core import facts
 from fireflypulley.core import problems
 from fireflypulley.core import topology
+from fireflypulley.core import warmup
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +81,7 @@
     sent_s: float | None = None
     first_token_s: float | None = None
     isolated: bool = False
-    slot_owner: str | None = None
+    slot: warmup.Slot | None = None
     observed: bool = False
 
 
--- a/packages/core/src/fireflypulley/core/serving.py
+++ b/packages/core/src/fireflypulley/core/serving.py
@@ -274,7 +274,7 @@
         self._observe(progress, False, latency_s > slow_after_s)
         endpoint = self._node.pool.get(attempt.endpoint_id)
         if endpoint is not None:
-            endpoint.note_answer(latency_s, now_s)
+            self._node.pool.note_answer(endpoint, latency_s, now_s)
 
     def turned_cold(
         self, endpoint: pool.EndpointState
@@ -533,7 +533,7 @@
             retry_s = admission.retry_after_s(wait_s)
         found = self._abandon(progress, now_s)
         refusal = problems.Refusal(reason, run, detail, retry_s)
-        return [self._refused(request.request_id, refusal), *found]
+        return [*found, self._refused(request.request_id, refusal)]
 
     def _refused(
         self, request_id: str, refusal: problems.Refusal
--- a/packages/core/src/fireflypulley/core/warmup.py
+++ b/packages/core/src/fireflypulley/core/warmup.py
@@ -13,6 +13,7 @@
 
 LEASE_TTL_S = 10.0
 ANSWERS_PER_SLOT = 2
+ASKING_S = 0.5
 LEASE_PREFIX = "warmup/"
 
 
@@ -21,9 +22,22 @@
     return LEASE_PREFIX + endpoint_id
 
 
-@dataclasses.dataclass(slots=True)
+def spare_slots(endpoint: topology.Endpoint) -> int:
+    """Return how many slots background work leaves to the others.
+
+    An endpoint that bears only one request while cold spares none, or
+    it would never get warm without interactive work.
+    """
+    return 1 if endpoint.cold_capacity > 1 else 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class Slot:
-    """One request's room on a cold endpoint, held by another node."""
+    """One request's room on a cold endpoint.
+
+    ``node_id`` is the other side: for the owner the node that holds the
+    slot, for that node the owner.
+    """
 
     node_id: str
     expires_s: float
@@ -38,6 +52,7 @@
     slots: list[Slot] = dataclasses.field(default_factory=list)
     good_answers: int = 0
     reported_since_lease: bool = False
+    denied_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def room(self, own: int, reported: int, now_s: float) -> int:
         """Return how many more requests the endpoint bears.
@@ -50,6 +65,21 @@
         self.slots = [s for s in self.slots if s.expires_s > now_s]
         return self.limit - max(own + len(self.slots), reported)
 
+    def own_room(self, own: int, reported: int, now_s: float) -> int:
+        """Return how much of the room the owner itself may use.
+
+        While other nodes ask in vain it keeps to an equal share.
+        """
+        asking = [
+            node_id
+            for node_id, at_s in self.denied_s.items()
+            if now_s - at_s <= ASKING_S
+        ]
+        share = max(1, self.limit // (1 + len(asking)))
+        if asking and own >= share:
+            return 0
+        return self.room(own, reported, now_s)
+
     def grow(self, capacity: int) -> bool:
         """Count a good answer; return whether the endpoint is warm."""
         self.good_answers += 1
@@ -72,7 +102,7 @@
     warm: bool = False
     budget: Budget | None = None
     lease_asked_s: float = float("-inf")
-    slot_expires_s: list[float] = dataclasses.field(default_factory=list)
+    granted: list[Slot] = dataclasses.field(default_factory=list)
     slot_asked_s: float = float("-inf")
 
 
@@ -108,15 +138,16 @@
         self,
         endpoint: topology.Endpoint,
         lease: leases.Lease,
-        now_s: float,
     ) -> None:
-        """Take or renew the lease on an endpoint's budget."""
+        """Take or renew the lease on an endpoint's budget.
+
+        With the fencing number unchanged nobody else has held it since,
+        so the account of the slots still stands.
+        """
         state = self.state(endpoint.endpoint_id)
         budget = state.budget
         if budget is None or budget.lease.fencing != lease.fencing:
             state.budget = Budget(endpoint.cold_capacity, lease)
-        elif not budget.lease.held(now_s):
-            state.budget = Budget(endpoint.cold_capacity, lease)
         else:
             budget.lease = lease
 
@@ -147,19 +178,24 @@
         """
         state = self.state(endpoint_id)
         if state.budget is not None:
-            return state.budget.room(own, reported, now_s)
-        return sum(1 for e in state.slot_expires_s if e >= deadline_s)
+            return state.budget.own_room(own, reported, now_s)
+        return sum(1 for s in state.granted if s.expires_s >= deadline_s)
 
-    def take(self, endpoint_id: str, deadline_s: float) -> bool:
-        """Use a slot granted by the owner; return whether one was used."""
+    def owns(self, endpoint_id: str) -> bool:
+        """Return whether this node keeps an endpoint's budget."""
+        return self.state(endpoint_id).budget is not None
+
+    def take(self, endpoint_id: str, deadline_s: float) -> Slot | None:
+        """Use a slot granted by the owner; return it, if there is one."""
         state = self.state(endpoint_id)
         if state.warm or state.budget is not None:
-            return False
-        fitting = [e for e in state.slot_expires_s if e >= deadline_s]
+            return None
+        fitting = [s for s in state.granted if s.expires_s >= deadline_s]
         if not fitting:
-            return False
-        state.slot_expires_s.remove(min(fitting))
-        return True
+            return None
+        slot = min(fitting, key=lambda s: s.expires_s)
+        state.granted.remove(slot)
+        return slot
 
     def node_lost(self, node_id: str) -> None:
         """Drop the slots of a node whose connections are gone.
@@ -178,24 +214,28 @@
         slot: Slot,
         own: int,
         reported: int,
+        spare: int,
         now_s: float,
     ) -> bool:
-        """Give a slot to another node; return False when there is none."""
+        """Give a slot to another node; return False when there is none.
+
+        ``spare`` slots are kept for others.
+        """
         budget = self.state(endpoint_id).budget
-        if budget is None or budget.room(own, reported, now_s) < 1:
+        if budget is None:
             return False
+        if budget.room(own, reported, now_s) < 1 + spare:
+            budget.denied_s[slot.node_id] = now_s
+            return False
+        budget.denied_s.pop(slot.node_id, None)
         budget.slots.append(slot)
         return True
 
-    def give_back(self, endpoint_id: str, node_id: str) -> None:
+    def give_back(self, endpoint_id: str, slot: Slot) -> None:
         """Take a slot back from the node that held it."""
         budget = self.state(endpoint_id).budget
-        if budget is None:
-            return
-        for slot in budget.slots:
-            if slot.node_id == node_id:
-                budget.slots.remove(slot)
-                return
+        if budget is not None and slot in budget.slots:
+            budget.slots.remove(slot)
 
     def answered(
         self, endpoint: topology.Endpoint, well: bool
@@ -221,5 +261,5 @@
         state.warm = False
         state.epoch += 1
         state.budget = None
-        state.slot_expires_s.clear()
+        state.granted.clear()
         return facts.Warmth(endpoint_id, state.epoch, False)
--- a/packages/daemon/src/fireflypulley/daemon/peers.py
+++ b/packages/daemon/src/fireflypulley/daemon/peers.py
@@ -61,7 +61,8 @@
         loop.handle(
             actions.AskSlot,
             lambda a: streams.send(
-                a.owner_node, messages.SlotAsk(a.endpoint_id, a.hold_s)
+                a.owner_node,
+                messages.SlotAsk(a.endpoint_id, a.hold_s, a.patient),
             ),
         )
         loop.handle(
@@ -75,7 +76,9 @@
             actions.ReturnSlot,
             lambda a: streams.send(
                 a.owner_node,
-                messages.SlotReturn(a.endpoint_id, a.answered_well),
+                messages.SlotReturn(
+                    a.endpoint_id, a.expires_s, a.answered_well
+                ),
             ),
         )
 
@@ -105,19 +108,27 @@
 
     def _slot_ask(self, node_id: str, message: messages.SlotAsk) -> None:
         self._loop.feed(
-            events.SlotAsked(node_id, message.endpoint_id, message.hold_s)
+            events.SlotAsked(
+                node_id, message.endpoint_id, message.hold_s, message.patient
+            )
         )
 
     def _slot_answer(self, node_id: str, message: messages.SlotAnswer) -> None:
         self._loop.feed(
             events.SlotAnswered(
-                message.endpoint_id, message.granted, message.expires_s
+                node_id,
+                message.endpoint_id,
+                message.granted,
+                message.expires_s,
             )
         )
 
     def _slot_return(self, node_id: str, message: messages.SlotReturn) -> None:
         self._loop.feed(
             events.SlotReturned(
-                node_id, message.endpoint_id, message.answered_well
+                node_id,
+                message.endpoint_id,
+                message.expires_s,
+                message.answered_well,
             )
         )
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -58,6 +58,7 @@
 
     endpoint_id: str
     hold_s: float
+    patient: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +75,7 @@
     """Gives a slot back."""
 
     endpoint_id: str
+    expires_s: float
     answered_well: bool | None
 
 
--- a/standins/fireflystandins/virtual/endpoint.py
+++ b/standins/fireflystandins/virtual/endpoint.py
@@ -131,7 +131,7 @@
         if request.at_most_once:
             self.executions[request.idempotency_key] += 1
         if self.cold and len(self.running) + 1 > self.bears:
-            noticed = now_s >= self.cold_since_s + self.unnoticed_s
+            noticed = now_s >= self._shows_s()
             if noticed and self.bears < self.spec.capacity:
                 self.overload_crashes += 1
                 self.running[run.attempt_id] = run
@@ -229,6 +229,24 @@
         elif run in self.waiting:
             self.waiting.remove(run)
 
+    def _shows_s(self) -> float:
+        """Return when some node can know of the fall.
+
+        One slow answer says nothing; a node that has sent two requests
+        since the fall has seen it ``unnoticed_s`` after the second.
+        """
+        if not self.unnoticed_s:
+            return self.cold_since_s
+        sent: collections.Counter[str] = collections.Counter()
+        for at_s, _, attempt_id in self.arrivals:
+            if at_s <= self.cold_since_s:
+                continue
+            node_id = attempt_id.split(".")[-2]
+            sent[node_id] += 1
+            if sent[node_id] == 2:
+                return at_s + self.unnoticed_s
+        return float("inf")
+
     def crash(self) -> None:
         """Die; all that ran here is cut."""
         if not self.alive:
@@ -252,8 +270,8 @@
     def turn_cold(self, unnoticed_s: float = 0.0) -> None:
         """Fall back into cold start without a word.
 
-        What comes in ``unnoticed_s`` is slow and does not count as too
-        much, since nobody can know of the fall before it shows.
+        Until the fall can show, what comes is slow and does not count
+        as too much.
         """
         self.cold = True
         self.cold_since_s = self._time.now_s
--- a/standins/fireflystandins/virtual/node.py
+++ b/standins/fireflystandins/virtual/node.py
@@ -530,19 +530,25 @@
 
     def _ask_slot(self, action: actions.AskSlot) -> None:
         event = events.SlotAsked(
-            self.node_id, action.endpoint_id, action.hold_s
+            self.node_id,
+            action.endpoint_id,
+            action.hold_s,
+            action.patient,
         )
         self._to(action.owner_node, event)
 
     def _grant_slot(self, action: actions.GrantSlot) -> None:
         event = events.SlotAnswered(
-            action.endpoint_id, action.granted, action.expires_s
+            self.node_id, action.endpoint_id, action.granted, action.expires_s
         )
         self._to(action.to_node, event)
 
     def _return_slot(self, action: actions.ReturnSlot) -> None:
         event = events.SlotReturned(
-            self.node_id, action.endpoint_id, action.answered_well
+            self.node_id,
+            action.endpoint_id,
+            action.expires_s,
+            action.answered_well,
         )
         self._to(action.owner_node, event)
 
