Show that each check breaks without its mechanism

Found: the fault struck at the first attempt of any kind, never at a filing; a reclaimed endpoint's record was erased when it came back; the drain ended before a paused node resumed and fell on the second at which all nodes read the table; no stream was long enough to be moved; lost accepted work was no finding.

--- a/standins/fireflystandins/virtual/endpoint.py
+++ b/standins/fireflystandins/virtual/endpoint.py
@@ -95,6 +95,7 @@
         self.cold_since_s = time.now_s
         self.unnoticed_s = 0.0
         self.crashes = 0
+        self.poison_crashes = 0
         self.prefilled = 0
         self.cached_tokens = 0
         self._cache: collections.OrderedDict[str, int]
@@ -191,6 +192,7 @@
 
     def _poisoned(self, run: Run) -> None:
         if not run.over and self.alive:
+            self.poison_crashes += 1
             self.crash()
 
     def _first(self, run: Run) -> None:
--- a/standins/fireflystandins/virtual/matrix.py
+++ b/standins/fireflystandins/virtual/matrix.py
@@ -18,6 +18,7 @@
     "accept",
     "claim",
     "dispatch",
+    "filing",
     "stream",
     "checkpoint",
     "answer",
@@ -28,12 +29,15 @@
     "restore",
 )
 MEND_AFTER_S = 8.0
-NOTICE_S = 4.0
+NOTICE_S = 6.0
 COLD_SHOWS_S = 4.0
-TRAFFIC_S = 16.0
+TRAFFIC_S = 20.0
+IN_FLIGHT_S = 0.01
 SETTLE_S = 90.0
 SLOW_S = 1.2
 LOST_ANSWERS = 3
+LONG_EVERY = 9
+LONG_TOKENS = 400
 _PLAIN = topology.ServiceKind.PLAIN
 
 Fault = collections.abc.Callable[[system.System, str], None]
@@ -50,19 +54,20 @@
     _after(world, lambda: world.restart_endpoint(victim))
 
 
-def _busiest(world: system.System) -> str:
-    models = [
+def _busiest(world: system.System, service: str = "model") -> str:
+    alive = [
         one
         for one in world.endpoints.values()
-        if one.spec.service == "model" and one.alive
+        if one.spec.service == service and one.alive
     ]
-    return max(models, key=lambda one: len(one.running)).spec.endpoint_id
+    return max(alive, key=lambda one: len(one.running)).spec.endpoint_id
 
 
 def service_killed(world: system.System, node_id: str) -> None:
-    """Kill an endpoint of the plain service, and bring it back cold."""
-    world.kill_endpoint("a0")
-    _after(world, lambda: world.restart_endpoint("a0"))
+    """Kill the plain service's busiest endpoint; it comes back cold."""
+    victim = _busiest(world, "app")
+    world.kill_endpoint(victim)
+    _after(world, lambda: world.restart_endpoint(victim))
 
 
 def reclaim_wave(world: system.System, node_id: str) -> None:
@@ -169,7 +174,8 @@
         one.poison.add("poison")
     for delay_s in (0.0, 3.0):
         world.time.after(delay_s, lambda: _send_poison(world))
-    _after(world, lambda: _restart_dead(world))
+    for number in range(1, 5):
+        world.time.after(number * MEND_AFTER_S, lambda: _restart_dead(world))
 
 
 def _send_poison(world: system.System) -> None:
@@ -248,7 +254,10 @@
         return now_s < self._ends_s
 
     def _chat(self) -> bool:
-        return self._submit(output_tokens=20 + self._count % 60)
+        tokens = 20 + self._count % 60
+        if self._count % LONG_EVERY == 0:
+            tokens = LONG_TOKENS
+        return self._submit(output_tokens=tokens)
 
     def _look(self) -> bool:
         return self._submit(route="look", service="app", kind=_PLAIN)
@@ -316,6 +325,17 @@
     world.change(plan)
 
 
+def _injected(
+    world: system.System, fault: str
+) -> collections.abc.Callable[[str], None]:
+    """Return the call that lets a fault happen while work is in flight."""
+
+    def inject(node_id: str) -> None:
+        world.time.after(IN_FLIGHT_S, lambda: FAULTS[fault](world, node_id))
+
+    return inject
+
+
 def run_cell(
     faults: collections.abc.Mapping[str, str], seed: int
 ) -> tuple[list[str], set[str]]:
@@ -323,11 +343,11 @@
     world = build(seed)
     _start_rollout(world)
     for step, fault in faults.items():
-        world.at_step(step, lambda n, f=fault: FAULTS[f](world, n))
+        world.at_step(step, _injected(world, fault))
     Traffic(world, TRAFFIC_S)
     world.time.after(2.0, lambda: _change_weight(world))
-    world.time.after(4.0, lambda: world.drain("d1"))
-    world.time.after(9.0, lambda: world.drain("d1", False))
+    world.time.after(4.4, lambda: world.drain("d1"))
+    world.time.after(14.0, lambda: world.drain("d1", False))
     if "handover" in faults:
         world.time.after(5.0, lambda: _leave(world))
     world.time.run_for(TRAFFIC_S + SETTLE_S)
--- a/standins/fireflystandins/virtual/node.py
+++ b/standins/fireflystandins/virtual/node.py
@@ -231,8 +231,10 @@
     # Actions on requests
 
     def _send(self, action: actions.SendAttempt) -> None:
-        self.world.step("dispatch", self.node_id)
         task = self.tasks[action.request_id]
+        once = task.job.request.at_most_once
+        step = "filing" if once else "dispatch"
+        self.world.step(step, self.node_id)
         found = self.world.endpoints[action.endpoint_id]
 
         def heard(what: str, outcome: requests.Outcome | None) -> None:
@@ -296,8 +298,10 @@
         task.run = None
 
     def _finish(self, action: actions.Finish) -> None:
-        self.world.step("answer", self.node_id)
-        task = self.tasks.pop(action.request_id)
+        task = self.tasks[action.request_id]
+        if task.job.request.at_most_once:
+            self.world.step("answer", self.node_id)
+        del self.tasks[action.request_id]
         if task.job_id:
             self.job_tokens[task.job_id] = task.tokens
             self.feed(events.JobAnswered(task.job_id))
--- a/standins/fireflystandins/virtual/system.py
+++ b/standins/fireflystandins/virtual/system.py
@@ -27,9 +27,19 @@
 REPORT_LAG_S = 0.5
 SAMPLE_S = 0.25
 OPERATOR_RETRY_S = 0.5
+POISON_CRASHES = 4
 NO_NEW_WORK_S = 3.0
 
 
+_LOST = frozenset(
+    {
+        problems.Reason.RETRIES_EXHAUSTED,
+        problems.Reason.RETRY_BUDGET_EMPTY,
+        problems.Reason.OUTCOME_UNKNOWN,
+    }
+)
+
+
 @dataclasses.dataclass
 class Policy:
     """What the bench may switch off to see what it is worth."""
@@ -68,6 +78,7 @@
         self.results: dict[str, Result] = {}
         self.changes: list[tuple[float, str, actions.StateChanged]] = []
         self.leaving: dict[str, tuple[float, float]] = {}
+        self.left: list[tuple[str, float, float]] = []
         self.gone: set[str] = set()
         self.drains: list[tuple[float, float, str]] = []
         self.refused_with_room = 0
@@ -281,6 +292,7 @@
         now_s = self.time.now_s
         for endpoint_id in endpoint_ids:
             self.leaving[endpoint_id] = (now_s, now_s + notice_s)
+            self.left.append((endpoint_id, now_s, now_s + notice_s))
             self.time.after(
                 notice_s, lambda e=endpoint_id: self.kill_endpoint(e)
             )
@@ -413,6 +425,7 @@
         found += self._new_work()
         found += self._cold()
         found += self._configuration()
+        found += self._poisoned()
         found += self._jobs()
         return found
 
@@ -435,6 +448,12 @@
                 found.append(f"request {request_id} ended {one.ends} times")
             elif one.refusal is None and not one.answered:
                 found.append(f"request {request_id}: answer not whole")
+            elif (
+                one.refusal
+                and not one.job.request.at_most_once
+                and one.refusal.reason in _LOST
+            ):
+                found.append(f"request {request_id} was accepted and lost")
         return found
 
     def _not_run(self) -> list[str]:
@@ -454,16 +473,22 @@
     def _new_work(self) -> list[str]:
         found = []
         for endpoint_id, one in self.endpoints.items():
-            for at_s, request_id, attempt in one.arrivals:
-                left_s, leaves_s = self.leaving.get(
-                    endpoint_id, (float("inf"), 0.0)
-                )
-                if left_s + NO_NEW_WORK_S < at_s <= leaves_s:
-                    found.append(f"{attempt} went to leaving {endpoint_id}")
-                for began_s, ended_s, domain in self.drains:
-                    late = began_s + NO_NEW_WORK_S < at_s < ended_s
-                    if late and one.spec.failure_domain == domain:
-                        found.append(f"{attempt} went to drained {domain}")
+            spans = [
+                (began_s, ended_s, f"leaving {endpoint_id}")
+                for left_id, began_s, ended_s in self.left
+                if left_id == endpoint_id
+            ]
+            spans += [
+                (began_s, ended_s, f"drained {domain}")
+                for began_s, ended_s, domain in self.drains
+                if domain == one.spec.failure_domain
+            ]
+            for began_s, ended_s, what in spans:
+                found += [
+                    f"{attempt} went to {what}"
+                    for at_s, _, attempt in one.arrivals
+                    if began_s + NO_NEW_WORK_S < at_s < ended_s
+                ]
         return found
 
     def _cold(self) -> list[str]:
@@ -473,6 +498,17 @@
             if one.overload_crashes
         ]
 
+    def _poisoned(self) -> list[str]:
+        sent = sum(
+            1
+            for one in self.results.values()
+            if one.job.request.fingerprint == "poison"
+        )
+        crashes = sum(e.poison_crashes for e in self.endpoints.values())
+        if crashes <= POISON_CRASHES + max(0, sent - 1):
+            return []
+        return [f"poison crashed {crashes} endpoints"]
+
     def _jobs(self) -> list[str]:
         found = []
         for job_id, size in self.job_sizes.items():
