Wire jobs and handover into the daemons

Cause: jobs and handover were in the core only. Three of the first 18 process tests failed: the fact of a leaving node was not in the codec's list, so the daemon's shutdown raised and never ended; and a node that stopped told the callers it relayed for that the other node was gone. Ruled out for the second: the handover itself (the answer was whole at the other node).

Change: job rows, payloads and checkpoints in the platform package; the keeper, the callers' job calls and handovers in the daemon; an action that raises is logged and counted and does not lose the rest; a hub that stops tells nobody. A test holds the codec to every fact and message.

--- a/packages/core/src/fireflypulley/core/job_rows.py
+++ b/packages/core/src/fireflypulley/core/job_rows.py
@@ -78,3 +78,8 @@
         background=True,
         urgent_from_s=job.urgent_from_s,
     )
+
+
+def cancelled(job: Job) -> Job:
+    """Return a job as its caller has ended it."""
+    return dataclasses.replace(job, state=JobState.CANCELLED)
--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -16,6 +16,9 @@
 from fireflypulley.daemon import driver
 from fireflypulley.daemon import fetches
 from fireflypulley.daemon import frontend
+from fireflypulley.daemon import handovers
+from fireflypulley.daemon import job_calls
+from fireflypulley.daemon import jobs
 from fireflypulley.daemon import keyed
 from fireflypulley.daemon import logs
 from fireflypulley.daemon import metrics
@@ -28,9 +31,11 @@
 from fireflypulley.endpoints import clients
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
+from fireflypulley.nodes import messages
 from fireflypulley.operators import api
 from fireflypulley.platform import http_client
 from fireflypulley.platform import http_services
+from fireflypulley.platform import job_store
 
 TICK_S = 0.1
 STOP_CHECK_S = 0.05
@@ -58,6 +63,8 @@
         self._build_platform()
         self._build_streams(this, incarnation)
         self._build_serving()
+        self._build_jobs()
+        self._build_poller()
         self._ticking = task.LoopingCall(self._tick)
         self._due_s: float | None = None
         self._ports: list[interfaces.IListeningPort] = []
@@ -69,12 +76,17 @@
         self._http = http_client.HttpClient(self._reactor, config.url, token)
         table = http_services.HttpTable(self._http)
         self._store = store.Store(self._loop, table, self._config.node.node_id)
+        objects = http_services.HttpObjectStore(self._http)
+        self._job_store = job_store.JobStore(table, objects)
+
+    def _build_poller(self) -> None:
         self._poller = platform_poll.Poller(
             self._loop,
             self._store,
             http_services.HttpInstanceList(self._http),
             self._clients,
-            config,
+            self._config.platform,
+            self._keeper.poll,
             self.shut_down,
         )
 
@@ -106,7 +118,7 @@
         )
 
     def _build_serving(self) -> None:
-        tools = tasks.Tools(
+        self._tools = tasks.Tools(
             self._loop.feed,
             self._clients,
             self._metrics,
@@ -115,7 +127,7 @@
         )
         self._frontend = frontend.Frontend(
             self._loop,
-            tools,
+            self._tools,
             self._registry,
             self._directory,
             self._fetches,
@@ -124,6 +136,26 @@
             self._loop, self._store, self._config.node.operator_token_file
         )
 
+    def _build_jobs(self) -> None:
+        self._keeper = jobs.JobKeeper(
+            self._loop, self._job_store, self._registry, self._tools
+        )
+        self._job_calls = job_calls.JobCalls(
+            self._loop, self._job_store, self._keeper, self._frontend
+        )
+        passing = handovers.Handovers(
+            self._reactor,
+            self._loop,
+            self._hub,
+            self._registry,
+            self._tools,
+            self._keeper,
+            self._directory,
+            self._fetches,
+        )
+        self._peers.add(messages.Handover, passing.receive)
+        self._peers.add(messages.HandoverTaken, lambda _, m: passing.taken(m))
+
     def _address_of(self, endpoint_id: str) -> str | None:
         state = self._core.state.pool.get(endpoint_id)
         return None if state is None else state.endpoint.address
@@ -200,12 +232,12 @@
         self._registry.caller_left(sink)
 
     def submit_job(self, call: gateway.Call, sink: gateway.Sink) -> None:
-        raise NotImplementedError
+        self._job_calls.submit(call, sink)
 
     def job_status(
         self, call: gateway.Call, job_id: str, sink: gateway.Sink
     ) -> None:
-        raise NotImplementedError
+        self._job_calls.status(call, job_id, sink)
 
     def job_text(
         self,
@@ -214,16 +246,16 @@
         offset: int,
         sink: gateway.Sink,
     ) -> None:
-        raise NotImplementedError
+        self._job_calls.text(call, job_id, offset, sink)
 
     def cancel_job(
         self, call: gateway.Call, job_id: str, sink: gateway.Sink
     ) -> None:
-        raise NotImplementedError
+        self._job_calls.cancel(call, job_id, sink)
 
     def ready(self) -> bool:
         return self._core.ready(self._loop.now_s())
 
     def metrics(self) -> bytes:
-        self._metrics.collect(self._core, self._hub, self._loop.now_s())
+        self._metrics.collect(self._loop, self._hub, self._loop.now_s())
         return self._metrics.render()
--- a/packages/daemon/src/fireflypulley/daemon/driver.py
+++ b/packages/daemon/src/fireflypulley/daemon/driver.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import traceback
 import typing
 
 from fireflypulley.core import actions
@@ -25,6 +26,7 @@
         self._time = time
         self._waiting: collections.deque[events.Event] = collections.deque()
         self._running = False
+        self.failed_actions = 0
         self._handlers: dict[type[actions.Action], _Handler] = {
             actions.StateChanged: logs.state_changed,
         }
@@ -51,4 +53,13 @@
 
     def _step(self, event: events.Event) -> None:
         for action in self.core.handle(event, self._time.now_s()):
+            self._carry_out(action)
+
+    def _carry_out(self, action: actions.Action) -> None:
+        """Do one action; a failure of one does not lose the others."""
+        try:
             self._handlers[type(action)](action)
+        except Exception:
+            self.failed_actions += 1
+            name = type(action).__name__
+            logs.note("action", name, "failed", traceback.format_exc())
--- a/packages/daemon/src/fireflypulley/daemon/fetches.py
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -77,11 +77,15 @@
         last_event_id: int,
         sink: gateway.Sink,
         not_found: collections.abc.Callable[[], None],
+        transcript: bytes = b"",
     ) -> None:
-        """Fetch an answer from the node that has it."""
+        """Fetch an answer from the node that has it.
+
+        ``transcript`` holds the events that the caller has already.
+        """
         self._asked += 1
         self._fetches[self._asked] = _Fetch(
-            key, node_id, sink, not_found, bytearray()
+            key, node_id, sink, not_found, bytearray(transcript)
         )
         ask = messages.FetchAsk(self._asked, key, last_event_id)
         self._streams.send(node_id, ask)
--- /dev/null
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -0,0 +1,154 @@
+"""Passes open work to other nodes, and takes over theirs."""
+
+import dataclasses
+
+from twisted.internet import interfaces
+
+from fireflypulley.core import actions
+from fireflypulley.core import events
+from fireflypulley.core import job_rows
+from fireflypulley.core import payload
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import fetches
+from fireflypulley.daemon import jobs
+from fireflypulley.daemon import keyed
+from fireflypulley.daemon import registry
+from fireflypulley.daemon import tasks
+from fireflypulley.nodes import hub
+from fireflypulley.nodes import messages
+
+TAKEN_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Offer:
+    to_node: str
+    job_id: str
+    timer: interfaces.IDelayedCall
+
+
+class Handovers:
+    """The requests and jobs on their way to other nodes."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        loop: driver.Driver,
+        streams: hub.Hub,
+        found: registry.Registry,
+        tools: tasks.Tools,
+        keeper: jobs.JobKeeper,
+        directory: keyed.KeyDirectory,
+        remote: fetches.Fetches,
+    ) -> None:
+        self._reactor = reactor
+        self._loop = loop
+        self._streams = streams
+        self._registry = found
+        self._tools = tools
+        self._keeper = keeper
+        self._directory = directory
+        self._remote = remote
+        self._offers: dict[str, _Offer] = {}
+        loop.handle(actions.HandOver, self._offer)
+        loop.handle(actions.HandOverJob, self._offer_job)
+
+    def _send(
+        self, request_id: str, to_node: str, message: messages.Handover
+    ) -> None:
+        timer = self._reactor.callLater(
+            TAKEN_TIMEOUT_S, self._not_taken, request_id
+        )
+        job_id = "" if message.job is None else message.job.job_id
+        self._offers[request_id] = _Offer(to_node, job_id, timer)
+        self._streams.send(to_node, message)
+
+    def _offer(self, action: actions.HandOver) -> None:
+        task = self._registry.by_id(action.request_id)
+        if task is None or action.request_id in self._offers:
+            return
+        self._loop.feed(events.HandedOver(action.request_id))
+        message = messages.Handover(
+            task.request,
+            task.payload,
+            task.key,
+            task.tokens,
+            bytes(task.transcript),
+        )
+        self._send(action.request_id, action.to_node, message)
+
+    def _offer_job(self, action: actions.HandOverJob) -> None:
+        job = action.job
+        request = job_rows.request_of(job)
+        if request.request_id in self._offers:
+            return
+        transcript = self._keeper.transcript(job.job_id)
+        if transcript is None:
+            return
+        body = self._keeper.payload(job.job_id)
+        message = messages.Handover(
+            request,
+            payload.Payload("POST", jobs.RUN_PATH, "", body),
+            job.job_id,
+            self._keeper.tokens(job.job_id),
+            transcript,
+            job,
+        )
+        self._send(request.request_id, action.to_node, message)
+
+    def _not_taken(self, request_id: str) -> None:
+        """Go on here with a request that was not taken."""
+        offer = self._offers.pop(request_id)
+        task = self._registry.by_id(request_id)
+        if offer.job_id or task is None:
+            return
+        self._loop.feed(
+            events.RequestArrived(task.request, task.tokens, accepted=True)
+        )
+
+    def receive(self, from_node: str, message: messages.Handover) -> None:
+        """Take over what a leaving node passes on."""
+        request = message.request
+        if message.job is not None:
+            self._keeper.receive(
+                message.job,
+                message.payload.body,
+                message.transcript,
+                message.tokens,
+            )
+        elif self._registry.by_key(message.key) is None:
+            task = tasks.RequestTask(
+                self._tools, request, message.payload, message.key
+            )
+            task.preload(message.transcript, message.tokens)
+            self._registry.add(task)
+            self._directory.announce(message.key)
+            self._loop.feed(
+                events.RequestArrived(request, message.tokens, accepted=True)
+            )
+        self._streams.send(
+            from_node, messages.HandoverTaken(request.request_id)
+        )
+
+    def taken(self, message: messages.HandoverTaken) -> None:
+        """Let go of what another node has taken."""
+        offer = self._offers.pop(message.request_id, None)
+        if offer is None:
+            return
+        offer.timer.cancel()
+        if offer.job_id:
+            self._loop.feed(events.JobHandedOver(offer.job_id))
+            return
+        task = self._registry.by_id(message.request_id)
+        if task is None:
+            return
+        self._registry.drop(task)
+        for sink in task.take_sinks():
+            self._remote.begin(
+                task.key,
+                offer.to_node,
+                task.tokens - 1,
+                sink,
+                lambda: None,
+                bytes(task.transcript),
+            )
--- a/packages/daemon/src/fireflypulley/daemon/metrics.py
+++ b/packages/daemon/src/fireflypulley/daemon/metrics.py
@@ -5,7 +5,7 @@
 import aioprometheus
 from aioprometheus import formats
 
-from fireflypulley.core import node
+from fireflypulley.daemon import driver
 from fireflypulley.nodes import hub
 
 FIRST_TOKEN_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.0, 5.0)
@@ -52,6 +52,9 @@
         self._sent = self._counter(
             "stream_bytes", "Bytes sent to other nodes."
         )
+        self._failed_actions = self._counter(
+            "failed_actions", "Actions that raised an error; a fault of ours."
+        )
         self._queued = self._gauge(
             "queued", "Waiting requests, by service.", "service"
         )
@@ -109,9 +112,13 @@
         self._add(metric, text, "")
         return metric
 
-    def collect(self, core: node.Node, streams: hub.Hub, now_s: float) -> None:
+    def collect(
+        self, loop: driver.Driver, streams: hub.Hub, now_s: float
+    ) -> None:
         """Copy the core's counts."""
+        core = loop.core
         counters = core.state.counters
+        self._failed_actions.set({}, loop.failed_actions)
         self._accepted.set({}, counters.accepted)
         self._answered.set({}, counters.answered)
         self._replayed.set({}, counters.replayed)
--- a/packages/daemon/src/fireflypulley/daemon/platform_poll.py
+++ b/packages/daemon/src/fireflypulley/daemon/platform_poll.py
@@ -27,12 +27,14 @@
         instances: base.InstanceList,
         endpoint_clients: clients.Clients,
         config: settings.PlatformSettings,
+        poll_jobs: _Work,
         own_leave: collections.abc.Callable[[], None],
     ) -> None:
         self._loop = loop
         self._rows = rows
         self._instances = instances
         self._clients = endpoint_clients
+        self._poll_jobs = poll_jobs
         self._own_leave = own_leave
         self._busy: set[str] = set()
         self._loops = [
@@ -74,6 +76,7 @@
 
     async def _poll_config(self) -> None:
         await self._rows.poll()
+        await self._poll_jobs()
 
     async def _poll_instances(self) -> None:
         try:
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -156,6 +156,11 @@
             self._sinks.remove(sink)
         return not self._sinks
 
+    def take_sinks(self) -> list[gateway.Sink]:
+        """Return the callers and forget them."""
+        sinks, self._sinks = self._sinks, []
+        return sinks
+
     def add_frames(self, frames: list[bytes]) -> None:
         """Take in tokens and pass them on in one write."""
         data = sse.number(frames, self.tokens)
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -25,6 +25,7 @@
         facts.Evidence,
         facts.Trip,
         facts.NodeDown,
+        facts.NodeLeaving,
         configuration.Entry,
     )
 }
--- a/packages/nodes/src/fireflypulley/nodes/hub.py
+++ b/packages/nodes/src/fireflypulley/nodes/hub.py
@@ -78,6 +78,7 @@
         self._waiting: dict[str, list[bytes]] = {}
         self._wanted: tuple[str, ...] = ()
         self._dialing: set[str] = set()
+        self._stopped = False
         self._loop = task.LoopingCall(self._beat)
         self.bytes_sent = 0
         self.messages_sent = 0
@@ -87,7 +88,8 @@
         self._loop.start(HEARTBEAT_S, now=False)
 
     def stop(self) -> None:
-        """Close all streams."""
+        """Close all streams; the listener hears no more."""
+        self._stopped = True
         self._wanted = ()
         if self._loop.running:
             self._loop.stop()
@@ -211,7 +213,7 @@
             found.remove(stream)
         if not found:
             self._streams.pop(stream.node_id, None)
-        if stream.purpose is not _PEER:
+        if self._stopped or stream.purpose is not _PEER:
             return
         if not any(s.purpose is _PEER for s in found):
             self._listener.peer_down(stream.node_id)
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -4,6 +4,7 @@
 import enum
 
 from fireflypulley.core import facts
+from fireflypulley.core import job_rows
 from fireflypulley.core import ledger_rows
 from fireflypulley.core import payload
 from fireflypulley.core import problems
@@ -136,13 +137,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Handover(Message):
-    """A request with its answer so far, for another node to go on with."""
+    """A request with its answer so far, for another node to go on with.
+
+    ``job`` is set when the request runs a job.
+    """
 
     request: requests.Request
     payload: payload.Payload
+    key: str
     tokens: int
     transcript: bytes
-    job_id: str = ""
+    job: job_rows.Job | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/platform/src/fireflypulley/platform/repository.py
+++ b/packages/platform/src/fireflypulley/platform/repository.py
@@ -19,7 +19,7 @@
 _Parsed = typing.TypeVar("_Parsed")
 
 
-def _load(adapter: pydantic.TypeAdapter[_Parsed], row: base.Row) -> _Parsed:
+def load(adapter: pydantic.TypeAdapter[_Parsed], row: base.Row) -> _Parsed:
     try:
         return adapter.validate_json(row.value)
     except pydantic.ValidationError as error:
@@ -44,7 +44,7 @@
         return entries
 
     def _entry(self, row: base.Row) -> configuration.Entry:
-        entry = _load(_ENTRY, row)
+        entry = load(_ENTRY, row)
         return configuration.Entry(
             entry.kind,
             entry.name,
@@ -134,7 +134,7 @@
         row = await self._table.read(LEDGER_TABLE, row_key)
         if row is None:
             return None
-        return ledger_rows.VersionedRow(_load(_LEDGER_ROW, row), row.version)
+        return ledger_rows.VersionedRow(load(_LEDGER_ROW, row), row.version)
 
 
 class LeaseRows:
@@ -151,7 +151,7 @@
         Raises ``base.Unavailable``.
         """
         row = await self._table.read(LEASE_TABLE, name)
-        known = None if row is None else _load(_LEASE, row)
+        known = None if row is None else load(_LEASE, row)
         wanted = leases.renewal(known, holder, asked_s, ttl_s)
         if wanted is None:
             return None
--- a/standins/fireflystandins/local.py
+++ b/standins/fireflystandins/local.py
@@ -227,7 +227,7 @@
         http("POST", f"http://{address}/faults", faults)
 
     def start_daemon(
-        self, node_id: str, failure_domain: str, more: str = ""
+        self, node_id: str, failure_domain: str, grace_s: float = 20.0
     ) -> Daemon:
         """Start a daemon with settings of its own."""
         assert self.platform is not None
@@ -252,9 +252,8 @@
 load_period_s = 0.25
 
 [limits]
-shutdown_grace_s = 20
+shutdown_grace_s = {grace_s}
 balancer_delay_s = 0.5
-{more}
 """
         )
         program = pathlib.Path(sys.executable).parent / "fireflypulleyd"
--- /dev/null
+++ b/tests/nodes/test_codec.py
@@ -0,0 +1,119 @@
+"""Messages survive the wire, and garbage does not get in."""
+
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import pytest
+
+from fireflypulley.core import configuration
+from fireflypulley.core import facts
+from fireflypulley.core import job_rows
+from fireflypulley.core import payload
+from fireflypulley.core import requests
+from fireflypulley.core import topology
+from fireflypulley.nodes import codec
+from fireflypulley.nodes import messages
+
+REQUEST = requests.Request(
+    "r", "w", "ask", "m", topology.ServiceKind.MODEL, 9.0, "f"
+)
+FACTS = (
+    facts.Warmth("e", 1, True),
+    facts.Leaving("e", 5.0),
+    facts.Suspicion("f", 2, 9.0),
+    facts.Evidence(
+        "r", "n", 1, (facts.ArmCount("x", facts.Arm.NEW, 1, 2, 3),), 9.0
+    ),
+    facts.Trip("r", "x", "failures", 9.0),
+    facts.NodeDown("n", 1, True, 9.0),
+    facts.NodeLeaving("n", 1, 9.0),
+    configuration.Entry(
+        configuration.EntryKind.DOMAIN,
+        "d",
+        3,
+        "op",
+        configuration.Domain(True, 1.0),
+    ),
+)
+JOB = job_rows.Job("j", "w", "r", "m", "f", 1.0, 2.0)
+MESSAGES = (
+    messages.Hello("n", 1, messages.Purpose.PEER, b"\xff" * 32),
+    messages.Proof((b"\x00\xff",)),
+    messages.Heartbeat(),
+    messages.Facts(FACTS),
+    messages.SlotAsk("e", 1.0, False),
+    messages.SlotAnswer("e", True, 2.0),
+    messages.SlotReturn("e", 2.0, None),
+    messages.KeyHeld("k", "n"),
+    messages.KeyQuestion(1, "k", True),
+    messages.KeyAnswer(1, None),
+    messages.FetchAsk(1, "k", -1),
+    messages.FetchData(1, b"\xfe"),
+    messages.FetchEnd(1, True),
+    messages.Handover(
+        REQUEST,
+        payload.Payload("POST", "/", "", b"\xff"),
+        "k",
+        3,
+        b"\xf0",
+        JOB,
+    ),
+    messages.HandoverTaken("r"),
+)
+
+
+def _subclasses(base: type) -> set[str]:
+    return {one.__name__ for one in base.__subclasses__()}
+
+
+def test_every_fact_and_message_is_sampled():
+    known = {type(one).__name__ for one in (*FACTS, *MESSAGES)}
+    assert _subclasses(facts.Fact) | _subclasses(messages.Message) == known
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_message_survives_in_any_pieces(message):
+    data = codec.encode(message)
+    whole = codec.Reader(codec.MAX_MESSAGE_BYTES)
+    assert whole.feed(data) == [message]
+    pieces = codec.Reader(codec.MAX_MESSAGE_BYTES)
+    found = [m for i in range(len(data)) for m in pieces.feed(data[i : i + 1])]
+    assert found == [message]
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_bytes_give_messages_or_bad_message(data):
+    reader = codec.Reader(4096)
+    try:
+        found = reader.feed(data)
+    except codec.BadMessage:
+        return
+    assert all(isinstance(one, messages.Message) for one in found)
+
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats()
+    | strategies.text(max_size=8)
+    | strategies.binary(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
+_NAMES = strategies.sampled_from(
+    sorted({type(one).__name__ for one in (*FACTS, *MESSAGES)})
+)
+
+
+@hypothesis.given(_NAMES, _JSON)
+def test_fields_of_any_shape_give_messages_or_bad_message(name, fields):
+    for packed in ([name, fields], ["Facts", [[name, fields]]]):
+        reader = codec.Reader(1 << 20)
+        try:
+            reader.feed(msgpack.packb(packed))
+        except codec.BadMessage:
+            pass
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -10,7 +10,7 @@
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 
 
-def start(folder: pathlib.Path, system: local.Local) -> None:
+def start(system: local.Local, grace_s: float) -> None:
     """Start two engines, one service and three daemons, configured."""
     system.start_platform()
     for number, domain in enumerate(("dakar-a", "dakar-b"), start=1):
@@ -23,7 +23,7 @@
         local.EndpointSpec("filing-1", "service", "filing", "v1", "dakar-b")
     )
     for number, domain in enumerate("abc", start=1):
-        system.start_daemon(f"node{number}", f"dakar-{domain}")
+        system.start_daemon(f"node{number}", f"dakar-{domain}", grace_s)
     system.wait_ports()
     system.apply(
         (EXAMPLES / "court.ini").read_text(),
@@ -36,5 +36,13 @@
 def system(tmp_path: pathlib.Path) -> typing.Iterator[local.Local]:
     """Give a configured system with three ready daemons."""
     with local.running(tmp_path) as found:
-        start(tmp_path, found)
+        start(found, grace_s=20.0)
+        yield found
+
+
+@pytest.fixture
+def hasty_system(tmp_path: pathlib.Path) -> typing.Iterator[local.Local]:
+    """Give a system whose daemons must leave within six seconds."""
+    with local.running(tmp_path) as found:
+        start(found, grace_s=6.0)
         yield found
