--- a/packages/core/src/fireflypulley/core/rollouts.py
+++ b/packages/core/src/fireflypulley/core/rollouts.py
@@ -14,7 +14,7 @@
 from fireflypulley.core import sequential
 
 SHARES = (0.05, 0.2, 0.5, 1.0)
-MIN_ANSWERS_PER_STEP = 20
+MIN_ANSWERS = (10, 20, 40, 60)
 EVIDENCE_PERIOD_S = 0.5
 DEADLINE_MARGIN_S = 2.0
 FACT_KEPT_S = 86_400.0
@@ -257,7 +257,8 @@
         finding = self.finding(rollout)
         if not finding.good:
             return None
-        if finding.answers < MIN_ANSWERS_PER_STEP * (rollout.step + 1):
+        last = len(SHARES) - 1
+        if finding.answers < MIN_ANSWERS[min(rollout.step, last)]:
             return None
         total_s = rollout.deadline_s - rollout.started_s
         pace_s = total_s / (2.0 * len(SHARES))
--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,28 @@
+"""Prints all benches as ``name value unit bound``."""
+
+import pathlib
+import sys
+import tempfile
+
+from fireflystandins.bench import scenarios
+from fireflystandins import datapath
+
+SEED = 1
+
+
+def main() -> int:
+    """Run all; return 1 when a bound is not met."""
+    met = True
+    with tempfile.TemporaryDirectory(prefix="fireflypulley-") as folder:
+        for figure in datapath.measure(pathlib.Path(folder)):
+            met = met and figure.holds
+            print(figure, flush=True)
+    for scenario in scenarios.SCENARIOS.values():
+        for figure in scenario(SEED):
+            met = met and figure.holds
+            print(figure, flush=True)
+    return 0 if met else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/fireflystandins/bench/moves.py
@@ -0,0 +1,169 @@
+"""Good and bad rollouts: how fast, how surely, at what cost."""
+
+import random
+
+from fireflypulley.core import configuration
+from fireflypulley.core import facts
+from fireflypulley.core import rollouts
+from fireflystandins.bench import figures
+from fireflystandins.bench import load
+from fireflystandins.virtual import endpoint
+from fireflystandins.virtual import sites
+from fireflystandins.virtual import system
+
+Figure = figures.Figure
+WITHIN_S = 120.0
+WORKSPACE = "w1"
+ALARM_RUNS = 1000
+ALARM_ANSWERS = 2000
+NOISE = (0.0, 0.01, 0.05)
+SPREAD_S = 2.0
+
+
+def _world(seed: int, behaviour: endpoint.Behaviour) -> system.System:
+    world = sites.build(sites.BELGIUM, seed)
+    for number in range(5):
+        domain = f"d{number % sites.BELGIUM.domains}"
+        name = f"v{number}"
+        sites.add_model(world, name, domain, "v2", behaviour)
+    world.settle(3.0)
+    return world
+
+
+def _move(
+    world: system.System, part: float, lasts_s: float = WITHIN_S + 10.0
+) -> configuration.Rollout:
+    callers = load.Callers(world, lasts_s)
+    rate = part * load.capacity_per_s(world)
+    for route in ("ask", "sum"):
+        callers.add(load.Stream(rate / 2, workspace=WORKSPACE, route=route))
+    world.change(
+        lambda plan: plan.start_rollout(WORKSPACE, "model", "v2", WITHIN_S)
+    )
+    world.time.run_for(lasts_s + 30.0)
+    entry = world.store.entries[("rollout", f"{WORKSPACE}.model")]
+    assert isinstance(entry.body, configuration.Rollout)
+    return entry.body
+
+
+BAD = {
+    "fails": endpoint.Behaviour(fail_rate=1.0),
+    "fails-in-part": endpoint.Behaviour(fail_rate=0.3),
+    "slow": endpoint.Behaviour(slow_factor=8.0),
+    "one-route": endpoint.Behaviour(fail_rate=1.0, route="sum"),
+    "under-load": endpoint.Behaviour(fail_rate=1.0, bad_above_load=0.2),
+}
+
+
+def good(seed: int) -> list[Figure]:
+    """Good versions are moved to in time."""
+    found = []
+    for part in (0.1, 0.4):
+        world = _world(seed, endpoint.Behaviour())
+        rollout = _move(world, part)
+        done = rollout.state is configuration.RolloutState.DONE
+        took_s = rollout.step_since_s - rollout.started_s
+        label = f"rollout.good.{part:.0%}"
+        found += [
+            Figure(f"{label}.done", float(done), "share", ">=1"),
+            Figure(f"{label}.took", took_s, "s", f"<={WITHIN_S}"),
+        ]
+    return found
+
+
+def bad(seed: int) -> list[Figure]:
+    """Bad versions are taken back, having touched few requests."""
+    found = []
+    for name, behaviour in BAD.items():
+        found += _bad_one(name, behaviour, seed)
+    late = _world(seed, endpoint.Behaviour())
+    began_s = late.time.now_s
+    for one in late.endpoints.values():
+        if one.spec.version == "v2":
+            one.behaviour = endpoint.Behaviour(
+                fail_rate=1.0, bad_after_s=began_s + 40.0
+            )
+    found += _figures("late", late, _move(late, 0.4))
+    return found
+
+
+def _bad_one(
+    name: str, behaviour: endpoint.Behaviour, seed: int
+) -> list[Figure]:
+    world = _world(seed, behaviour)
+    return _figures(name, world, _move(world, 0.4))
+
+
+def _figures(
+    name: str, world: system.System, rollout: configuration.Rollout
+) -> list[Figure]:
+    undone = rollout.state is configuration.RolloutState.UNDONE
+    verdict_s = rollout.step_since_s
+    arrivals = [
+        (at_s, request_id)
+        for one in world.endpoints.values()
+        if one.spec.version == "v2"
+        for at_s, request_id, _ in one.arrivals
+    ]
+    touched = len({request_id for _, request_id in arrivals})
+    sent = len(world.results)
+    after = sum(1 for at_s, _ in arrivals if at_s > verdict_s + SPREAD_S)
+    lost = sum(1 for one in world.results.values() if not one.answered)
+    label = f"rollout.bad.{name}"
+    early = name not in ("late", "under-load")
+    return [
+        Figure(f"{label}.undone", float(undone), "share", ">=1"),
+        Figure(f"{label}.verdict", verdict_s - rollout.started_s, "s"),
+        Figure(
+            f"{label}.touched",
+            touched / sent,
+            "of requests",
+            "<=0.05" if early else "",
+        ),
+        Figure(f"{label}.after_verdict", after, "requests", "<=0"),
+        Figure(f"{label}.unanswered", lost, "requests", "<=0"),
+    ]
+
+
+def alarms(seed: int) -> list[Figure]:
+    """False alarms on good versions whose old version is as noisy."""
+    found = []
+    for rate in NOISE:
+        chance = random.Random(seed)
+        count = sum(_alarm(chance, rate) for _ in range(ALARM_RUNS))
+        label = f"rollout.false_alarms.{rate:.0%}"
+        share = count / ALARM_RUNS
+        found.append(Figure(label, share, "of rollouts", "<=0.001"))
+    return found
+
+
+def _alarm(chance: random.Random, rate: float) -> bool:
+    """Return whether a good version is ever found bad."""
+    config = configuration.Configuration()
+    body = configuration.Rollout(
+        "r",
+        "w",
+        "m",
+        "v1",
+        "v2",
+        0.0,
+        1e9,
+        0,
+        0.0,
+        configuration.RolloutState.RUNNING,
+    )
+    config.merge(
+        configuration.Entry(
+            configuration.EntryKind.ROLLOUT, "w.m", 1, "op", body
+        )
+    )
+    watched = rollouts.Rollouts("n", config, facts.SharedState())
+    for number in range(ALARM_ANSWERS):
+        share = 0.05 if number < ALARM_ANSWERS / 2 else 0.5
+        arm = facts.Arm.NEW if chance.random() < share else facts.Arm.OLD
+        failed = chance.random() < rate
+        slow = chance.random() < rate
+        watched.observe("w", "m", "ask", arm, failed, slow)
+        if arm is facts.Arm.NEW and watched.finding(body).bad:
+            return True
+    return False
--- a/standins/fireflystandins/bench/scenarios.py
+++ b/standins/fireflystandins/bench/scenarios.py
@@ -5,6 +5,7 @@
 from fireflystandins.bench import baselines
 from fireflystandins.bench import figures
 from fireflystandins.bench import load
+from fireflystandins.bench import moves
 from fireflystandins.virtual import endpoint
 from fireflystandins.virtual import sites
 from fireflystandins.virtual import system
@@ -300,4 +301,7 @@
     "domain-leaves": domain_leaves,
     "store-outage": store_outage,
     "ten-times": ten_times,
+    "rollouts-good": moves.good,
+    "rollouts-bad": moves.bad,
+    "false-alarms": moves.alarms,
 }
--- /dev/null
+++ b/standins/fireflystandins/datapath.py
@@ -0,0 +1,211 @@
+"""Measures the data path of one real daemon on loopback."""
+
+import json
+import os
+import pathlib
+import selectors
+import socket
+import time
+import urllib.parse
+
+from fireflystandins.bench import figures
+from fireflystandins import local
+
+CALLS = 300
+STREAMS = 200
+TOKENS = 120
+TOKEN_S = 0.05
+NODE_TOKENS_PER_S = 17_700
+NODE_REQUESTS_PER_S = 77
+TEMPLATE = """[template]
+name = bench
+[service shorthand]
+kind = model
+version = v1
+[route ask]
+service = shorthand
+path = /v1/chat/completions
+"""
+WORKSPACE = f"""[workspace]
+name = bench
+template = bench
+token_sha256 = {local.token_sha256()}
+"""
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(") ", 1)
+    values = fields[1].split()
+    return (int(values[11]) + int(values[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the memory that a process holds."""
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
+
+def start(system: local.Local) -> None:
+    """Start one engine with room for all, and one daemon."""
+    system.start_platform()
+    system.start_endpoint(
+        local.EndpointSpec(
+            "shorthand-1",
+            "engine",
+            "shorthand",
+            "v1",
+            "a",
+            ("--token-s", str(TOKEN_S), "--first-token-s", "0.001"),
+            capacity=1024,
+            cold_capacity=1024,
+        )
+    )
+    daemon = system.start_daemon("node1", "a")
+    system.wait_ports()
+    system.apply(TEMPLATE, WORKSPACE)
+    system.wait_ready()
+    local.wait_for(
+        "the first answer",
+        lambda: request(daemon.callers, 1)[0] == 200,
+    )
+
+
+def body(tokens: int, stream: bool = False) -> dict:
+    """Return the body of a request."""
+    return {
+        "model": "shorthand",
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "bench"}],
+    }
+
+
+def request(url: str, tokens: int) -> tuple[int, bytes, dict[str, str]]:
+    """Make one whole call."""
+    headers = {"Authorization": f"Bearer {local.CALLER_TOKEN}"}
+    path = "/v1/chat/completions"
+    return local.http("POST", url + path, body(tokens), headers)
+
+
+def latencies(url: str) -> list[float]:
+    """Return the times of many calls, one after the other."""
+    found = []
+    for _ in range(CALLS):
+        began_s = time.perf_counter()
+        request(url, 1)
+        found.append(time.perf_counter() - began_s)
+    return found
+
+
+def added_latency(system: local.Local) -> list[figures.Figure]:
+    """Compare calls through the daemon with calls to the engine."""
+    engine = system.endpoints["shorthand-1"].address
+    daemon = system.daemons[0]
+    direct = latencies(f"http://{engine}")
+    before_s = cpu_s(daemon.popen.pid)
+    through = latencies(daemon.callers)
+    used_s = cpu_s(daemon.popen.pid) - before_s
+    found = []
+    for name, part in (("median", 0.5), ("p99", 0.99)):
+        one = figures.percentile(direct, part)
+        other = figures.percentile(through, part)
+        found += [
+            figures.Figure(f"path.added.{name}", (other - one) * 1e3, "ms"),
+            figures.Figure(f"path.ratio.{name}", other / one, "ratio"),
+        ]
+    per_call_s = used_s / CALLS
+    share = per_call_s * NODE_REQUESTS_PER_S
+    return [
+        *found,
+        figures.Figure("path.cpu_per_request", per_call_s * 1e6, "us"),
+        figures.Figure("path.cpu_at_77_requests", share, "cores"),
+    ]
+
+
+def _open_stream(url: str) -> socket.socket:
+    place = urllib.parse.urlsplit(url)
+    content = json.dumps(body(TOKENS, stream=True)).encode()
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\n"
+        f"Host: {place.netloc}\r\n"
+        f"Authorization: Bearer {local.CALLER_TOKEN}\r\n"
+        f"Content-Length: {len(content)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    found = socket.create_connection((place.hostname, place.port))
+    found.sendall(head.encode() + content)
+    found.setblocking(False)
+    return found
+
+
+def _read_all(streams: list[socket.socket]) -> tuple[int, int]:
+    """Read all streams to their ends; return events and whole ones."""
+    chooser = selectors.DefaultSelector()
+    tails = {one: b"" for one in streams}
+    for one in streams:
+        chooser.register(one, selectors.EVENT_READ)
+    events = whole = 0
+    while chooser.get_map():
+        for key, _ in chooser.select(timeout=30):
+            one = key.fileobj
+            data = one.recv(1 << 18)
+            events += data.count(b"data: {")
+            tails[one] = (tails[one] + data)[-64:]
+            if not data:
+                whole += b"[DONE]" in tails[one]
+                chooser.unregister(one)
+                one.close()
+    return events, whole
+
+
+def streaming(system: local.Local) -> list[figures.Figure]:
+    """Run many streams at once through the daemon."""
+    daemon = system.daemons[0]
+    pid = daemon.popen.pid
+    idle_bytes = resident_bytes(pid)
+    before_s, began_s = cpu_s(pid), time.perf_counter()
+    streams = [_open_stream(daemon.callers) for _ in range(STREAMS)]
+    events, whole = _read_all(streams)
+    took_s = time.perf_counter() - began_s
+    used_s = cpu_s(pid) - before_s
+    grown = resident_bytes(pid) - idle_bytes
+    per_event_s = used_s / events
+    return [
+        figures.Figure("path.streams_whole", whole, "streams", f">={STREAMS}"),
+        figures.Figure("path.tokens_per_s", events / took_s, "tokens/s"),
+        figures.Figure("path.cpu_per_token", per_event_s * 1e6, "us"),
+        figures.Figure(
+            "path.cores_at_17700_tokens",
+            per_event_s * NODE_TOKENS_PER_S,
+            "cores",
+        ),
+        figures.Figure(
+            "path.memory_per_stream", grown / STREAMS / 1024, "KiB"
+        ),
+    ]
+
+
+def control_cost(system: local.Local, lasts_s: float = 10.0) -> list:
+    """Measure what an idle daemon uses."""
+    pid = system.daemons[0].popen.pid
+    before_s = cpu_s(pid)
+    time.sleep(lasts_s)
+    share = (cpu_s(pid) - before_s) / lasts_s
+    return [
+        figures.Figure("path.idle_cpu", share, "cores", "<=0.045"),
+        figures.Figure(
+            "path.idle_memory", resident_bytes(pid) / 2**20, "MiB", "<=128"
+        ),
+    ]
+
+
+def measure(folder: pathlib.Path) -> list[figures.Figure]:
+    """Return all figures of the data path."""
+    with local.running(folder) as system:
+        start(system)
+        return [
+            *control_cost(system),
+            *added_latency(system),
+            *streaming(system),
+        ]
--- /dev/null
+++ b/tests/core/test_rollouts.py
@@ -0,0 +1,165 @@
+"""Verdicts on rollouts, and that nothing takes one back."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from fireflypulley.core import configuration
+from fireflypulley.core import facts
+from fireflypulley.core import rollouts
+from fireflypulley.core import sequential
+
+_RUNNING = configuration.RolloutState.RUNNING
+
+
+def _rollout(**fields):
+    known = {
+        "rollout_id": "r",
+        "workspace": "w",
+        "service": "m",
+        "from_version": "v1",
+        "to_version": "v2",
+        "started_s": 0.0,
+        "deadline_s": 100.0,
+        "step": 0,
+        "step_since_s": 0.0,
+        "state": _RUNNING,
+    }
+    return configuration.Rollout(**(known | fields))
+
+
+class Watched:
+    """Rollouts of one node with the state they look at."""
+
+    def __init__(self, node_id="n1", **fields):
+        self.config = configuration.Configuration()
+        self.shared = facts.SharedState()
+        self.rollout = _rollout(**fields)
+        self.put(self.rollout, 1)
+        self.rollouts = rollouts.Rollouts(node_id, self.config, self.shared)
+
+    def put(self, body, version):
+        kind = configuration.EntryKind.ROLLOUT
+        entry = configuration.Entry(kind, "w.m", version, "op", body)
+        return self.config.merge(entry)
+
+    def see(self, arm, count, failed=False, slow=False, route="ask"):
+        for _ in range(count):
+            self.rollouts.observe("w", "m", route, arm, failed, slow)
+
+    def share(self, now_s=1.0):
+        return self.rollouts.share(self.rollout, now_s)
+
+
+def test_share_starts_at_five_percent():
+    assert Watched().share() == 0.05
+
+
+def test_few_failures_trip_the_rollout_and_stop_its_share():
+    watched = Watched()
+    watched.see(facts.Arm.OLD, 50)
+    watched.see(facts.Arm.NEW, 8, failed=True)
+    (trip,) = watched.rollouts.trips(1.0)
+    watched.shared.merge(trip, 1.0)
+    assert watched.share() == 0.0
+    (verdict,) = watched.rollouts.verdicts(1.0)
+    assert verdict.state is configuration.RolloutState.UNDONE
+    assert "failures on route ask" == verdict.reason
+
+
+def test_slow_answers_on_one_route_trip_the_rollout():
+    watched = Watched()
+    watched.see(facts.Arm.NEW, 40, route="ask")
+    watched.see(facts.Arm.NEW, 9, slow=True, route="sum")
+    (trip,) = watched.rollouts.trips(1.0)
+    assert (trip.route, trip.reason) == ("sum", "slow answers")
+
+
+def test_good_version_beside_a_noisy_old_one_is_not_bad():
+    watched = Watched()
+    watched.see(facts.Arm.OLD, 100, failed=True)
+    watched.see(facts.Arm.OLD, 100)
+    watched.see(facts.Arm.NEW, 10, failed=True)
+    watched.see(facts.Arm.NEW, 30)
+    assert watched.rollouts.trips(1.0) == []
+
+
+def test_evidence_of_other_nodes_is_pooled():
+    one, other = Watched("n1"), Watched("n2")
+    for watched in (one, other):
+        watched.see(facts.Arm.NEW, 4, failed=True)
+    assert one.rollouts.trips(1.0) == []
+    for fact in other.rollouts.evidence(1.0):
+        one.shared.merge(fact, 1.0)
+    assert len(one.rollouts.trips(1.0)) == 1
+
+
+def test_evidence_told_twice_counts_once():
+    one, other = Watched("n1"), Watched("n2")
+    other.see(facts.Arm.NEW, 4, failed=True)
+    for fact in other.rollouts.evidence(1.0) * 3:
+        one.shared.merge(fact, 1.0)
+    assert one.rollouts.finding(one.rollout).answers == 4
+
+
+def test_step_needs_answers_and_time():
+    watched = Watched()
+    assert watched.rollouts.next_step(watched.rollout, 50.0) is None
+    watched.see(facts.Arm.NEW, rollouts.MIN_ANSWERS[0])
+    assert watched.rollouts.next_step(watched.rollout, 1.0) is None
+    step = watched.rollouts.next_step(watched.rollout, 50.0)
+    assert step.step == 1
+
+
+def test_last_step_is_done():
+    watched = Watched(step=len(rollouts.SHARES) - 1)
+    watched.see(facts.Arm.NEW, rollouts.MIN_ANSWERS[-1])
+    step = watched.rollouts.next_step(watched.rollout, 50.0)
+    assert step.state is configuration.RolloutState.DONE
+
+
+def test_deadline_undoes_what_is_not_complete():
+    watched = Watched()
+    assert watched.share(100.5) == 0.0
+    assert watched.rollouts.verdicts(101.0) == []
+    (verdict,) = watched.rollouts.verdicts(102.5)
+    assert verdict.state is configuration.RolloutState.UNDONE
+
+
+def test_verdict_outranks_a_late_step():
+    watched = Watched()
+    undone = dataclasses.replace(
+        watched.rollout, state=configuration.RolloutState.UNDONE
+    )
+    assert watched.put(undone, 5)
+    assert not watched.put(dataclasses.replace(watched.rollout, step=3), 4)
+    assert watched.config.rollout("w", "m").ended
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(1, 9), strategies.booleans()),
+        max_size=30,
+    )
+)
+def test_configuration_never_goes_back(changes):
+    watched = Watched()
+    highest = 1
+    for version, drained in changes:
+        body = configuration.Domain(drained, 0.0)
+        kind = configuration.EntryKind.DOMAIN
+        entry = configuration.Entry(kind, "d", version, "op", body)
+        known = watched.config.get(kind, "d")
+        highest = known.version if known else 0
+        assert watched.config.merge(entry) == (version > highest)
+        assert watched.config.get(kind, "d").version == max(version, highest)
+
+
+@hypothesis.given(strategies.integers(0, 500), strategies.integers(0, 500))
+def test_evidence_grows_with_bad_answers(bad, good):
+    base = sequential.base_rate(0, 100)
+    total = bad + good
+    one = sequential.log_ratio(bad, total, base)
+    assert sequential.log_ratio(bad + 1, total + 1, base) > one
+    assert sequential.log_ratio(bad, total + 1, base) < one
