--- /dev/null
+++ b/tests/callers/test_site.py
@@ -0,0 +1,136 @@
+"""Bad requests get a clear answer, and never reach the node."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+from twisted.internet import address
+from twisted.internet import testing
+
+from fireflypulley.callers import events
+from fireflypulley.callers import gateway
+from fireflypulley.callers import site
+
+
+class Recorder(gateway.Gateway):
+    """Keeps the calls that come through."""
+
+    def __init__(self):
+        self.calls = []
+
+    def submit(self, call, sink):
+        self.calls.append((call, sink))
+
+    def caller_left(self, sink):
+        pass
+
+    submit_job = submit
+
+    def job_status(self, call, job_id, sink):
+        self.calls.append((call, sink))
+
+    def job_text(self, call, job_id, offset, sink):
+        self.calls.append((call, sink))
+
+    def cancel_job(self, call, job_id, sink):
+        self.calls.append((call, sink))
+
+    def ready(self):
+        return True
+
+    def metrics(self):
+        return b""
+
+
+def talk(data: bytes) -> tuple[bytes, Recorder]:
+    """Return what the site answers to bytes, and what came through."""
+    recorder = Recorder()
+    factory = site.create(recorder)
+    factory.startFactory()
+    protocol = factory.buildProtocol(address.IPv4Address("TCP", "h", 1))
+    transport = testing.StringTransport()
+    transport.abortConnection = transport.loseConnection
+    protocol.makeConnection(transport)
+    protocol.dataReceived(data)
+    answer = transport.value()
+    factory.stopFactory()
+    return answer, recorder
+
+
+def post(path: str, body: bytes, *headers: str) -> bytes:
+    lines = [
+        f"POST {path} HTTP/1.1",
+        "Host: h",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+TOKEN = "Authorization: Bearer t"
+CHAT = "/v1/chat/completions"
+
+
+def problem(answer: bytes) -> dict:
+    return json.loads(answer.partition(b"\r\n\r\n")[2])
+
+
+def test_good_request_comes_through():
+    body = b'{"model": "m", "messages": [], "stream": true}'
+    key, last = "Idempotency-Key: k", "Last-Event-ID: 7"
+    _, recorder = talk(post(CHAT, body, TOKEN, key, last))
+    call, _ = recorder.calls[0]
+    assert (call.model, call.idempotency_key) == ("m", "k")
+    assert call.last_event_id == 7
+
+
+def test_bad_requests_are_refused_as_not_run():
+    good = b'{"model": "m"}'
+    for data, status, reason in (
+        (post(CHAT, good), 401, "no-credentials"),
+        (post(CHAT, b"{", TOKEN), 400, "bad-request"),
+        (post(CHAT, b'{"model": 3}', TOKEN), 400, "bad-request"),
+        (post(CHAT, b"[]", TOKEN), 400, "bad-request"),
+        (post(CHAT, good, TOKEN, "Last-Event-ID: x"), 400, "bad-request"),
+        (post(CHAT, good, TOKEN, "Idempotency-Key: a b"), 400, "bad-request"),
+        (post("/v2", good, TOKEN), 404, "no-route"),
+    ):
+        answer, recorder = talk(data)
+        assert answer.startswith(b"HTTP/1.1 %d " % status), answer
+        found = problem(answer)
+        assert (found["reason"], found["run"]) == (reason, "not-run")
+        assert recorder.calls == []
+
+
+def test_oversized_body_is_refused():
+    size = site.MAX_BODY_BYTES + 1
+    answer, recorder = talk(post(CHAT, b"x" * size, TOKEN))
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert recorder.calls == []
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+def test_any_bytes_do_no_harm(data):
+    _, recorder = talk(data)
+    assert recorder.calls == []
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_body_is_answered(body):
+    answer, recorder = talk(post(CHAT, body, TOKEN))
+    assert recorder.calls or answer.startswith(b"HTTP/1.1 400 ")
+
+
+@hypothesis.given(
+    strategies.lists(strategies.text(max_size=5), min_size=1, max_size=30),
+    strategies.integers(-1, 40),
+)
+def test_returning_caller_gets_just_what_it_lacks(texts, last):
+    frames = [
+        b'data: {"choices":[{"delta":{"content":%s}}]}'
+        % json.dumps(text).encode()
+        for text in texts
+    ]
+    transcript = events.number(frames, 0)
+    rest = events.after(transcript, last)
+    assert events.text_of(rest) == "".join(texts[last + 1 :])
--- /dev/null
+++ b/tests/daemon/test_metrics.py
@@ -0,0 +1,14 @@
+"""The metrics page is made from the code."""
+
+import importlib.util
+import pathlib
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+def test_page_is_up_to_date():
+    place = ROOT / "scripts/metrics_page.py"
+    spec = importlib.util.spec_from_file_location("metrics_page", place)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    assert module.PAGE.read_text() == module.page()
