--- /dev/null
+++ b/packages/core/src/fireflypulley/core/attempts.py
@@ -0,0 +1,250 @@
+"""What becomes of a request when an attempt goes on or ends."""
+
+from fireflypulley.core import actions
+from fireflypulley.core import dispatch
+from fireflypulley.core import events
+from fireflypulley.core import facts
+from fireflypulley.core import open_requests
+from fireflypulley.core import pool
+from fireflypulley.core import problems
+from fireflypulley.core import requests
+from fireflypulley.core import retries
+from fireflypulley.core import state
+
+_CRASHES = frozenset({requests.Outcome.CUT})
+_LOST = frozenset({requests.Outcome.CUT, requests.Outcome.UNREACHABLE})
+_FAILURES = frozenset(
+    {
+        requests.Outcome.UNREACHABLE,
+        requests.Outcome.SERVER_ERROR,
+        requests.Outcome.CUT,
+        requests.Outcome.GARBAGE,
+        requests.Outcome.TIMEOUT,
+    }
+)
+
+
+class Attempts:
+    """Takes the events of attempts."""
+
+    def __init__(
+        self,
+        node: state.NodeState,
+        dispatcher: dispatch.Dispatcher,
+        opened: open_requests.OpenRequests,
+    ) -> None:
+        self._node = node
+        self._dispatcher = dispatcher
+        self._open = opened
+
+    def sent(
+        self, event: events.AttemptSent, now_s: float
+    ) -> list[actions.Action]:
+        """Record that an attempt's bytes have left."""
+        progress = self._open.get(event.request_id)
+        if progress is not None and progress.is_current(event.attempt_id):
+            progress.mark_sent(now_s)
+        return []
+
+    def first_token(
+        self, event: events.AttemptFirstToken, now_s: float
+    ) -> list[actions.Action]:
+        """Record the start of an answer."""
+        progress = self._open.get(event.request_id)
+        if progress is None or not progress.is_current(event.attempt_id):
+            return []
+        progress.mark_streaming(now_s)
+        self._observe_latency(progress, now_s)
+        return []
+
+    def _observe_latency(
+        self, progress: requests.Progress, now_s: float
+    ) -> None:
+        attempt = progress.attempt
+        if attempt is None or attempt.observed:
+            return
+        latency_s = now_s - attempt.started_s
+        slow_after_s = self._slow_after_s(progress.request)
+        self._observe(progress, False, latency_s > slow_after_s)
+        endpoint = self._node.pool.get(attempt.endpoint_id)
+        if endpoint is not None:
+            self._node.pool.note_answer(endpoint, latency_s, now_s)
+
+    def turned_cold(
+        self, endpoint: pool.EndpointState
+    ) -> list[actions.Action]:
+        """Treat a warm endpoint as one in cold start."""
+        endpoint.pace.reset()
+        fact = self._node.warmup.turned_cold(endpoint.endpoint.endpoint_id)
+        self._node.counters.turned_cold += fact is not None
+        return self._dispatcher.publish(fact)
+
+    def _slow_after_s(self, request: requests.Request) -> float:
+        workspace = self._node.config.workspace(request.workspace)
+        service = workspace.service(request.service) if workspace else None
+        return 0.33 if service is None else service.slow_after_s
+
+    def _observe(
+        self, progress: requests.Progress, failed: bool, slow: bool
+    ) -> None:
+        attempt = progress.attempt
+        if attempt is None or attempt.observed or attempt.arm is None:
+            return
+        attempt.observed = True
+        request = progress.request
+        self._node.rollouts.observe(
+            request.workspace,
+            request.service,
+            request.route,
+            attempt.arm,
+            failed,
+            slow,
+        )
+
+    def ended(
+        self, event: events.AttemptEnded, now_s: float
+    ) -> list[actions.Action]:
+        """Answer, repeat or refuse after an attempt's end."""
+        progress = self._open.get(event.request_id)
+        if progress is None or not progress.is_current(event.attempt_id):
+            self._node.counters.late_events += 1
+            return []
+        self._node.counters.attempts[event.outcome] += 1
+        progress.tokens = max(progress.tokens, event.tokens)
+        if event.outcome is requests.Outcome.COMPLETE:
+            found = self._complete(progress, event, now_s)
+        else:
+            found = self._failed(progress, event.outcome, now_s)
+        return found
+
+    def _complete(
+        self,
+        progress: requests.Progress,
+        event: events.AttemptEnded,
+        now_s: float,
+    ) -> list[actions.Action]:
+        request = progress.request
+        answer = event.answer
+        if answer is not None and answer.status >= 500:
+            self._observe(progress, True, False)
+        if progress.attempt is not None:
+            if progress.attempt.first_token_s is None:
+                self._observe_latency(progress, now_s)
+            took_s = now_s - progress.attempt.started_s
+            self._open.queues[request.service].note_service(took_s)
+        found = self._dispatcher.end(progress, well=True)
+        self._node.quarantine.answered(request.fingerprint, now_s)
+        if request.at_most_once:
+            found += self._node.ledger.finish(
+                request.request_id, answer, now_s
+            )
+        self._open.close(request)
+        self._node.counters.answered += 1
+        return [actions.Finish(request.request_id), *found]
+
+    def _failed(
+        self,
+        progress: requests.Progress,
+        outcome: requests.Outcome,
+        now_s: float,
+    ) -> list[actions.Action]:
+        attempt = progress.attempt
+        assert attempt is not None
+        endpoint = self._node.pool.get(attempt.endpoint_id)
+        leaving = endpoint is None or endpoint.leaving
+        found: list[actions.Action] = []
+        if outcome is requests.Outcome.BUSY:
+            self._back_off(endpoint, now_s)
+            found += self._dispatcher.end(progress, well=None)
+            return found + self._repeat(progress, outcome, now_s)
+        if outcome in _FAILURES and not leaving:
+            attempt.observed = False
+            self._observe(progress, True, False)
+            found += self._note_failure(endpoint, outcome, now_s)
+        if outcome in _CRASHES and not leaving:
+            found += self._note_crash(progress, attempt, now_s)
+        found += self._dispatcher.end(progress, well=False)
+        progress.avoid.add(attempt.endpoint_id)
+        if attempt.arm is facts.Arm.NEW:
+            progress.old_version_only = True
+        return found + self._repeat(progress, outcome, now_s)
+
+    def _back_off(
+        self, endpoint: pool.EndpointState | None, now_s: float
+    ) -> None:
+        if endpoint is not None:
+            endpoint.busy_until_s = now_s + pool.BUSY_BACKOFF_S
+
+    def _note_failure(
+        self,
+        endpoint: pool.EndpointState | None,
+        outcome: requests.Outcome,
+        now_s: float,
+    ) -> list[actions.Action]:
+        if endpoint is None:
+            return []
+        if outcome in _LOST:
+            endpoint.doubt(now_s)
+        if not self._node.pool.note_failure(endpoint, now_s):
+            return []
+        self._node.counters.ejections += 1
+        found = self.turned_cold(endpoint)
+        return found + [
+            actions.StateChanged(
+                "endpoint", endpoint.endpoint.endpoint_id, "ejected"
+            )
+        ]
+
+    def _note_crash(
+        self,
+        progress: requests.Progress,
+        attempt: requests.Attempt,
+        now_s: float,
+    ) -> list[actions.Action]:
+        fact = self._node.quarantine.crashed(
+            progress.request.fingerprint, attempt.isolated, now_s
+        )
+        self._node.shared.merge(fact, now_s)
+        return [actions.Spread((fact,))]
+
+    def _repeat(
+        self,
+        progress: requests.Progress,
+        outcome: requests.Outcome,
+        now_s: float,
+    ) -> list[actions.Action]:
+        if not retries.may_repeat(progress, outcome):
+            return self._open.refuse(
+                progress,
+                problems.Reason.OUTCOME_UNKNOWN,
+                f"the attempt ended as {outcome.value}",
+                now_s,
+            )
+        request = progress.request
+        if self._node.quarantine.is_quarantined(request.fingerprint, now_s):
+            return self._open.refuse(
+                progress,
+                problems.Reason.QUARANTINED,
+                "this request crashes the endpoints that run it",
+                now_s,
+            )
+        if progress.attempt_count >= retries.MAX_ATTEMPTS:
+            if outcome is not requests.Outcome.BUSY:
+                return self._open.refuse(
+                    progress,
+                    problems.Reason.RETRIES_EXHAUSTED,
+                    f"{progress.attempt_count} attempts failed",
+                    now_s,
+                )
+        if not self._node.budget.spend(outcome):
+            return self._open.refuse(
+                progress,
+                problems.Reason.RETRY_BUDGET_EMPTY,
+                f"the attempt ended as {outcome.value}",
+                now_s,
+            )
+        reason = requests.RETRY_REASONS.get(outcome)
+        if reason is not None:
+            self._node.counters.retried[reason] += 1
+        self._open.enqueue(progress, now_s, first=True)
+        return []
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/open_requests.py
@@ -0,0 +1,135 @@
+"""The requests that a node has accepted and not yet answered."""
+
+import collections
+import collections.abc
+
+from fireflypulley.core import actions
+from fireflypulley.core import admission
+from fireflypulley.core import dispatch
+from fireflypulley.core import problems
+from fireflypulley.core import requests
+from fireflypulley.core import state
+
+
+class OpenRequests:
+    """Open requests by id, and the queues in which they wait."""
+
+    def __init__(
+        self, node: state.NodeState, dispatcher: dispatch.Dispatcher
+    ) -> None:
+        self._node = node
+        self._dispatcher = dispatcher
+        self._open: dict[str, requests.Progress] = {}
+        self.queues: dict[str, admission.FairQueue]
+        self.queues = collections.defaultdict(admission.FairQueue)
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def __iter__(self) -> collections.abc.Iterator[requests.Progress]:
+        return iter(list(self._open.values()))
+
+    def get(self, request_id: str) -> requests.Progress | None:
+        """Return an open request."""
+        return self._open.get(request_id)
+
+    def require(self, request_id: str) -> requests.Progress:
+        """Return an open request that is known to be there."""
+        return self._open[request_id]
+
+    def add(self, progress: requests.Progress) -> None:
+        """Take in an accepted request."""
+        request = progress.request
+        self._open[request.request_id] = progress
+        self._node.shares.opened(request.workspace)
+
+    def weights(self) -> dict[str, float]:
+        """Return the weights of the workspaces with open requests."""
+        return {
+            name: self.weight(name)
+            for name in {p.request.workspace for p in self._open.values()}
+        }
+
+    def weight(self, workspace: str) -> float:
+        """Return a workspace's weight."""
+        found = self._node.config.workspace(workspace)
+        return 1.0 if found is None else found.weight
+
+    def enqueue(
+        self, progress: requests.Progress, now_s: float, first: bool
+    ) -> None:
+        """Let a request wait for an endpoint."""
+        request = progress.request
+        progress.phase = requests.Phase.QUEUED
+        lane = admission.Lane.INTERACTIVE
+        if request.background:
+            lane = admission.Lane.BACKGROUND
+        if self._node.quarantine.is_suspect(request.fingerprint, now_s):
+            lane = admission.Lane.APART
+        self.queues[request.service].put(
+            request.request_id,
+            request.workspace,
+            request.deadline_s,
+            lane,
+            first,
+        )
+
+    def close(self, request: requests.Request) -> None:
+        """Forget a request that has ended."""
+        if self._open.pop(request.request_id, None) is not None:
+            self._node.shares.closed(request.workspace)
+
+    def abandon(
+        self, progress: requests.Progress, now_s: float
+    ) -> list[actions.Action]:
+        """Let go of a request: its attempt, its place, its claim."""
+        request = progress.request
+        found: list[actions.Action] = []
+        if progress.attempt is not None:
+            found.append(
+                actions.CancelAttempt(
+                    request.request_id, progress.attempt.attempt_id
+                )
+            )
+            found += self._dispatcher.end(progress, well=None)
+        self.queues[request.service].remove(
+            request.request_id, request.workspace
+        )
+        if progress.claim_asked:
+            found += self._end_claim(progress, now_s)
+        self.close(request)
+        return found
+
+    def _end_claim(
+        self, progress: requests.Progress, now_s: float
+    ) -> list[actions.Action]:
+        request_id = progress.request.request_id
+        if progress.ever_sent:
+            return self._node.ledger.finish(request_id, None, now_s)
+        return self._node.ledger.release(request_id, now_s)
+
+    def refuse(
+        self,
+        progress: requests.Progress,
+        reason: problems.Reason,
+        detail: str,
+        now_s: float,
+    ) -> list[actions.Action]:
+        """Refuse a request; what it says of execution follows from it."""
+        request = progress.request
+        run = progress.run
+        retry_s: float | None = None
+        if reason is not problems.Reason.QUARANTINED:
+            queue = self.queues[request.service]
+            wait_s = queue.wait_s(request.workspace, self.weights())
+            retry_s = admission.retry_after_s(wait_s)
+        found = self.abandon(progress, now_s)
+        refusal = problems.Refusal(reason, run, detail, retry_s)
+        return [*found, self.refused(request.request_id, refusal)]
+
+    def refused(
+        self, request_id: str, refusal: problems.Refusal
+    ) -> actions.Action:
+        """Count a refusal and return it."""
+        self._node.counters.refused[refusal.reason] += 1
+        return actions.Refuse(request_id, refusal)
