Prove rollouts and quarantine through real processes

Cause: rollouts and poison requests had run in virtual time only.

Change: three process tests: a good version is done in time and gets all requests after it; a bad one is undone and no caller sees a failure; a poison request is quarantined on all nodes and crashes no more than four endpoints.

--- /dev/null
+++ b/tests/processes/test_rollouts.py
@@ -0,0 +1,153 @@
+"""Rollouts and poison requests through real processes."""
+
+import json
+import threading
+
+import pytest
+
+from fireflystandins import local
+
+pytestmark = pytest.mark.processes
+
+CALLERS = 4
+WITHIN_S = 24
+
+
+class Traffic:
+    """Callers that send one request after the other until stopped."""
+
+    def __init__(self, system: local.Local) -> None:
+        self._system = system
+        self._stopped = threading.Event()
+        self.statuses: list[int] = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,))
+            for number in range(CALLERS)
+        ]
+
+    def __enter__(self) -> "Traffic":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number: int) -> None:
+        daemons = self._system.daemons
+        while not self._stopped.is_set():
+            number += 1
+            daemon = daemons[number % len(daemons)]
+            status, _ = ask(self._system, daemon, f"question {number}")
+            self.statuses.append(status)
+
+
+def ask(system, daemon, prompt: str) -> tuple[int, dict]:
+    body = {
+        "model": "shorthand",
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    path = "/v1/chat/completions"
+    status, answer, _ = system.call(daemon, "POST", path, body)
+    return status, json.loads(answer)
+
+
+def start_new_version(system) -> None:
+    for number, domain in enumerate(("dakar-a", "dakar-b"), start=1):
+        system.start_endpoint(
+            local.EndpointSpec(
+                f"new-{number}", "engine", "shorthand", "v2", domain
+            )
+        )
+    system.publish()
+
+
+def move(system) -> None:
+    code, printed = system.cli(
+        "rollout",
+        "start",
+        "court-dakar",
+        "shorthand",
+        "--to",
+        "v2",
+        "--within-s",
+        str(WITHIN_S),
+    )
+    assert code == 0, printed
+
+
+def watch(system) -> tuple[int, str]:
+    return system.cli(
+        "rollout", "watch", "court-dakar", "shorthand", "--timeout-s", "60"
+    )
+
+
+def tokens(system, endpoint_id: str) -> int:
+    address = system.endpoints[endpoint_id].address
+    url = f"http://{address}/load"
+    return json.loads(local.http("GET", url)[1])["tokens_total"]
+
+
+def test_good_version_is_done_in_time(system):
+    start_new_version(system)
+    with Traffic(system) as traffic:
+        move(system)
+        code, printed = watch(system)
+    assert code == 0, printed
+    assert "done" in printed
+    assert set(traffic.statuses) == {200}
+    before = tokens(system, "shorthand-1") + tokens(system, "shorthand-2")
+    for daemon in system.daemons:
+        assert ask(system, daemon, "after")[0] == 200
+    after = tokens(system, "shorthand-1") + tokens(system, "shorthand-2")
+    assert after == before
+
+
+def test_bad_version_is_undone_and_no_caller_sees_it(system):
+    start_new_version(system)
+    for name in ("new-1", "new-2"):
+        system.faults(system.endpoints[name].address, fail_all=True)
+    with Traffic(system) as traffic:
+        move(system)
+        code, printed = watch(system)
+    assert code == 3, printed
+    assert "failures on route ask" in printed
+    assert set(traffic.statuses) == {200}
+
+
+def test_poison_request_is_quarantined_on_all_nodes(system):
+    for process in system.endpoints.values():
+        if process.name.startswith("shorthand"):
+            system.faults(process.address, crash_on="poison")
+    start_more(system)
+    status, body = ask(system, system.daemons[0], "poison")
+    assert (status, body["reason"]) == (422, "quarantined")
+    dead = [p for p in system.endpoints.values() if not p.alive]
+    assert len(dead) <= 4
+
+    def refused_at_once() -> bool:
+        found = [ask(system, d, "poison") for d in system.daemons]
+        return all(b.get("reason") == "quarantined" for _, b in found)
+
+    local.wait_for("quarantined on all nodes", refused_at_once, 10)
+    assert [p for p in system.endpoints.values() if not p.alive] == dead
+
+
+def start_more(system) -> None:
+    for number in range(3, 8):
+        process = system.start_endpoint(
+            local.EndpointSpec(
+                f"shorthand-{number}", "engine", "shorthand", "v1", "dakar-c"
+            )
+        )
+        system.faults(process.address, crash_on="poison")
+    system.publish()
+
+    def listed() -> bool:
+        code, printed = system.cli("endpoint", "list", "--json")
+        return code == 0 and "shorthand-7" in printed
+
+    local.wait_for("the new endpoints are listed", listed)
