Tell evidence on rollouts to their owner only

Cause: docs/CAPACITY.md: totals passed on to all nodes come to 552 KB/s a node for one rollout at 390 nodes, against a bound of 7 KB/s.

Change: a node tells the rollout's owner its totals, soon when bad answers came in, else the less often the more nodes there are, and again when the owner is new. Trips still go to all.

--- a/packages/core/src/fireflypulley/core/actions.py
+++ b/packages/core/src/fireflypulley/core/actions.py
@@ -107,6 +107,14 @@
     except_node: str | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tell(Action):
+    """Send facts to one node that has a use for them."""
+
+    to_node: str
+    facts: tuple[facts.Fact, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskSlot(Action):
     """Ask the owner of a cold endpoint's budget for one slot.
--- a/packages/core/src/fireflypulley/core/config_handler.py
+++ b/packages/core/src/fireflypulley/core/config_handler.py
@@ -65,8 +65,8 @@
 
     def tick(self, now_s: float) -> handler.Actions:
         rollouts = self._node.rollouts
-        news: list[facts.Fact] = list(rollouts.evidence(now_s))
-        found: handler.Actions = []
+        found = self._tell_owners(now_s)
+        news: list[facts.Fact] = []
         for trip in rollouts.trips(now_s):
             news.append(trip)
             found.append(
@@ -79,6 +79,15 @@
             found.append(actions.Spread(tuple(news)))
         return found + self._write_rollouts(now_s)
 
+    def _tell_owners(self, now_s: float) -> handler.Actions:
+        members = self._node.members
+        found: handler.Actions = []
+        for fact in self._node.rollouts.evidence(members, now_s):
+            owner = members.owner(fact.rollout_id, now_s)
+            if owner is not None and owner != self._node.this.node_id:
+                found.append(actions.Tell(owner, (fact,)))
+        return found
+
     def _write_rollouts(self, now_s: float) -> handler.Actions:
         rollouts = self._node.rollouts
         found: handler.Actions = []
--- a/packages/core/src/fireflypulley/core/peer_handler.py
+++ b/packages/core/src/fireflypulley/core/peer_handler.py
@@ -71,7 +71,8 @@
             if isinstance(fact, configuration.Entry):
                 entries.append(fact)
             elif self._node.shared.merge(fact, now_s):
-                news.append(fact)
+                if not isinstance(fact, facts.Evidence):
+                    news.append(fact)
                 found += self._apply(fact, now_s)
         if news:
             found.append(actions.Spread(tuple(news), event.node_id))
--- a/packages/core/src/fireflypulley/core/rollouts.py
+++ b/packages/core/src/fireflypulley/core/rollouts.py
@@ -1,8 +1,9 @@
 """Moves traffic to a new version in steps, or takes the move back.
 
-Every node routes by the share in force, counts what it sees and passes
-its totals on.  Any node that finds the pooled evidence bad stops sending
-at once; the owner alone takes steps, and the table holds the verdict.
+Every node routes by the share in force, counts what it sees and tells the
+rollout's owner, who pools the totals.  Any node that finds its evidence
+bad stops sending at once and tells all; the owner alone takes steps, and
+the table holds the verdict.
 """
 
 import collections
@@ -10,12 +11,15 @@
 
 from fireflypulley.core import configuration
 from fireflypulley.core import facts
+from fireflypulley.core import membership
 from fireflypulley.core import ownership
 from fireflypulley.core import sequential
 
 SHARES = (0.05, 0.2, 0.5, 1.0)
 MIN_ANSWERS = (10, 20, 40, 60)
 EVIDENCE_PERIOD_S = 0.5
+GOOD_PERIOD_S = 1.0
+TOLD_PER_S = 20.0
 DEADLINE_MARGIN_S = 2.0
 FACT_KEPT_S = 86_400.0
 _RUNNING = configuration.RolloutState.RUNNING
@@ -48,6 +52,8 @@
     sequence: int = 0
     changed: bool = False
     sent_s: float = float("-inf")
+    told_bad: int = 0
+    told_node: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,16 +132,29 @@
         watch.counts[(route, arm)].add(1, failed, slow)
         watch.changed = True
 
-    def evidence(self, now_s: float) -> list[facts.Evidence]:
-        """Return this node's totals that the others do not know yet."""
+    def evidence(
+        self, members: membership.Membership, now_s: float
+    ) -> list[facts.Evidence]:
+        """Return this node's totals that the rollouts' owners lack.
+
+        Bad answers are told soon, good ones less often the more nodes
+        there are, and all of them to an owner that is new.
+        """
+        good_period_s = GOOD_PERIOD_S + len(members.alive(now_s)) / TOLD_PER_S
         found = []
         for rollout_id, watch in self._watches.items():
-            if not watch.changed:
-                continue
-            if now_s - watch.sent_s < EVIDENCE_PERIOD_S:
+            owner = members.owner(rollout_id, now_s)
+            bad = sum(t.failed + t.slow for t in watch.counts.values())
+            period_s = EVIDENCE_PERIOD_S
+            if bad == watch.told_bad and owner == watch.told_node:
+                period_s = good_period_s
+            fresh = watch.changed or owner != watch.told_node
+            if not fresh or now_s - watch.sent_s < period_s:
                 continue
             watch.changed = False
             watch.sent_s = now_s
+            watch.told_bad = bad
+            watch.told_node = owner
             watch.sequence += 1
             found.append(self._fact(rollout_id, watch, now_s))
         return found
--- a/packages/daemon/src/fireflypulley/daemon/peers.py
+++ b/packages/daemon/src/fireflypulley/daemon/peers.py
@@ -54,6 +54,10 @@
             actions.Spread,
             lambda a: streams.spread(messages.Facts(a.facts), a.except_node),
         )
+        loop.handle(
+            actions.Tell,
+            lambda a: streams.send(a.to_node, messages.Facts(a.facts)),
+        )
         loop.handle(
             actions.ConnectPeers, lambda a: streams.want_peers(a.node_ids)
         )
--- a/standins/fireflystandins/virtual/node.py
+++ b/standins/fireflystandins/virtual/node.py
@@ -74,6 +74,7 @@
             actions.AskLease: self._ask_lease,
             actions.WriteEntry: self._write_entry,
             actions.Spread: self._spread,
+            actions.Tell: self._tell,
             actions.ConnectPeers: self._connect,
             actions.DropPeer: self._drop,
             actions.AskSlot: self._ask_slot,
@@ -513,6 +514,11 @@
                 event = events.FactsReceived(self.node_id, action.facts)
                 self._to(peer, event)
 
+    def _tell(self, action: actions.Tell) -> None:
+        self.sent_facts += len(action.facts)
+        event = events.FactsReceived(self.node_id, action.facts)
+        self._to(action.to_node, event)
+
     def _connect(self, action: actions.ConnectPeers) -> None:
         self._wanted = action.node_ids
         self._dial()
--- a/tests/core/test_rollouts.py
+++ b/tests/core/test_rollouts.py
@@ -7,8 +7,10 @@
 
 from fireflypulley.core import configuration
 from fireflypulley.core import facts
+from fireflypulley.core import membership
 from fireflypulley.core import rollouts
 from fireflypulley.core import sequential
+from fireflypulley.core import topology
 
 _RUNNING = configuration.RolloutState.RUNNING
 
@@ -38,6 +40,8 @@
         self.rollout = _rollout(**fields)
         self.put(self.rollout, 1)
         self.rollouts = rollouts.Rollouts(node_id, self.config, self.shared)
+        this = topology.Node(node_id, "h:1", "a")
+        self.members = membership.Membership(this, 1, self.shared)
 
     def put(self, body, version):
         kind = configuration.EntryKind.ROLLOUT
@@ -48,6 +52,9 @@
         for _ in range(count):
             self.rollouts.observe("w", "m", route, arm, failed, slow)
 
+    def evidence(self, now_s=1.0):
+        return self.rollouts.evidence(self.members, now_s)
+
     def share(self, now_s=1.0):
         return self.rollouts.share(self.rollout, now_s)
 
@@ -90,7 +97,7 @@
     for watched in (one, other):
         watched.see(facts.Arm.NEW, 4, failed=True)
     assert one.rollouts.trips(1.0) == []
-    for fact in other.rollouts.evidence(1.0):
+    for fact in other.evidence():
         one.shared.merge(fact, 1.0)
     assert len(one.rollouts.trips(1.0)) == 1
 
@@ -98,11 +105,32 @@
 def test_evidence_told_twice_counts_once():
     one, other = Watched("n1"), Watched("n2")
     other.see(facts.Arm.NEW, 4, failed=True)
-    for fact in other.rollouts.evidence(1.0) * 3:
+    for fact in other.evidence() * 3:
         one.shared.merge(fact, 1.0)
     assert one.rollouts.finding(one.rollout).answers == 4
 
 
+def test_good_evidence_is_told_less_often_than_bad():
+    watched = Watched()
+    watched.see(facts.Arm.NEW, 5)
+    assert len(watched.evidence(1.0)) == 1
+    watched.see(facts.Arm.NEW, 5)
+    assert watched.evidence(1.6) == []
+    watched.see(facts.Arm.NEW, 1, failed=True)
+    assert len(watched.evidence(1.6)) == 1
+
+
+def test_new_owner_is_told_everything():
+    watched = Watched()
+    watched.see(facts.Arm.NEW, 5)
+    watched.evidence(1.0)
+    other = topology.Node("n2", "h:2", "a")
+    watched.members.listed((other,))
+    told = watched.evidence(5.0)
+    owner = watched.members.owner("r", 5.0)
+    assert bool(told) == (owner == "n2")
+
+
 def test_step_needs_answers_and_time():
     watched = Watched()
     assert watched.rollouts.next_step(watched.rollout, 50.0) is None
