Find versions that turn bad after a long good past

Cause: evidence was cumulative, so a good past had to be paid off first: after 3,000 good answers a version that fails every request was found after 294 failures.

Change: evidence is also taken since the last time it was clearly good, with a higher bound (a million to one) for its many fresh starts.

The new test fails without the change.

--- a/packages/core/src/fireflypulley/core/rollouts.py
+++ b/packages/core/src/fireflypulley/core/rollouts.py
@@ -39,6 +39,12 @@
         self.slow += slow
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Mark:
+    bad: int
+    total: int
+
+
 _Counts = dict[tuple[str, facts.Arm], _Tally]
 
 
@@ -80,6 +86,7 @@
         self._config = config
         self._shared = shared
         self._watches: dict[str, _Watch] = {}
+        self._marks: dict[tuple[str, str, str], _Mark] = {}
 
     def tripped(self, rollout: configuration.Rollout) -> bool:
         """Return whether some node has found the new version bad."""
@@ -207,11 +214,27 @@
             ):
                 base = sequential.base_rate(base_bad, old.served)
                 ratio = sequential.log_ratio(bad, new.served, base)
-                if ratio >= sequential.BAD_LOG_RATIO:
+                key = (rollout.rollout_id, route, reason)
+                turned = self._turned_bad(key, bad, new.served, base)
+                if ratio >= sequential.BAD_LOG_RATIO or turned:
                     return Finding(True, False, answers, route, reason)
                 good = good and ratio < 0.0
         return Finding(False, good and answers > 0, answers)
 
+    def _turned_bad(
+        self, key: tuple[str, str, str], bad: int, total: int, base: float
+    ) -> bool:
+        """Return whether a version that was good has turned bad.
+
+        Each time the evidence since the last mark is good, the mark
+        moves up, so that a long good past does not hide a bad present.
+        """
+        mark = self._marks.get(key, _Mark(0, 0))
+        ratio = sequential.log_ratio(bad - mark.bad, total - mark.total, base)
+        if ratio <= sequential.GOOD_LOG_RATIO:
+            self._marks[key] = _Mark(bad, total)
+        return ratio >= sequential.TURNED_LOG_RATIO
+
     def trips(self, now_s: float) -> list[facts.Trip]:
         """Return a trip for every rollout newly found bad."""
         found = []
@@ -295,3 +318,6 @@
         for rollout_id in list(self._watches):
             if rollout_id not in running:
                 del self._watches[rollout_id]
+        for key in list(self._marks):
+            if key[0] not in running:
+                del self._marks[key]
--- a/packages/core/src/fireflypulley/core/sequential.py
+++ b/packages/core/src/fireflypulley/core/sequential.py
@@ -2,11 +2,13 @@
 
 Wald's probability ratio test: the chance that a service with the lower
 rate ever crosses the upper bound is at most ``1 / e**BAD_LOG_RATIO``.
+A test that starts over many times needs the higher ``TURNED_LOG_RATIO``.
 """
 
 import math
 
 BAD_LOG_RATIO = math.log(10_000.0)
+TURNED_LOG_RATIO = math.log(1_000_000.0)
 GOOD_LOG_RATIO = -math.log(20.0)
 PRIOR_BAD = 1.0
 PRIOR_GOOD = 49.0
--- a/tests/core/test_rollouts.py
+++ b/tests/core/test_rollouts.py
@@ -131,6 +131,18 @@
     assert bool(told) == (owner == "n2")
 
 
+def test_version_that_turns_bad_after_a_long_good_past_is_found():
+    watched = Watched()
+    for _ in range(100):
+        watched.see(facts.Arm.NEW, 30)
+        assert watched.rollouts.trips(1.0) == []
+    bad = 0
+    while not watched.rollouts.trips(1.0):
+        watched.see(facts.Arm.NEW, 1, failed=True)
+        bad += 1
+    assert bad <= 15
+
+
 def test_step_needs_answers_and_time():
     watched = Watched()
     assert watched.rollouts.next_step(watched.rollout, 50.0) is None
