--- a/standins/fireflystandins/local.py
+++ b/standins/fireflystandins/local.py
@@ -26,6 +26,7 @@
 OPERATOR_TOKEN = "operator-secret"
 NODE_KEY = "node-secret"
 CALLER_TOKEN = "caller-secret"
+PLAIN_DIAL = "tcp:host={host}:port={port}"
 Json = typing.Any
 
 
@@ -146,6 +147,31 @@
     settings: pathlib.Path = pathlib.Path()
 
 
+@dataclasses.dataclass(frozen=True)
+class Tls:
+    """A key, its certificate and the folder of trusted ones."""
+
+    key: pathlib.Path
+    certificate: pathlib.Path
+    trusted: pathlib.Path
+
+    def server(self, port: int) -> str:
+        """Return the server endpoint string of a port."""
+        return (
+            f"ssl:{port}:privateKey={self.key}"
+            f":certKey={self.certificate}:interface=127.0.0.1"
+        )
+
+    @property
+    def dial(self) -> str:
+        """Return the client endpoint string of node streams."""
+        return f"ssl:host={{host}}:port={{port}}:caCertsDir={self.trusted}"
+
+
+def _plain_server(port: int) -> str:
+    return f"tcp:{port}:interface=127.0.0.1"
+
+
 class Local:
     """A running system in one folder."""
 
@@ -246,19 +272,27 @@
         http("POST", f"http://{address}/faults", faults)
 
     def start_daemon(
-        self, node_id: str, failure_domain: str, grace_s: float = 20.0
+        self,
+        node_id: str,
+        failure_domain: str,
+        grace_s: float = 20.0,
+        tls: Tls | None = None,
     ) -> Daemon:
         """Start a daemon with settings of its own."""
         assert self.platform is not None
         ports = [free_port() for _ in range(3)]
+        server, dial = _plain_server, PLAIN_DIAL
+        if tls is not None:
+            server, dial = tls.server, tls.dial
         path = self.folder / f"{node_id}.ini"
         path.write_text(
             f"""[node]
 node_id = {node_id}
 failure_domain = {failure_domain}
-callers = tcp:{ports[0]}:interface=127.0.0.1
+callers = {server(ports[0])}
 operators = tcp:{ports[1]}:interface=127.0.0.1
-streams = tcp:{ports[2]}:interface=127.0.0.1
+streams = {server(ports[2])}
+dial = {dial}
 advertise = 127.0.0.1:{ports[2]}
 key_file = keys
 operator_token_file = operator
@@ -284,7 +318,7 @@
             process.log,
             node_id,
             failure_domain,
-            f"http://127.0.0.1:{ports[0]}",
+            f"{'http' if tls is None else 'https'}://127.0.0.1:{ports[0]}",
             f"http://127.0.0.1:{ports[1]}",
             path,
         )
