Remove what led nowhere

Cause: reading as a newcomer found a half-made KV hand-over (a field on its way to engines that no stand-in answers), a counter that nothing counts and two reasons that nothing gives.

--- a/packages/core/src/fireflypulley/core/actions.py
+++ b/packages/core/src/fireflypulley/core/actions.py
@@ -26,16 +26,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendAttempt(Action):
-    """Send a request to an endpoint, from where its answer stands.
-
-    ``kv_from`` names the endpoint whose KV cache may be imported.
-    """
+    """Send a request to an endpoint, from where its answer stands."""
 
     request_id: str
     attempt_id: str
     endpoint_id: str
     priority: Priority
-    kv_from: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/fireflypulley/core/counters.py
+++ b/packages/core/src/fireflypulley/core/counters.py
@@ -14,7 +14,6 @@
         self.answered = 0
         self.replayed = 0
         self.first_tries = 0
-        self.resumed_tokens = 0
         self.refused: collections.Counter[problems.Reason]
         self.refused = collections.Counter()
         self.retried: collections.Counter[problems.RetryReason]
--- a/packages/core/src/fireflypulley/core/dispatch.py
+++ b/packages/core/src/fireflypulley/core/dispatch.py
@@ -153,7 +153,6 @@
         endpoint: pool.EndpointState,
         arm: facts.Arm | None,
         now_s: float,
-        kv_from: str | None = None,
     ) -> list[actions.Action]:
         """Start an attempt; return what sends it."""
         request = progress.request
@@ -181,7 +180,6 @@
                 attempt.attempt_id,
                 endpoint_id,
                 self._priority(attempt, request),
-                kv_from,
             )
         ]
 
--- a/packages/core/src/fireflypulley/core/problems.py
+++ b/packages/core/src/fireflypulley/core/problems.py
@@ -36,7 +36,6 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     STORE_UNAVAILABLE = "store-unavailable"
     NOT_FOUND = "not-found"
-    SHUTTING_DOWN = "shutting-down"
     CALLER_LEFT = "caller-left"
 
 
@@ -50,7 +49,6 @@
     GARBAGE = "garbage"
     TIMEOUT = "timeout"
     LEAVING = "endpoint-leaving"
-    DRAINED = "failure-domain-drained"
 
 
 _STATUS = {
--- a/packages/core/src/fireflypulley/core/serving.py
+++ b/packages/core/src/fireflypulley/core/serving.py
@@ -270,13 +270,10 @@
         early_s = MOVE_MARGIN_S + part * MOVE_SPREAD * max(0.0, notice_s)
         if now_s < endpoint.leaves_at_s - early_s:
             return []
-        return self._move(progress, endpoint, now_s)
+        return self._move(progress, now_s)
 
     def _move(
-        self,
-        progress: requests.Progress,
-        endpoint: pool.EndpointState,
-        now_s: float,
+        self, progress: requests.Progress, now_s: float
     ) -> list[actions.Action]:
         chosen = self._dispatcher.choose(progress, now_s)
         if chosen is None or progress.attempt is None:
@@ -287,10 +284,8 @@
         found = self._dispatcher.end(progress, well=None)
         leaving = problems.RetryReason.LEAVING
         self._node.counters.retried[leaving] += 1
-        spec = endpoint.endpoint
-        kv_from = spec.endpoint_id if spec.exports_kv else None
         target, arm = chosen
-        begun = self._dispatcher.begin(progress, target, arm, now_s, kv_from)
+        begun = self._dispatcher.begin(progress, target, arm, now_s)
         return [cancel, *begun, *found]
 
 
--- a/packages/core/src/fireflypulley/core/topology.py
+++ b/packages/core/src/fireflypulley/core/topology.py
@@ -30,7 +30,6 @@
     reclaimable: bool = True
     price_per_hour: float = 1.0
     checks_fencing: bool = False
-    exports_kv: bool = False
     leaving: bool = False
     leaves_at_s: float | None = None
 
--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -123,7 +123,6 @@
             self._clients,
             self._metrics,
             self._loop.now_s,
-            self._address_of,
         )
         self._frontend = frontend.Frontend(
             self._loop,
@@ -156,10 +155,6 @@
         self._peers.add(messages.Handover, passing.receive)
         self._peers.add(messages.HandoverTaken, lambda _, m: passing.taken(m))
 
-    def _address_of(self, endpoint_id: str) -> str | None:
-        state = self._core.state.pool.get(endpoint_id)
-        return None if state is None else state.endpoint.address
-
     # Life
 
     async def start(self) -> None:
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -36,7 +36,6 @@
     clients: clients.Clients
     metrics: metrics.Metrics
     now_s: collections.abc.Callable[[], float]
-    address_of: collections.abc.Callable[[str], str | None]
 
 
 class _Listener(base.Listener):
@@ -210,9 +209,6 @@
         if self.tokens:
             text = sse.text_of(bytes(self.transcript))
             resume = base.Resume(text, self.tokens)
-        kv_address = ""
-        if action.kv_from is not None:
-            kv_address = self.tools.address_of(action.kv_from) or ""
         order = base.Order(
             action.attempt_id,
             endpoint.address,
@@ -220,7 +216,6 @@
             self.request.idempotency_key,
             resume=resume,
             priority=int(action.priority),
-            kv_address=kv_address,
         )
         self._attempt = self.tools.clients.start(
             self.request.kind,
--- a/packages/endpoints/src/fireflypulley/endpoints/base.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/base.py
@@ -26,8 +26,6 @@
     fencing: int | None = None
     resume: Resume | None = None
     priority: int = 0
-    kv_address: str = ""
-    kv_attempt_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/endpoints/src/fireflypulley/endpoints/engines.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/engines.py
@@ -35,11 +35,6 @@
                 "text": order.resume.text,
                 "tokens": order.resume.tokens,
             }
-        if order.kv_address:
-            fields["kv_import"] = {
-                "address": order.kv_address,
-                "attempt_id": order.kv_attempt_id,
-            }
         return json.dumps(fields, separators=(",", ":")).encode()
 
     def response_started(self, response: iweb.IResponse) -> None:
