Refuse a load period that makes every endpoint seem silent

Cause: an endpoint without a report for 2 s gets no new work, but load_period_s could be set up to 60 s, so that nothing would be served.

Measured: the new test fails without the bound and passes with it; 7 tests of the daemon pass.

--- a/packages/daemon/src/fireflypulley/daemon/settings.py
+++ b/packages/daemon/src/fireflypulley/daemon/settings.py
@@ -7,7 +7,9 @@
 
 from fireflypulley.core import findings
 from fireflypulley.core import inifile
+from fireflypulley.core import pool
 
+MAX_LOAD_PERIOD_S = pool.SILENT_S / 4
 _KINDS = frozenset({"node", "platform", "limits"})
 _M = typing.TypeVar("_M", bound=pydantic.BaseModel)
 
@@ -44,7 +46,7 @@
     token_file: pathlib.Path
     config_period_s: float = pydantic.Field(1.0, gt=0, le=60)
     instances_period_s: float = pydantic.Field(0.5, gt=0, le=60)
-    load_period_s: float = pydantic.Field(0.5, gt=0, le=60)
+    load_period_s: float = pydantic.Field(0.5, gt=0, le=MAX_LOAD_PERIOD_S)
 
 
 class LimitSettings(_Model):
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -53,6 +53,14 @@
     assert "'soon'" in str(error.value)
 
 
+def test_load_reports_may_not_be_so_rare_that_endpoints_seem_silent(
+    tmp_path,
+):
+    text = _text(tmp_path) + "load_period_s = 3\n"
+    with pytest.raises(findings.InvalidInput, match="load_period_s"):
+        settings.parse(text, "n1.ini")
+
+
 def test_missing_secret_file_is_a_finding(tmp_path):
     text = _text(tmp_path)
     (tmp_path / "keys").unlink()
