Let an operator's read wait for the regular one

Cause: a change first reads the table; when the regular read happened to be under way, that call said at once that the table had not answered, and the operator was told "not accepted" by a healthy system. Ruled out: the stand-in (no outage was on) and the load (the answer came at once, not after a time-out).

Change: reads of the configuration take turns, each asking anew.

Before: the new test of two reads at once fails; after: it passes, with all 8 tests of the daemon.

--- a/packages/daemon/src/fireflypulley/daemon/store.py
+++ b/packages/daemon/src/fireflypulley/daemon/store.py
@@ -34,7 +34,7 @@
         self._config = repository.ConfigurationRows(table)
         self._ledger = repository.LedgerRows(table)
         self._leases = repository.LeaseRows(table)
-        self._reading = False
+        self._lock = defer.DeferredLock()
         loop.handle(actions.Transact, lambda a: spawn(self._transact(a)))
         loop.handle(actions.ReadRow, lambda a: spawn(self._read_row(a)))
         loop.handle(actions.AskLease, lambda a: spawn(self._lease(a)))
@@ -46,17 +46,19 @@
         return self._config
 
     async def poll(self) -> bool:
-        """Read what has changed; return whether the table answered."""
-        if self._reading:
-            return False
-        self._reading = True
+        """Read what has changed; return whether the table answered.
+
+        A read waits for the one before it, so that its answer is newer
+        than the call.
+        """
+        await self._lock.acquire()
         asked_s = self._loop.now_s()
         try:
             entries = await self._config.news()
         except base.Unavailable:
             return False
         finally:
-            self._reading = False
+            self._lock.release()
         self._loop.feed(events.EntriesRead(entries, asked_s))
         return True
 
--- /dev/null
+++ b/tests/daemon/test_store.py
@@ -0,0 +1,45 @@
+"""Reads of the configuration do not disturb each other."""
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from fireflypulley.core import node
+from fireflypulley.core import topology
+from fireflypulley.daemon import clock
+from fireflypulley.daemon import driver
+from fireflypulley.daemon import store
+from fireflypulley.platform import base
+
+
+class SlowTable(base.Table):
+    """A table whose answers the test gives."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def read(self, table, key):
+        raise base.Unavailable("not used")
+
+    async def changes(self, table, revision):
+        answer = defer.Deferred()
+        self.asked.append(answer)
+        return await answer
+
+    async def transact(self, operation_id, writes):
+        raise base.Unavailable("not used")
+
+
+def test_read_during_another_read_is_answered_by_one_of_its_own():
+    table = SlowTable()
+    core = node.Node(topology.Node("n1", "h:1", "a"), 1)
+    loop = driver.Driver(core, clock.Clock(task.Clock()))
+    rows = store.Store(loop, table, "n1")
+    results = []
+    for _ in range(2):
+        polling = defer.ensureDeferred(rows.poll())
+        polling.addCallback(results.append)
+    assert len(table.asked) == 1
+    table.asked[0].callback(base.Changes(0, ()))
+    assert len(table.asked) == 2
+    table.asked[1].callback(base.Changes(0, ()))
+    assert results == [True, True]
