Say once what stood twice in the callers' entry

Behaviour and tests are as they were.

Measured: lint passes; the tests of core, daemon and callers and the process tests of the path and of jobs, less four slow ones, pass.

--- a/packages/core/src/fireflypulley/core/jobs.py
+++ b/packages/core/src/fireflypulley/core/jobs.py
@@ -54,10 +54,6 @@
         """Return a job's row as last seen."""
         return self._rows.get(job_id)
 
-    def runs(self, job_id: str) -> bool:
-        """Return whether this node runs a job."""
-        return job_id in self._running
-
     def learn(self, rows: tuple[job_rows.JobRow, ...]) -> list[actions.Action]:
         """Take in rows; drop the jobs that another node has taken."""
         found: list[actions.Action] = []
--- a/packages/core/src/fireflypulley/core/ledger.py
+++ b/packages/core/src/fireflypulley/core/ledger.py
@@ -5,7 +5,6 @@
 writes that wait while a transaction is under way share the next one.
 """
 
-import collections
 import dataclasses
 import enum
 
@@ -351,9 +350,3 @@
                     del self._records[request_id]
                     settled.append(Settled(request_id, Claim.IN_PROGRESS))
         return settled, self._flush() + self._read(now_s)
-
-    def states(self) -> collections.Counter[str]:
-        """Return how many records are at each step."""
-        return collections.Counter(
-            record.step.name for record in self._records.values()
-        )
--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -38,12 +38,13 @@
         self._directory = directory
         self._remote = remote
 
-    def _refuse(
+    def refuse(
         self,
         sink: gateway.Sink,
         reason: problems.Reason,
         detail: str,
     ) -> None:
+        """Refuse a call as not run."""
         self.give_refusal(
             sink,
             problems.Refusal(reason, problems.Run.NOT_RUN, detail),
@@ -64,7 +65,7 @@
         name = config.workspace_of_token(call.token_sha256)
         workspace = config.workspace(name) if name else None
         if name is None or workspace is None:
-            self._refuse(
+            self.refuse(
                 sink,
                 problems.Reason.BAD_CREDENTIALS,
                 "this token belongs to no workspace",
@@ -83,7 +84,7 @@
             self.give_refusal(sink, route)
             return
         if route.at_most_once and not call.idempotency_key:
-            self._refuse(
+            self.refuse(
                 sink,
                 problems.Reason.KEY_REQUIRED,
                 f"route {route.name!r} needs an Idempotency-Key",
@@ -160,13 +161,10 @@
             if node_id is None:
                 self._begin_or_join(request, call, key, sink)
                 return
-            last_event_id = -1
-            if call.last_event_id is not None:
-                last_event_id = call.last_event_id
             self._remote.begin(
                 key,
                 node_id,
-                last_event_id,
+                _last_event_id(call),
                 sink,
                 lambda: self._begin_or_join(request, call, key, sink),
             )
@@ -194,16 +192,18 @@
         sink: gateway.Sink,
     ) -> None:
         if task.request.fingerprint != request.fingerprint:
-            self._refuse(
+            self.refuse(
                 sink,
                 problems.Reason.KEY_REUSED,
                 "the idempotency key belongs to another request",
             )
             return
-        last_event_id = -1
-        if call.last_event_id is not None:
-            last_event_id = call.last_event_id
-        task.attach(sink, last_event_id)
+        task.attach(sink, _last_event_id(call))
+
+
+def _last_event_id(call: gateway.Call) -> int:
+    """Return the last event that a caller has, -1 for none."""
+    return -1 if call.last_event_id is None else call.last_event_id
 
 
 def _fingerprint(workspace: str, call: gateway.Call) -> str:
--- a/packages/daemon/src/fireflypulley/daemon/job_calls.py
+++ b/packages/daemon/src/fireflypulley/daemon/job_calls.py
@@ -110,12 +110,11 @@
             detail = "the job may still be accepted"
             self._store_down(sink, problems.Run.UNKNOWN, detail)
         elif row.job.fingerprint != job.fingerprint:
-            refusal = problems.Refusal(
+            self._calls.refuse(
+                sink,
                 problems.Reason.KEY_REUSED,
-                problems.Run.NOT_RUN,
                 "the idempotency key belongs to another job",
             )
-            self._calls.give_refusal(sink, refusal)
         else:
             self._loop.feed(events.JobsRead((row,)))
             self._accepted(row.job, sink)
@@ -139,12 +138,9 @@
                     self._store_down(sink, run, str(error))
                     return None
         if row is None or row.job.workspace != known[0]:
-            refusal = problems.Refusal(
-                problems.Reason.NOT_FOUND,
-                problems.Run.NOT_RUN,
-                f"no job {job_id!r}",
+            self._calls.refuse(
+                sink, problems.Reason.NOT_FOUND, f"no job {job_id!r}"
             )
-            self._calls.give_refusal(sink, refusal)
             return None
         return row
 
