Wait for an endpoint's end to be seen before counting the dead

Cause: a process closes its connections before waitpid can tell of its end; the node answers in that gap.

Ruled out: a crash counted twice (the node needs exactly four counted crashes for its answer, and four were dead in the end), and a quarantine spread late (the endpoint that died late was among the first four).

Change: the test waits up to a second for the four ends, asks for exactly CRASHES_TO_QUARANTINE in place of at most four, and looks again a second after all nodes have refused: stricter than before in both places.

--- a/tests/processes/test_rollouts.py
+++ b/tests/processes/test_rollouts.py
@@ -2,15 +2,19 @@
 
 import json
 import threading
+import time
 
 import pytest
 
+from fireflypulley.core import poison
 from fireflystandins import local
 
 pytestmark = pytest.mark.processes
 
 CALLERS = 4
 WITHIN_S = 24
+CRASHES = poison.CRASHES_TO_QUARANTINE
+ENDED_S = 1.0
 
 
 class Traffic:
@@ -125,15 +129,25 @@
     start_more(system)
     status, body = ask(system, system.daemons[0], "poison")
     assert (status, body["reason"]) == (422, "quarantined")
-    dead = [p for p in system.endpoints.values() if not p.alive]
-    assert len(dead) <= 4
+    # A process closes its connections some ms before its end can be seen.
+    local.wait_for(
+        "ended endpoints", lambda: len(ended(system)) >= CRASHES, ENDED_S
+    )
+    dead = ended(system)
+    assert len(dead) == CRASHES
 
     def refused_at_once() -> bool:
         found = [ask(system, d, "poison") for d in system.daemons]
         return all(b.get("reason") == "quarantined" for _, b in found)
 
     local.wait_for("quarantined on all nodes", refused_at_once, 10)
-    assert [p for p in system.endpoints.values() if not p.alive] == dead
+    time.sleep(ENDED_S)
+    assert ended(system) == dead
+
+
+def ended(system) -> list[str]:
+    processes = system.endpoints.values()
+    return [one.name for one in processes if not one.alive]
 
 
 def start_more(system) -> None:
