Open the callers' port before the program is loaded

A killed node refused connections for 1.23 s: its restart, then 0.8 s of processor time for loading libraries, before it listened.

Ruled out: slow reading of the store (the configuration is there 9 ms after the start), waiting for peers (the port does not wait for them).

Change: the entry opens the port with the standard library alone, then loads the rest; callers wait in the backlog, and are taken once the configuration and an endpoint are known, half a second at most. Messages' codecs are built at their first use.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import secrets
+import socket
 import time
 import typing
 
@@ -33,6 +34,7 @@
 from fireflypulley.gateway import translation
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
+from fireflypulley.transport import listening
 
 NODE_TABLE = "fireflypulley-nodes"
 SECRET_KEY = "shared-secret"
@@ -40,11 +42,13 @@
 TICK_S = 0.25
 NODES_READ_EVERY_S = 12.0
 RETRY_S = 0.4
-BACKLOG = 512
 BALANCER_DELAY_S = 3.0
 """The balancer sends no new callers so long after unreadiness began."""
 CUT_BEFORE_KILL_S = 0.5
 STOP_CHECK_S = 0.1
+START_CHECK_S = 0.01
+START_PATIENCE_S = 0.5
+"""Callers wait so long for a starting node to read the store."""
 COME_BACK_S = 0.05
 
 
@@ -74,9 +78,11 @@
         reactor: interfaces.IReactorCore,
         config: settings.NodeSettings,
         peers: Peers,
+        callers_port: socket.socket | None = None,
     ) -> None:
         self._reactor = reactor
         self._config = config
+        self._callers_socket = callers_port
         self._peers = peers
         self._book = peerbook.PeerBook(config.node)
         self._desk = desk.Desk(
@@ -129,23 +135,42 @@
     def start(self) -> None:
         """Listen and begin to follow the store."""
         config = self._config
-        self._caller_port = self._listen(
-            config.callers, inbound.CallerFactory(self._reactor, self)
-        )
         ready = web.Page(self._readiness)
         self._listen(config.readiness, web.create({"readyz": ready}))
         page = web.Page(self._metrics_page)
         self._listen(config.metrics, web.create({"metrics": page}))
         self._follower.start()
+        self._await_view(self._reactor.seconds() + START_PATIENCE_S)
         self._ticking.start(TICK_S, now=False)
         self._spawn(self._join())
         decision_log.note("node", state="started")
 
+    def _await_view(self, last_s: float) -> None:
+        """Take callers once there is something to serve them by."""
+        if self._is_stopping:
+            return
+        has_view = self._desk.document is not None and any(self._desk.fleet)
+        if has_view or self._reactor.seconds() >= last_s:
+            self._take_callers()
+            return
+        self._reactor.callLater(START_CHECK_S, self._await_view, last_s)
+
+    def _take_callers(self) -> None:
+        factory = inbound.CallerFactory(self._reactor, self)
+        opened = self._callers_socket
+        if opened is None:
+            self._caller_port = self._listen(self._config.callers, factory)
+            return
+        self._caller_port = self._reactor.adoptStreamPort(
+            opened.fileno(), socket.AF_INET, factory
+        )
+        opened.close()
+
     def _listen(
         self, address: settings.Address, factory: typing.Any
     ) -> interfaces.IListeningPort:
         port: interfaces.IListeningPort = self._reactor.listenTCP(
-            address.port, factory, BACKLOG, address.host
+            address.port, factory, listening.BACKLOG, address.host
         )
         return port
 
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -1,5 +1,6 @@
 """Messages as msgpack, checked where they come in."""
 
+import functools
 import typing
 
 import msgpack
@@ -53,15 +54,17 @@
         messages.Introduction,
     )
 }
-_ADAPTERS: dict[str, pydantic.TypeAdapter[typing.Any]] = {
-    name: pydantic.TypeAdapter(one)
-    for name, one in (*_FACTS.items(), *_MESSAGES.items())
-}
+
+
+@functools.cache
+def _adapter(name: str) -> pydantic.TypeAdapter[typing.Any]:
+    """Return the adapter of a type; a node needs few of them."""
+    return pydantic.TypeAdapter(_FACTS.get(name) or _MESSAGES[name])
 
 
 def _dump(value: typing.Any) -> list[typing.Any]:
     name = type(value).__name__
-    return [name, _ADAPTERS[name].dump_python(value)]
+    return [name, _adapter(name).dump_python(value)]
 
 
 def encode(message: messages.Message) -> bytes:
@@ -81,7 +84,7 @@
     if not isinstance(name, str) or name not in known:
         raise BadMessage(f"unknown name {name!r}")
     try:
-        return _ADAPTERS[name].validate_python(fields)
+        return _adapter(name).validate_python(fields)
     except pydantic.ValidationError as error:
         raise BadMessage(f"{name}: {error.error_count()} bad fields")
 
--- /dev/null
+++ b/packages/transport/src/fireflypulley/transport/listening.py
@@ -0,0 +1,24 @@
+"""A listening port that is open before the program is loaded.
+
+Loading takes most of a node's start.  Callers that connect meanwhile
+wait in the port's backlog instead of being turned away.  Only the
+standard library is used here, so that this module itself loads at once.
+"""
+
+import socket
+
+BACKLOG = 512
+
+
+def open_port(host: str, port: int) -> socket.socket:
+    """Return a socket that listens; raises ``OSError``."""
+    found = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        found.bind((host, port))
+        found.listen(BACKLOG)
+        found.setblocking(False)
+    except OSError:
+        found.close()
+        raise
+    return found
--- a/scripts/build_target.py
+++ b/scripts/build_target.py
@@ -8,27 +8,21 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 LIBRARIES = ROOT / "target" / "deps"
-REQUIREMENTS = ROOT / "requirements.txt"
+REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
 STAMP = LIBRARIES / ".requirements"
 
 
-def third_party() -> str:
-    """Return the requirements without the workspace's own packages."""
-    lines = REQUIREMENTS.read_text().splitlines()
-    return "\n".join(one for one in lines if not one.startswith("-e")) + "\n"
-
-
 def install_libraries() -> None:
     """Install the libraries unless they are there already."""
-    wanted = third_party()
+    wanted = REQUIREMENTS.read_text()
     if STAMP.exists() and STAMP.read_text() == wanted:
         return
     shutil.rmtree(LIBRARIES, ignore_errors=True)
     LIBRARIES.mkdir(parents=True)
-    listed = LIBRARIES / "requirements-installed.txt"
-    listed.write_text(wanted)
     command = [sys.executable, "-m", "pip", "install", "-q", "--target"]
-    subprocess.run([*command, str(LIBRARIES), "-r", str(listed)], check=True)
+    subprocess.run(
+        [*command, str(LIBRARIES), "-r", str(REQUIREMENTS)], check=True
+    )
     STAMP.write_text(wanted)
 
 
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -6,6 +6,7 @@
 
 from fireflypulley.core.gateway import bounds
 from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import service
@@ -31,6 +32,7 @@
     """A reactor that keeps its ports and its end."""
 
     stopped_s = None
+    adopted = None
 
     def __init__(self):
         super().__init__()
@@ -40,6 +42,10 @@
         self.ports[port] = Port(self)
         return self.ports[port]
 
+    def adoptStreamPort(self, fileDescriptor, addressFamily, factory):
+        self.adopted = fileDescriptor
+        return Port(self)
+
     def stop(self):
         self.stopped_s = self.seconds()
 
@@ -72,9 +78,7 @@
         self.node.closed(self)
 
 
-@pytest.fixture
-def node():
-    """Return a node that has been told to stop."""
+def _start(callers_port=None):
     reactor = Reactor()
     silent = Silent()
     silent.reactor = reactor
@@ -92,18 +96,80 @@
         orders_replicas=False,
     )
     peers = service.Peers(silent, silent, silent, dialects.PlainDialect())
-    found = service.Service(reactor, config, peers)
+    found = service.Service(reactor, config, peers, callers_port)
     found.start()
-    found.shut_down()
     found.reactor = reactor
     return found
 
 
-def _run(node, until_s):
+def _run_until(node, until_s):
     while node.reactor.seconds() < until_s:
         node.reactor.advance(0.05)
 
 
+@pytest.fixture
+def node():
+    """Return a node that has been told to stop."""
+    found = _start()
+    _run_until(found, service.START_PATIENCE_S + 0.1)
+    found.shut_down()
+    found.asked_s = found.reactor.seconds()
+    return found
+
+
+def _run(node, after_s):
+    _run_until(node, node.asked_s + after_s)
+
+
+class Socket:
+    """A port that was opened early."""
+
+    closed = False
+
+    def fileno(self):
+        return 17
+
+    def close(self):
+        self.closed = True
+
+
+def _give_view(node):
+    node._desk.document = object()
+    registration = fleet.Registration("e1", "s", "h:1", "a", "v1", 4)
+    node._desk.fleet.put(registration, 0.0)
+
+
+def test_it_takes_no_callers_before_it_knows_where_to_send_them():
+    node = _start()
+    _run_until(node, service.START_PATIENCE_S - 0.1)
+    assert 80 not in node.reactor.ports
+    _give_view(node)
+    _run_until(node, service.START_PATIENCE_S - 0.05)
+    assert 80 in node.reactor.ports
+
+
+def test_callers_do_not_wait_for_a_store_that_is_away():
+    node = _start()
+    _run_until(node, service.START_PATIENCE_S + 0.1)
+    assert 80 in node.reactor.ports
+
+
+def test_it_takes_over_the_port_that_was_opened_early():
+    opened = Socket()
+    node = _start(opened)
+    _run_until(node, service.START_PATIENCE_S + 0.1)
+    assert node.reactor.adopted == 17
+    assert opened.closed
+    assert 80 not in node.reactor.ports
+
+
+def test_a_node_told_to_stop_while_it_starts_takes_no_callers():
+    node = _start()
+    node.shut_down()
+    _run_until(node, service.START_PATIENCE_S + 0.1)
+    assert 80 not in node.reactor.ports
+
+
 def test_it_serves_on_until_the_balancer_has_noticed(node):
     _run(node, service.BALANCER_DELAY_S - 0.1)
     assert node.reactor.ports[80].closed_s is None
@@ -139,7 +205,7 @@
 def test_it_ends_before_it_is_killed(node):
     node.opened(Caller(node, False))
     _run(node, GRACE_S)
-    assert node.reactor.stopped_s < GRACE_S
+    assert node.reactor.stopped_s < node.asked_s + GRACE_S
 
 
 def test_the_port_is_closed_however_many_callers_are_there(node):
--- /dev/null
+++ b/tests/platform_adapter/test_requirements.py
@@ -0,0 +1,20 @@
+"""What is deployed has the versions that are tested."""
+
+import pathlib
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+
+def _versions(path):
+    found = {}
+    for line in path.read_text().splitlines():
+        if "==" in line:
+            name, version = line.split("==")
+            found[name.partition("[")[0]] = version
+    return found
+
+
+def test_deployed_libraries_are_the_tested_ones():
+    deployed = _versions(ROOT / "deploy" / "requirements.txt")
+    tested = _versions(ROOT / "requirements.txt")
+    assert deployed.items() <= tested.items()
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import signal
+import socket
 import time
 import typing
 
@@ -346,3 +347,21 @@
     assert status == 200
     assert b'fireflypulley_gateway_refused{reason="no_route"} 1' in page
     assert b"fireflypulley_gateway_configuration_version 1" in page
+
+
+def test_callers_wait_while_a_node_loads(system):
+    """From the first moment of a start on, nobody is turned away."""
+    node = system.start_node("late")
+    host, port = node.callers.rsplit(":", 1)
+    refused_until_s = time.monotonic() + 10
+    while True:
+        try:
+            socket.create_connection((host, int(port)), 1.0).close()
+            break
+        except ConnectionRefusedError:
+            assert time.monotonic() < refused_until_s
+            time.sleep(0.002)
+    connected_s = time.monotonic()
+    assert _call(node, "/fetch/1", method="GET").status == 200
+    loading_s = time.monotonic() - connected_s
+    assert loading_s > 0.05, "the port was opened only after loading"
