--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -36,6 +36,7 @@
     ) -> None:
         self._failure_domain = failure_domain
         self.document: document.Document | None = None
+        self.in_force_s = 0.0
         self.fleet = fleet.Fleet(shared_bounds.serves_on_s)
         self.drained_domains: set[str] = set()
         self.limits = workspace_limits.WorkspaceLimits(
@@ -58,6 +59,7 @@
         self.outcomes = collections.Counter()
         self.repeats = repeating.Repeats(self.retries)
         self._loads: dict[tuple[str, int], loads.Load] = {}
+        self._peer_endpoints: dict[str, frozenset[str]] = {}
         self._engine_placing = placing.create(True)
         self._plain_placing = placing.create(False)
 
@@ -68,6 +70,7 @@
     ) -> None:
         """Serve by a configuration from now on."""
         self.document = new_document
+        self.in_force_s = now_s
         self._set_limits(now_s)
 
     def set_nodes(self, alive: int, known: int, now_s: float) -> None:
@@ -112,8 +115,13 @@
         self, node_id: str, told: dict[str, loads.Shared], now_s: float
     ) -> None:
         """Take in another node's load by endpoint."""
-        for member in self.fleet:
-            shared = told.get(member.endpoint_id)
+        before = self._peer_endpoints.get(node_id, frozenset())
+        self._peer_endpoints[node_id] = frozenset(told)
+        for endpoint_id in before | told.keys():
+            member = self.fleet.get(endpoint_id)
+            if member is None:
+                continue
+            shared = told.get(endpoint_id)
             load = self.load_of(member)
             if shared is not None:
                 load.take_peer(node_id, shared, now_s)
--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 
@@ -91,6 +92,14 @@
             self._own[name] = self._own.get(name, 0.0) - amount
             bucket.level += amount
 
+    def levels(
+        self, now_s: float
+    ) -> collections.abc.Iterator[tuple[str, float, Limit]]:
+        """Give what is left of each limit, by workspace."""
+        for name, bucket in sorted(self._buckets.items()):
+            bucket.fill(now_s)
+            yield name, bucket.level, bucket.limit
+
     @property
     def own_totals(self) -> dict[str, float]:
         """Return what this node has let pass since its start."""
@@ -111,18 +120,25 @@
         incarnation: int,
         totals: dict[str, float],
         now_s: float,
-    ) -> None:
-        """Charge what another node has let pass since last told."""
+    ) -> float:
+        """Charge what another node has let pass since last told.
+
+        Returns how much that was.
+        """
         known = self._heard.get((node_id, incarnation))
         if known is None:
             self._heard[(node_id, incarnation)] = dict(totals)
-            return
+            return 0.0
+        charged = 0.0
         for name, total in totals.items():
+            amount = total - known.get(name, 0.0)
+            charged += amount
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.fill(now_s)
-                bucket.level -= total - known.get(name, 0.0)
+                bucket.level -= amount
             known[name] = total
+        return charged
 
 
 class RetryBudget:
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/gateway/node_states.py
@@ -0,0 +1,148 @@
+"""The newest state of every node, passed on from node to node.
+
+A node numbers the states that it tells.  Counters are totals since its
+start, so a state that comes twice, or after a newer one, does no harm.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+Loads = dict[str, tuple[int, int, int]]
+"""By endpoint: requests, waiting prompt tokens, 1 for a doubt."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeState:
+    """What a node tells of itself several times a second.
+
+    ``loads`` are its own by endpoint where it has any, None when they
+    are as before.  ``spent`` is what it has let pass by workspace,
+    ``usage`` its counts by window and workspace, both only where they
+    have changed; ``versions`` are the newest rows that it knows by
+    table.  ``store_doubted`` tells that the store is, or just was, out
+    of its reach.
+    """
+
+    node_id: str
+    incarnation: int
+    sequence: int
+    loads: Loads | None
+    spent: dict[str, float]
+    usage: dict[int, dict[str, int]]
+    versions: dict[str, int]
+    old_running: dict[str, int]
+    holds_duty: bool = False
+    store_doubted: bool = False
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what is greater for a newer state."""
+        return self.incarnation, self.sequence
+
+    def after(self, older: "NodeState") -> "NodeState":
+        """Return this state with what an older one tells besides."""
+        if older.incarnation != self.incarnation:
+            return self
+        loads = older.loads if self.loads is None else self.loads
+        return dataclasses.replace(
+            self,
+            loads=loads,
+            spent=older.spent | self.spent,
+            usage=older.usage | self.usage,
+        )
+
+    def changed_from(self, older: "NodeState") -> "NodeState":
+        """Return this state without what an older one has told."""
+        return dataclasses.replace(
+            self,
+            loads=None if self.loads == older.loads else self.loads,
+            spent=_changed(self.spent, older.spent),
+            usage=_changed(self.usage, older.usage),
+        )
+
+
+_T = typing.TypeVar("_T")
+_K = typing.TypeVar("_K")
+
+
+def _changed(now: dict[_K, _T], told: dict[_K, _T]) -> dict[_K, _T]:
+    return {key: one for key, one in now.items() if told.get(key) != one}
+
+
+class StateBook:
+    """The nodes' states, and what is still to be passed on of them.
+
+    Usage is kept of the newest ``usage_windows`` windows of each node.
+    """
+
+    def __init__(self, this: str, usage_windows: int) -> None:
+        self._this = this
+        self._usage_windows = usage_windows
+        self._whole: dict[str, NodeState] = {}
+        self._news: dict[str, NodeState] = {}
+        self._from_relay: dict[str, bool] = {}
+
+    def take(self, state: NodeState, from_relay: bool) -> bool:
+        """Take in another node's state; return whether it is news."""
+        if state.node_id == self._this:
+            return False
+        known = self._whole.get(state.node_id)
+        if known is not None and state.order <= known.order:
+            return False
+        self._keep(state, known)
+        self._from_relay[state.node_id] = from_relay
+        return True
+
+    def tell(self, state: NodeState) -> NodeState:
+        """Take in this node's own state; return its changes."""
+        known = self._whole.get(self._this)
+        told = state if known is None else state.changed_from(known)
+        self._keep(told, known)
+        self._from_relay[self._this] = False
+        return told
+
+    def _keep(self, state: NodeState, known: NodeState | None) -> None:
+        whole = state if known is None else state.after(known)
+        newest = sorted(whole.usage)[-self._usage_windows :]
+        usage = {window: whole.usage[window] for window in newest}
+        self._whole[state.node_id] = dataclasses.replace(whole, usage=usage)
+        waiting = self._news.get(state.node_id)
+        self._news[state.node_id] = (
+            state if waiting is None else state.after(waiting)
+        )
+
+    def get(self, node_id: str) -> NodeState | None:
+        """Return all that is known of a node's state."""
+        return self._whole.get(node_id)
+
+    def forget(self, node_ids: collections.abc.Iterable[str]) -> None:
+        """Drop the states of nodes that are gone."""
+        for node_id in node_ids:
+            self._whole.pop(node_id, None)
+            self._news.pop(node_id, None)
+            self._from_relay.pop(node_id, None)
+
+    def whole(self, for_relay: bool) -> tuple[NodeState, ...]:
+        """Return what a node is told that has heard nothing yet."""
+        return self._chosen(self._whole, for_relay)
+
+    def news(self, for_relay: bool) -> tuple[NodeState, ...]:
+        """Return what has changed since the news were last passed on.
+
+        A relay hears from the others of their nodes itself.
+        """
+        return self._chosen(self._news, for_relay)
+
+    def _chosen(
+        self, states: dict[str, NodeState], for_relay: bool
+    ) -> tuple[NodeState, ...]:
+        return tuple(
+            state
+            for node_id, state in states.items()
+            if not (for_relay and self._from_relay[node_id])
+        )
+
+    def passed_on(self) -> None:
+        """Record that all peers have been told the news."""
+        self._news.clear()
--- a/packages/core/src/fireflypulley/core/gateway/peerbook.py
+++ b/packages/core/src/fireflypulley/core/gateway/peerbook.py
@@ -3,6 +3,10 @@
 import dataclasses
 
 HEARD_S = 1.0
+RELAYED_HEARD_S = 2.0
+"""Where relays pass states on, each hop waits for its next beat."""
+FORGOTTEN_S = 60.0
+"""A node that nobody has heard for so long is taken to be gone."""
 COUNTED_S = 20.0
 """A node out of touch still counts in shared limits for so long."""
 
@@ -28,6 +32,7 @@
 
     def __init__(self, this: NodeEntry) -> None:
         self.this = this
+        self.heard_within_s = HEARD_S
         self._known: dict[str, _Known] = {}
 
     def put(self, entry: NodeEntry, now_s: float) -> bool:
@@ -40,7 +45,8 @@
                 return False
             known.entry = entry
             return True
-        self._known[entry.node_id] = _Known(entry, now_s - HEARD_S)
+        unheard_s = now_s - self.heard_within_s
+        self._known[entry.node_id] = _Known(entry, unheard_s)
         return True
 
     def heard(self, node_id: str, now_s: float) -> None:
@@ -64,12 +70,18 @@
         found = [
             node_id
             for node_id, known in self._known.items()
-            if now_s - known.heard_s < HEARD_S
+            if now_s - known.heard_s < self.heard_within_s
         ]
         return sorted([*found, self.this.node_id])
 
     def counted(self, now_s: float) -> int:
-        """Return how many nodes to reckon with, this one included."""
+        """Return how many nodes to reckon with, this one included.
+
+        A node that hears nobody is cut off itself, and reckons with all
+        that it knows.
+        """
+        if self.alive(now_s) == [self.this.node_id]:
+            return len(self._known) + 1
         recent = sum(
             now_s - known.heard_s < COUNTED_S for known in self._known.values()
         )
@@ -80,6 +92,25 @@
         known = self._known.get(node_id)
         return float("inf") if known is None else now_s - known.heard_s
 
-    def drop(self, node_id: str) -> None:
-        """Forget a node."""
-        self._known.pop(node_id, None)
+    def recent(self, now_s: float) -> list[str]:
+        """Return the other nodes that were there not long ago.
+
+        All known ones where none was, as after a long partition.
+        """
+        found = [
+            node_id
+            for node_id, known in self._known.items()
+            if now_s - known.heard_s < COUNTED_S
+        ]
+        return sorted(found or self._known)
+
+    def forget_gone(self, now_s: float) -> list[str]:
+        """Drop the nodes unheard for long; return their ids."""
+        found = [
+            node_id
+            for node_id, known in self._known.items()
+            if now_s - known.heard_s >= FORGOTTEN_S
+        ]
+        for node_id in found:
+            del self._known[node_id]
+        return found
--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -157,6 +157,11 @@
             return None
         return self._reach(rollout, phase, now_s)
 
+    def evidence(self, rollout: Rollout) -> tuple[int, bool]:
+        """Return the new version's answers, and whether they are bad."""
+        found = self._book.finding(rollout.rollout_id)
+        return found.answers, found.bad
+
     # Routing
 
     def allowed(
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -1,5 +1,6 @@
 """Keeps what a node knows in step with the store's rows."""
 
+import collections.abc
 import typing
 
 from twisted.internet import defer
@@ -14,6 +15,7 @@
 from fireflypulley.platform import base
 
 WATCH_S = 5.0
+FED_CHECK_S = 0.25
 RETRY_S = 0.25
 STALE_RETRY_S = 0.4
 STORE_DOUBT_S = 3.5
@@ -35,6 +37,8 @@
         self._translation = known
         self._desk = node_desk
         self.cache = rows.RowCache()
+        self.on_news: collections.abc.Callable[[str], None] | None = None
+        self.is_fed: collections.abc.Callable[[], bool] = lambda: False
         self.unreadable = 0
         self._failed_s = float("-inf")
         self._peer_doubt_s = float("-inf")
@@ -88,6 +92,11 @@
     async def _follow(self, table: str) -> None:
         is_known = False
         while self._is_running:
+            if self.cache.version(table) and self.is_fed():
+                # Other nodes read the store and pass its rows on.
+                is_known = False
+                await self._pause(FED_CHECK_S)
+                continue
             try:
                 if is_known:
                     after = self.cache.version(table)
@@ -144,10 +153,13 @@
             listed = {row.key for row in changed}
             removed = self.cache.missing(table, listed, version)
             self.cache.note_baseline(table, version)
+        before = self.cache.version(table)
         for row in sorted([*changed, *removed], key=lambda r: r.version):
             if self.cache.take(row):
                 self._apply(row)
         self.cache.note_version(table, version)
+        if self.on_news is not None and self.cache.version(table) > before:
+            self.on_news(table)
 
     def _apply(self, row: rows.FollowedRow) -> None:
         try:
--- a/packages/gateway/src/fireflypulley/gateway/gossip.py
+++ b/packages/gateway/src/fireflypulley/gateway/gossip.py
@@ -1,31 +1,33 @@
 """What gateway nodes tell each other over their streams."""
 
 import collections.abc
-import dataclasses
-import typing
 
 from twisted.internet import interfaces
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import node_states
+from fireflypulley.core.gateway import overlay
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.core.gateway import usage
 from fireflypulley.core import topology
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import follower
+from fireflypulley.gateway import row_sharing
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
 from fireflypulley.nodes import messages
 
 HURRY_EVERY_S = 0.05
 SILENT_STREAM_S = 2.0
-MAX_ROWS_PER_MESSAGE = 2000
+TURN_S = 1.0
+"""A node without a relay tries another one so often."""
 DIAL = "tcp:{host}:{port}"
 
 
 class Gossip(hub.HubListener):
-    """Sends digests, takes in those of others, passes rows on."""
+    """Tells this node's state, and passes on states, facts and rows."""
 
     def __init__(
         self,
@@ -43,12 +45,15 @@
         self._usage = counts
         self._follower = following
         self._holds_duty = holds_duty
-        self._incarnations: dict[str, int] = {}
-        self._told_spent: dict[str, float] = {}
-        self._told_counts: usage.Counts = {}
+        this = book.this
+        self._states = node_states.StateBook(this.node_id, usage.KEPT_WINDOWS)
+        self._overlay = overlay.Overlay(this.node_id, ())
+        self._wanted: tuple[str, ...] = ()
+        self._sequence = 0
+        self._stream_heard_s: dict[str, float] = {}
+        self._passed_on_spending = 0.0
         self.duty_claimed_s = reactor.seconds()
         self._beaten_s = float("-inf")
-        this = book.this
         node = topology.Node(this.node_id, this.address, this.failure_domain)
         self.hub = hub.Hub(
             reactor,
@@ -59,6 +64,10 @@
             self,
             self._resolve,
         )
+        self._rows = row_sharing.RowSharing(
+            following.cache, self.hub, self._states
+        )
+        following.on_news = self._tell_rows
 
     def _resolve(self, node_id: str) -> topology.Node | None:
         entry = self._book.get(node_id)
@@ -77,31 +86,101 @@
         """Close all streams."""
         self.hub.stop()
 
+    # The streams to keep
+
+    @property
+    def is_mesh(self) -> bool:
+        """Return whether all nodes talk to each other."""
+        return self._overlay.is_mesh
+
+    @property
+    def is_fed(self) -> bool:
+        """Return whether relays tell this node what the store holds."""
+        if self._overlay.is_relay:
+            return False
+        now_s = self._reactor.seconds()
+        for node_id in self._overlay.relays & set(self.hub.peers):
+            state = self._states.get(node_id)
+            heard_s = self._stream_heard_s.get(node_id, float("-inf"))
+            is_heard = now_s - heard_s < SILENT_STREAM_S
+            if state is not None and is_heard and not state.store_doubted:
+                return True
+        return False
+
     def nodes_changed(self) -> None:
-        """Dial the nodes that the book holds now."""
-        self.hub.want_peers(self._book.node_ids)
+        """Take in that the book holds other nodes than before."""
+        now_s = self._reactor.seconds()
+        this_id = self._book.this.node_id
+        self._overlay = overlay.Overlay(this_id, self._book.recent(now_s))
+        self._book.heard_within_s = peerbook.RELAYED_HEARD_S
+        if self._overlay.is_mesh:
+            self._book.heard_within_s = peerbook.HEARD_S
+        self._keep_streams(now_s)
+
+    def _keep_streams(self, now_s: float) -> None:
+        alive = set(self._book.alive(now_s))
+        connected = set(self.hub.peers)
+        turn = int(now_s / TURN_S)
+        wanted = self._overlay.wanted(connected, alive, turn)
+        if self._overlay.is_relay:
+            wanted += self._lost_node(now_s, turn)
+        if wanted != self._wanted:
+            self._wanted = wanted
+            self.hub.want_peers(wanted)
+        proven = self._overlay.proven(connected, alive)
+        if not self._overlay.is_mesh and len(proven) == (
+            overlay.RELAYS_A_NODE
+        ):
+            self.hub.drop_unwanted()
+        for node_id in self.hub.peers:
+            heard_s = self._stream_heard_s.get(node_id, now_s)
+            if now_s - heard_s > SILENT_STREAM_S:
+                self.hub.drop_peer(node_id)
+
+    def _lost_node(self, now_s: float, turn: int) -> tuple[str, ...]:
+        """Return one node unheard for long to try again, if any.
+
+        Else two parts of the nodes that were apart would stay so.
+        """
+        recent = set(self._book.recent(now_s))
+        lost = [one for one in self._book.node_ids if one not in recent]
+        return (lost[turn % len(lost)],) if lost else ()
+
+    # What this node tells
 
     def beat(self) -> None:
         """Tell the peers how things stand; drop streams gone silent."""
         now_s = self._reactor.seconds()
+        self._beaten_s = now_s
+        gone = self._book.forget_gone(now_s)
+        self._states.forget(gone)
         alive = len(self._book.alive(now_s))
         self._desk.set_nodes(alive, self._book.counted(now_s), now_s)
         if self._holds_duty():
             self.duty_claimed_s = now_s
-        digest = self._digest(now_s)
-        self._told_spent = self._desk.limits.limiter.own_totals
-        self._told_counts = self._usage.own
-        self._beaten_s = now_s
+        self._states.tell(self._state(now_s))
         self._desk.limits.limiter.told()
-        self.hub.spread(digest, None)
+        self._passed_on_spending = 0.0
+        self._pass_on()
         self.tell(self._desk.versions.news(now_s))
-        for node_id in list(self._incarnations):
-            if self._book.silent_for(node_id, now_s) > SILENT_STREAM_S:
-                self.hub.drop_peer(node_id)
+        self.nodes_changed()
+
+    def _pass_on(self) -> None:
+        for for_relay in (True, False):
+            receivers = [
+                node_id
+                for node_id in self.hub.peers
+                if (node_id in self._overlay.relays) is for_relay
+            ]
+            news = self._states.news(for_relay)
+            if receivers:
+                self.hub.send_to(receivers, messages.States(news))
+        self._states.passed_on()
 
     def hurry(self) -> None:
         """Tell the peers before the next beat when much was spent."""
-        if not self._desk.limits.has_urgent_news:
+        limits = self._desk.limits
+        if not limits.is_urgent(self._passed_on_spending):
             return
         if self._reactor.seconds() - self._beaten_s >= HURRY_EVERY_S:
             self.beat()
@@ -111,38 +190,35 @@
         if news:
             self.hub.spread(messages.Facts(tuple(news)), None)
 
-    def _digest(self, now_s: float) -> messages.Digest:
-        holder = self._book.this.node_id if self._holds_duty() else ""
-        spent = self._desk.limits.limiter.own_totals
-        counts = self._usage.own
-        return messages.Digest(
+    def _tell_rows(self, table: str) -> None:
+        """Pass new rows on to the peers that don't read them."""
+        self._rows.push(table, self._overlay.relays)
+
+    def _state(self, now_s: float) -> node_states.NodeState:
+        self._sequence += 1
+        this = self._book.this
+        return node_states.NodeState(
+            this.node_id,
+            this.started_ms,
+            self._sequence,
             {
                 endpoint_id: (one.running, one.waiting_tokens, one.doubted)
                 for endpoint_id, one in self._desk.own_loads(now_s).items()
             },
-            _changed(spent, self._told_spent),
-            _changed(counts, self._told_counts),
+            self._desk.limits.limiter.own_totals,
+            self._usage.own,
             self._follower.cache.versions(),
             self._desk.old_running(),
-            holder,
+            self._holds_duty(),
             self._follower.store_failed,
         )
 
-    def _whole_digest(self, now_s: float) -> messages.Digest:
-        """Return a digest for a node that has heard nothing yet.
-
-        It tells no more of what was spent than the others have heard, so
-        that the next digest's changes are the same for all.
-        """
-        return dataclasses.replace(
-            self._digest(now_s), spent=self._told_spent, usage=self._usage.own
-        )
-
     # hub.HubListener
 
     def peer_up(self, node_id: str, incarnation: int) -> None:
-        self._incarnations[node_id] = incarnation
-        self._book.heard(node_id, self._reactor.seconds())
+        now_s = self._reactor.seconds()
+        self._stream_heard_s[node_id] = now_s
+        self._rows.peer_up(node_id)
         decision_log.note("peer", peer=node_id, state="connected")
         known = [self._book.this]
         for other in self._book.node_ids:
@@ -150,78 +226,86 @@
             if entry is not None:
                 known.append(entry)
         self.hub.send(node_id, messages.Introduction(tuple(known)))
-        now_s = self._reactor.seconds()
-        self.hub.send(node_id, self._whole_digest(now_s))
+        self._states.tell(self._state(now_s))
+        is_relay = node_id in self._overlay.relays
+        whole = self._states.whole(is_relay)
+        self.hub.send(node_id, messages.States(whole))
         known_facts = self._desk.shared.snapshot()
         if known_facts:
             self.hub.send(node_id, messages.Facts(known_facts))
 
     def peer_down(self, node_id: str) -> None:
-        self._incarnations.pop(node_id, None)
+        self._stream_heard_s.pop(node_id, None)
         decision_log.note("peer", peer=node_id, state="lost")
 
     def heard(self, node_id: str, message: messages.Message) -> None:
         now_s = self._reactor.seconds()
-        self._book.heard(node_id, now_s)
-        if isinstance(message, messages.Digest):
-            self._take_digest(node_id, message, now_s)
+        self._stream_heard_s[node_id] = now_s
+        if isinstance(message, messages.States):
+            for state in message.states:
+                self._take_state(node_id, state, now_s)
+            self._rows.answer(node_id)
+            self.hurry()
         elif isinstance(message, messages.Rows):
             self._follower.take(
                 message.table, message.rows, message.version, message.is_whole
             )
         elif isinstance(message, messages.Facts):
-            for fact in message.facts:
-                self._desk.shared.merge(fact, now_s)
+            self._take_facts(node_id, message.facts, now_s)
         elif isinstance(message, messages.Introduction):
-            news = [self._book.put(one, now_s) for one in message.nodes]
-            if any(news):
-                self.nodes_changed()
+            self._take_nodes(node_id, message.nodes, now_s)
 
-    def _take_digest(
-        self, node_id: str, digest: messages.Digest, now_s: float
+    def _take_facts(
+        self,
+        node_id: str,
+        told: tuple[facts.Fact, ...],
+        now_s: float,
     ) -> None:
-        incarnation = self._incarnations.get(node_id, 0)
-        told = {
-            endpoint_id: loads.Shared(running, waiting, bool(doubted))
-            for endpoint_id, (
-                running,
-                waiting,
-                doubted,
-            ) in digest.loads.items()
-        }
-        self._desk.take_peer_loads(node_id, told, now_s)
-        self._desk.take_old_running(node_id, digest.old_running, now_s)
-        self._desk.limits.limiter.take_peer(
-            node_id, incarnation, digest.spent, now_s
-        )
-        self._usage.take_peer(node_id, incarnation, digest.usage)
-        if digest.store_doubted:
-            self._follower.note_peer_doubt()
-        if digest.duty_holder:
-            self.duty_claimed_s = now_s
-        for table, version in self._follower.cache.versions().items():
-            if digest.versions.get(table, 0) < version:
-                self._send_rows(node_id, table, digest.versions.get(table, 0))
-
-    def _send_rows(self, node_id: str, table: str, after: int) -> None:
-        cache = self._follower.cache
-        is_whole = not cache.knows_since(table, after)
-        found = cache.since(table, after)
-        if is_whole:
-            found = cache.present(table)
-        if len(found) > MAX_ROWS_PER_MESSAGE:
+        merge = self._desk.shared.merge
+        news = tuple(fact for fact in told if merge(fact, now_s))
+        if news and not self._overlay.is_mesh:
+            self.hub.spread(messages.Facts(news), node_id)
+
+    def _take_nodes(
+        self,
+        node_id: str,
+        nodes: tuple[peerbook.NodeEntry, ...],
+        now_s: float,
+    ) -> None:
+        news = tuple(one for one in nodes if self._book.put(one, now_s))
+        if not news:
             return
-        if not found and not is_whole:
+        self.nodes_changed()
+        if not self._overlay.is_mesh:
+            self.hub.spread(messages.Introduction(news), node_id)
+
+    def _take_state(
+        self, from_node: str, state: node_states.NodeState, now_s: float
+    ) -> None:
+        from_relay = from_node in self._overlay.relays
+        if not self._states.take(state, from_relay):
             return
-        version = cache.version(table)
-        self.hub.send(
-            node_id, messages.Rows(table, version, is_whole, tuple(found))
+        node_id, incarnation = state.node_id, state.incarnation
+        self._book.heard(node_id, now_s)
+        self._desk.take_peer_loads(node_id, self._loads_of(node_id), now_s)
+        self._desk.take_old_running(node_id, state.old_running, now_s)
+        spent = self._desk.limits.limiter.take_peer(
+            node_id, incarnation, state.spent, now_s
         )
+        if self._overlay.relays_others:
+            self._passed_on_spending += spent
+        self._usage.take_peer(node_id, incarnation, state.usage)
+        if state.store_doubted:
+            self._follower.note_peer_doubt()
+        if state.holds_duty:
+            self.duty_claimed_s = now_s
 
-
-_T = typing.TypeVar("_T")
-_K = typing.TypeVar("_K")
-
-
-def _changed(now: dict[_K, _T], told: dict[_K, _T]) -> dict[_K, _T]:
-    return {key: one for key, one in now.items() if told.get(key) != one}
+    def _loads_of(self, node_id: str) -> dict[str, loads.Shared]:
+        state = self._states.get(node_id)
+        told = state.loads if state is not None else None
+        return {
+            endpoint_id: loads.Shared(running, waiting, bool(doubted))
+            for endpoint_id, (running, waiting, doubted) in (
+                (told or {}).items()
+            )
+        }
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/membership.py
@@ -0,0 +1,104 @@
+"""Registers a node in the store and finds the others there."""
+
+import collections.abc
+import dataclasses
+import json
+import secrets
+
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from fireflypulley.core.gateway import peerbook
+from fireflypulley.gateway import decision_log
+from fireflypulley.platform import base
+
+TABLE = "fireflypulley-nodes"
+SECRET_KEY = "shared-secret"
+SECRET_BYTES = 32
+READ_EVERY_S = 12.0
+MANY_NODES_READ_EVERY_S = 60.0
+"""Among many, new nodes introduce themselves to the relays."""
+RETRY_S = 0.4
+
+
+class Membership:
+    """This node's row, and what the rows of the others say."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        book: peerbook.PeerBook,
+        store: base.ControlStore,
+    ) -> None:
+        self._reactor = reactor
+        self._book = book
+        self._store = store
+        self._is_listed = False
+
+    async def join(self) -> bytes:
+        """Register; return the key that all nodes share.
+
+        The first node makes it.
+        """
+        while True:
+            try:
+                return await self._register()
+            except base.RowsConflict:
+                # Another node was first; the next read shows its key.
+                pass
+            except base.Unavailable as problem:
+                decision_log.note("nodes", state="lost", detail=str(problem))
+            await task.deferLater(self._reactor, RETRY_S)
+
+    async def keep_up(
+        self,
+        changed: collections.abc.Callable[[], None],
+        is_mesh: collections.abc.Callable[[], bool],
+    ) -> None:
+        """Go on looking for nodes, and register again when dropped."""
+        while True:
+            pause_s = READ_EVERY_S if is_mesh() else MANY_NODES_READ_EVERY_S
+            await task.deferLater(self._reactor, pause_s)
+            try:
+                _, news = await self._read()
+                if not self._is_listed:
+                    await self._write(())
+            except (base.Unavailable, base.RowsConflict) as problem:
+                decision_log.note("nodes", state="lost", detail=str(problem))
+                continue
+            if news:
+                changed()
+
+    async def _register(self) -> bytes:
+        key, _ = await self._read()
+        if key is not None:
+            await self._write(())
+            return key
+        key = secrets.token_hex(SECRET_BYTES).encode()
+        await self._write((base.RowWrite(TABLE, SECRET_KEY, key, 0),))
+        return key
+
+    async def _write(self, more: tuple[base.RowWrite, ...]) -> None:
+        this = self._book.this
+        value = json.dumps(dataclasses.asdict(this)).encode()
+        own = base.RowWrite(TABLE, this.node_id, value, None)
+        await self._store.transact((own, *more))
+
+    async def _read(self) -> tuple[bytes | None, bool]:
+        """Take in the rows; return the key, and whether there is news."""
+        found = await self._store.read(TABLE)
+        now_s = self._reactor.seconds()
+        key = None
+        news = False
+        self._is_listed = False
+        for row in found.rows:
+            if row.value is None:
+                continue
+            if row.key == SECRET_KEY:
+                key = row.value
+                continue
+            entry = peerbook.NodeEntry(**json.loads(row.value))
+            if entry == self._book.this:
+                self._is_listed = True
+            news = self._book.put(entry, now_s) or news
+        return key, news
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/row_sharing.py
@@ -0,0 +1,66 @@
+"""Passes the store's rows on to nodes that lack them."""
+
+import collections
+
+from fireflypulley.core.gateway import node_states
+from fireflypulley.core.gateway import rows
+from fireflypulley.nodes import hub
+from fireflypulley.nodes import messages
+
+MAX_ROWS_PER_MESSAGE = 2000
+
+
+class RowSharing:
+    """Knows which rows each peer has, and sends the rest."""
+
+    def __init__(
+        self,
+        cache: rows.RowCache,
+        node_hub: hub.Hub,
+        states: node_states.StateBook,
+    ) -> None:
+        self._cache = cache
+        self._hub = node_hub
+        self._states = states
+        self._sent: dict[str, dict[str, int]]
+        self._sent = collections.defaultdict(dict)
+
+    def peer_up(self, node_id: str) -> None:
+        """Forget what was sent over the stream before."""
+        self._sent.pop(node_id, None)
+
+    def push(self, table: str, readers: frozenset[str]) -> None:
+        """Send news of a table at once to those who don't read it.
+
+        These are the nodes that are no readers, and the readers that
+        doubt the store.
+        """
+        for node_id in self._hub.peers:
+            state = self._states.get(node_id)
+            if state is None:
+                continue
+            if node_id not in readers or state.store_doubted:
+                self._send(node_id, table, state.versions.get(table, 0))
+
+    def answer(self, node_id: str) -> None:
+        """Send what a peer's last state shows it to lack."""
+        state = self._states.get(node_id)
+        if state is None:
+            return
+        for table in self._cache.versions():
+            self._send(node_id, table, state.versions.get(table, 0))
+
+    def _send(self, node_id: str, table: str, has: int) -> None:
+        after = max(has, self._sent[node_id].get(table, 0))
+        version = self._cache.version(table)
+        if after >= version:
+            return
+        is_whole = not self._cache.knows_since(table, after)
+        found = self._cache.since(table, after)
+        if is_whole:
+            found = self._cache.present(table)
+        if len(found) > MAX_ROWS_PER_MESSAGE or not (found or is_whole):
+            return
+        self._sent[node_id][table] = version
+        message = messages.Rows(table, version, is_whole, tuple(found))
+        self._hub.send(node_id, message)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -2,8 +2,6 @@
 
 import collections.abc
 import dataclasses
-import json
-import secrets
 import socket
 import time
 import typing
@@ -26,22 +24,19 @@
 from fireflypulley.gateway import follower
 from fireflypulley.gateway import gossip
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import membership
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import orders
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import settings
+from fireflypulley.gateway import status
 from fireflypulley.gateway import translation
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
 from fireflypulley.transport import listening
 
-NODE_TABLE = "fireflypulley-nodes"
-SECRET_KEY = "shared-secret"
-SECRET_BYTES = 32
 TICK_S = 0.25
-NODES_READ_EVERY_S = 12.0
-RETRY_S = 0.4
 BALANCER_DELAY_S = 3.0
 """The balancer sends no new callers so long after unreadiness began."""
 CUT_BEFORE_KILL_S = 0.5
@@ -112,6 +107,12 @@
         self._conductor = conductor.Conductor(
             reactor, self._desk, peers.store, peers.translation
         )
+        self._membership = membership.Membership(
+            reactor, self._book, peers.store
+        )
+        self._sources = status.Sources(
+            self._desk, self._book, self._follower, self._duties
+        )
         self._gossip: gossip.Gossip | None = None
         self._tools = exchange.Tools(
             reactor,
@@ -137,8 +138,11 @@
         config = self._config
         ready = web.Page(self._readiness)
         self._listen(config.readiness, web.create({"readyz": ready}))
-        page = web.Page(self._metrics_page)
-        self._listen(config.metrics, web.create({"metrics": page}))
+        pages = {
+            "metrics": web.Page(self._metrics_page),
+            "status": web.Page(self._status_page),
+        }
+        self._listen(config.metrics, web.create(pages))
         self._follower.start()
         self._await_view(self._reactor.seconds() + START_PATIENCE_S)
         self._ticking.start(TICK_S, now=False)
@@ -209,8 +213,8 @@
 
     async def _join(self) -> None:
         """Register this node, find the others, and keep looking."""
-        key = await self._shared_key()
-        self._gossip = gossip.Gossip(
+        key = await self._membership.join()
+        found = gossip.Gossip(
             self._reactor,
             self._book,
             key,
@@ -219,58 +223,13 @@
             self._follower,
             lambda: self._duties.holds and not self._is_stopping,
         )
-        self._listen(self._config.nodes, self._gossip.hub.server_factory())
-        self._gossip.start()
-        while not self._is_stopping:
-            await task.deferLater(self._reactor, NODES_READ_EVERY_S)
-            await self._read_nodes()
-
-    async def _shared_key(self) -> bytes:
-        """Return the key of all nodes; the first node makes it."""
-        while True:
-            try:
-                return await self._register()
-            except base.RowsConflict:
-                # Another node was first; the next read shows its key.
-                pass
-            except base.Unavailable as problem:
-                decision_log.note("nodes", state="lost", detail=str(problem))
-            await task.deferLater(self._reactor, RETRY_S)
-
-    async def _register(self) -> bytes:
-        key = await self._read_nodes()
-        this = self._config.node
-        value = json.dumps(dataclasses.asdict(this)).encode()
-        writes = [base.RowWrite(NODE_TABLE, this.node_id, value, None)]
-        if key is None:
-            key = secrets.token_hex(SECRET_BYTES).encode()
-            writes.append(base.RowWrite(NODE_TABLE, SECRET_KEY, key, 0))
-        await self._peers.store.transact(tuple(writes))
-        return key
-
-    async def _read_nodes(self) -> bytes | None:
-        """Take in the registered nodes; return the shared key."""
-        key = None
-        news = False
-        try:
-            found = await self._peers.store.read(NODE_TABLE)
-        except base.Unavailable as problem:
-            if self._gossip is None:
-                raise
-            decision_log.note("nodes", state="lost", detail=str(problem))
-            return None
-        now_s = self._reactor.seconds()
-        for row in found.rows:
-            if row.value is None:
-                continue
-            if row.key == SECRET_KEY:
-                key = row.value
-                continue
-            entry = peerbook.NodeEntry(**json.loads(row.value))
-            news = self._book.put(entry, now_s) or news
-        if news and self._gossip is not None:
-            self._gossip.nodes_changed()
-        return key
+        self._listen(self._config.nodes, found.hub.server_factory())
+        self._gossip = found
+        self._follower.is_fed = lambda: found.is_fed
+        found.start()
+        await self._membership.keep_up(
+            found.nodes_changed, lambda: found.is_mesh
+        )
 
     # Pages
 
@@ -281,6 +240,11 @@
             return 503, b"no configuration yet\n"
         return 200, b"ready\n"
 
+    def _status_page(self) -> tuple[int, bytes]:
+        now_s = self._reactor.seconds()
+        page = status.describe(self._sources, now_s, len(self._open))
+        return 200, status.render(page)
+
     def _metrics_page(self) -> tuple[int, bytes]:
         self._metrics.collect(
             self._desk,
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -0,0 +1,150 @@
+"""What a node knows and does now, for operators.
+
+The page is a JSON object; times are in seconds.
+"""
+
+import dataclasses
+import json
+import typing
+
+from fireflypulley.core.gateway import desk
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import peerbook
+from fireflypulley.gateway import duties
+from fireflypulley.gateway import follower
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sources:
+    """Where the page takes what it shows from."""
+
+    desk: desk.Desk
+    book: peerbook.PeerBook
+    follower: follower.Follower
+    duties: duties.DutyKeeper
+
+
+def describe(sources: Sources, now_s: float, open_requests: int) -> Json:
+    """Return the whole page."""
+    return {
+        "node": _node(sources, now_s, open_requests),
+        "configuration": _configuration(sources.desk, now_s),
+        "endpoints": _endpoints(sources.desk, now_s),
+        "evacuations": sorted(sources.desk.drained_domains),
+        "rollouts": _rollouts(sources.desk, now_s),
+        "limits": _limits(sources.desk, now_s),
+        "refused": _counts(sources.desk.refused),
+        "outcomes": _counts(sources.desk.outcomes),
+    }
+
+
+def render(page: Json) -> bytes:
+    """Return the page's bytes."""
+    return json.dumps(page, indent=1, sort_keys=True).encode()
+
+
+def _counts(counter: typing.Any) -> dict[str, int]:
+    return {key.value: count for key, count in counter.items() if count}
+
+
+def _node(sources: Sources, now_s: float, open_requests: int) -> Json:
+    book = sources.book
+    return {
+        "node": book.this.node_id,
+        "failure_domain": book.this.failure_domain,
+        "open_requests": open_requests,
+        "nodes_alive": book.alive(now_s),
+        "nodes_known": sorted([*book.node_ids, book.this.node_id]),
+        "store_doubted": sources.follower.store_doubted,
+        "unreadable_rows": sources.follower.unreadable,
+        "rows": sources.follower.cache.versions(),
+        "holds_duty": sources.duties.holds,
+        "fencing": sources.duties.fence.fencing,
+    }
+
+
+def _configuration(node_desk: desk.Desk, now_s: float) -> Json:
+    config = node_desk.document
+    if config is None:
+        return {"version": 0}
+    return {
+        "version": config.version,
+        "age_s": round(now_s - node_desk.in_force_s, 1),
+        "routes": len(config.routes),
+        "services": sorted(one.name for one in config.services),
+        "workspaces": len(config.workspaces),
+    }
+
+
+def _endpoints(node_desk: desk.Desk, now_s: float) -> list[Json]:
+    found = []
+    for member in sorted(node_desk.fleet, key=lambda one: one.endpoint_id):
+        spec = member.registration
+        load = node_desk.load_of(member)
+        found.append(
+            {
+                "endpoint": spec.endpoint_id,
+                "service": spec.service,
+                "failure_domain": spec.failure_domain,
+                "version": spec.version,
+                "reclaimable": spec.reclaimable,
+                "running": load.total_running(now_s),
+                "waiting_tokens": load.total_waiting_tokens(now_s),
+                "no_work_because": _no_work(node_desk, member, now_s),
+            }
+        )
+    return found
+
+
+def _no_work(node_desk: desk.Desk, member: fleet.Member, now_s: float) -> str:
+    """Return why an endpoint gets no or little work; "" if it does."""
+    spec = member.registration
+    load = node_desk.load_of(member)
+    if member.removed_s is not None:
+        return "removed"
+    if member.leaving:
+        return "leaving"
+    if spec.failure_domain in node_desk.drained_domains:
+        return "evacuated"
+    if not node_desk.versions.allowed(spec.service, "", [member]):
+        return "other version"
+    if load.is_lost:
+        return "unreached"
+    if load.doubted(now_s):
+        return "doubted"
+    if load.full_until_s > now_s:
+        return "full"
+    if member.is_cold(now_s):
+        return "cold"
+    return ""
+
+
+def _rollouts(node_desk: desk.Desk, now_s: float) -> list[Json]:
+    found = []
+    for one in node_desk.versions:
+        answers, is_bad = node_desk.versions.evidence(one)
+        found.append(
+            {
+                "service": one.service,
+                "target": one.target,
+                "phase": node_desk.versions.phase(one).value,
+                "left_s": round(one.deadline_s - now_s, 1),
+                "answers": answers,
+                "is_bad": is_bad,
+            }
+        )
+    return found
+
+
+def _limits(node_desk: desk.Desk, now_s: float) -> list[Json]:
+    return [
+        {
+            "workspace": name,
+            "left": round(left),
+            "burst": round(limit.burst),
+            "rate_per_s": round(limit.rate_per_s, 2),
+        }
+        for name, left, limit in node_desk.limits.limiter.levels(now_s)
+    ]
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -49,7 +49,7 @@
         messages.FetchEnd,
         messages.Handover,
         messages.HandoverTaken,
-        messages.Digest,
+        messages.States,
         messages.Rows,
         messages.Introduction,
     )
--- a/packages/nodes/src/fireflypulley/nodes/hub.py
+++ b/packages/nodes/src/fireflypulley/nodes/hub.py
@@ -41,12 +41,15 @@
 class _Factory(protocol.Factory):
     noisy = False
 
-    def __init__(self, hub: "Hub", purpose: messages.Purpose) -> None:
+    def __init__(
+        self, hub: "Hub", purpose: messages.Purpose, dialed: bool
+    ) -> None:
         self._hub = hub
         self._purpose = purpose
+        self._dialed = dialed
 
     def buildProtocol(self, addr: interfaces.IAddress) -> protocol.Protocol:
-        return self._hub.new_stream(self._purpose)
+        return self._hub.new_stream(self._purpose, self._dialed)
 
 
 class Hub(streams.StreamOwner):
@@ -99,11 +102,13 @@
 
     def server_factory(self) -> protocol.Factory:
         """Return the factory for streams that others dial."""
-        return _Factory(self, messages.Purpose.PEER)
+        return _Factory(self, messages.Purpose.PEER, False)
 
-    def new_stream(self, purpose: messages.Purpose) -> streams.NodeStream:
+    def new_stream(
+        self, purpose: messages.Purpose, dialed: bool
+    ) -> streams.NodeStream:
         """Return a stream that drops when its handshake takes long."""
-        stream = streams.NodeStream(self, self._ring, purpose)
+        stream = streams.NodeStream(self, self._ring, purpose, dialed)
         self._reactor.callLater(
             streams.HANDSHAKE_TIMEOUT_S, self._drop_unproved, stream
         )
@@ -123,6 +128,36 @@
         for stream in list(self._streams.get(node_id, ())):
             stream.close()
 
+    @property
+    def peers(self) -> list[str]:
+        """Return the nodes that a peer stream is open to."""
+        return [
+            node_id
+            for node_id, found in self._streams.items()
+            if any(stream.purpose is _PEER for stream in found)
+        ]
+
+    def drop_unwanted(self) -> None:
+        """Close the streams dialed to nodes that are not wanted now."""
+        for node_id, found in list(self._streams.items()):
+            if node_id in self._wanted:
+                continue
+            for stream in list(found):
+                if stream.dialed and stream.purpose is _PEER:
+                    stream.close()
+
+    def send_to(
+        self,
+        node_ids: collections.abc.Iterable[str],
+        message: messages.Message,
+    ) -> None:
+        """Send the same message to several peers."""
+        data = codec.encode(message)
+        for node_id in node_ids:
+            found = self._streams.get(node_id)
+            if found:
+                self._send_on(found[0], data)
+
     def spread(
         self, message: messages.Message, except_node: str | None
     ) -> None:
@@ -170,7 +205,7 @@
         endpoint = endpoints.clientFromString(
             self._reactor, self._dial_string.format(host=host, port=port)
         )
-        connecting = endpoint.connect(_Factory(self, purpose))
+        connecting = endpoint.connect(_Factory(self, purpose, True))
         connecting.addTimeout(DIAL_TIMEOUT_S, self._reactor)
         connecting.addBoth(self._dialed, node_id)
 
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -4,6 +4,7 @@
 import enum
 
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.core.gateway import rows
 from fireflypulley.core import job_rows
@@ -160,24 +161,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Digest(Message):
-    """What a gateway node tells its peers several times a second.
+class States(Message):
+    """States of gateway nodes that are news to the receiver."""
 
-    ``loads`` are its own by endpoint where it has any: requests, waiting
-    prompt tokens, 1 for a doubt.  ``spent`` is what it has let pass by
-    workspace, ``usage`` its counts by window and workspace, both only
-    where they have changed; ``versions`` are the newest rows that it
-    knows by table.  ``store_doubted`` tells that the store is, or just
-    was, out of the sender's reach.
-    """
-
-    loads: dict[str, tuple[int, int, int]]
-    spent: dict[str, float]
-    usage: dict[int, dict[str, int]]
-    versions: dict[str, int]
-    old_running: dict[str, int]
-    duty_holder: str = ""
-    store_doubted: bool = False
+    states: tuple[node_states.NodeState, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/nodes/src/fireflypulley/nodes/streams.py
+++ b/packages/nodes/src/fireflypulley/nodes/streams.py
@@ -46,6 +46,7 @@
         owner: StreamOwner,
         ring: keys.KeyRing,
         purpose: messages.Purpose,
+        dialed: bool,
     ) -> None:
         self._owner = owner
         self._ring = ring
@@ -54,6 +55,7 @@
         self._theirs: messages.Hello | None = None
         self.ready = False
         self.purpose = purpose
+        self.dialed = dialed
         self.node_id = ""
         self.incarnation = 0
 
--- /dev/null
+++ b/tests/core/gateway/test_overlay.py
@@ -0,0 +1,88 @@
+"""Streams between few nodes, and between many."""
+
+import pytest
+
+from fireflypulley.core.gateway import overlay
+
+
+def _names(count):
+    return [f"n{number:03}" for number in range(count)]
+
+
+def _all(names):
+    return {
+        one: overlay.Overlay(one, [n for n in names if n != one])
+        for one in names
+    }
+
+
+@pytest.mark.parametrize("count", [1, 2, 9, overlay.MESH_NODES])
+def test_few_nodes_all_talk_to_each_other(count):
+    names = _names(count)
+    for name, found in _all(names).items():
+        assert found.is_mesh
+        assert not found.relays_others
+        assert set(found.wanted(set(), set(), 0)) == set(names) - {name}
+
+
+@pytest.mark.parametrize("count", [overlay.MESH_NODES + 1, 60, 80, 390])
+def test_most_of_many_nodes_keep_two_streams(count):
+    names = _names(count)
+    overlays = _all(names)
+    relays = {frozenset(found.relays) for found in overlays.values()}
+    assert len(relays) == 1
+    (agreed,) = relays
+    for name, found in overlays.items():
+        wanted = set(found.wanted(set(names), set(names), 0))
+        if name in agreed:
+            assert wanted == agreed - {name}
+        else:
+            assert len(wanted) == overlay.RELAYS_A_NODE
+            assert wanted <= agreed
+
+
+def test_a_relay_bears_few_streams():
+    """No node's work grows with the number of nodes itself."""
+    names = _names(390)
+    overlays = _all(names)
+    loads = dict.fromkeys(names, 0)
+    for name, found in overlays.items():
+        for other in found.wanted(set(names), set(names), 0):
+            loads[other] += 1
+    assert max(loads.values()) <= 80
+
+
+def _non_relay():
+    found = overlay.Overlay("n030x", _names(60))
+    assert not found.is_relay
+    return found
+
+
+def test_a_node_prefers_relays_that_are_alive():
+    found = _non_relay()
+    relays = set(found.relays)
+    first = found.wanted(relays, relays, 0)
+    assert first[0] not in found.wanted(relays, relays - {first[0]}, 0)
+
+
+def test_a_node_that_hears_no_relay_tries_them_by_turns():
+    found = _non_relay()
+    tried = {
+        one for turn in range(20) for one in found.wanted(set(), set(), turn)
+    }
+    assert tried == found.relays
+
+
+def test_a_relay_that_was_just_reached_is_kept():
+    """It may be slow; nodes that all go on by turns overload the relays."""
+    found = _non_relay()
+    reached = sorted(found.relays)[0]
+    for turn in range(20):
+        assert reached in found.wanted({reached}, set(), turn)
+
+
+def test_a_node_with_enough_relays_wants_no_others():
+    found = _non_relay()
+    fed_by = set(sorted(found.relays)[-2:])
+    for turn in range(20):
+        assert set(found.wanted(fed_by, set(found.relays), turn)) == fed_by
--- a/tests/core/gateway/test_peerbook.py
+++ b/tests/core/gateway/test_peerbook.py
@@ -26,8 +26,35 @@
     book = _book()
     book.heard("n1", 5.0)
     assert book.counted(5.0) == 3
-    assert book.counted(5.0 + peerbook.COUNTED_S - 1.0) == 2
-    assert book.counted(5.0 + peerbook.COUNTED_S) == 1
+    gone_s = 5.0 + peerbook.COUNTED_S
+    book.heard("n3", gone_s - 1.0)
+    assert book.counted(gone_s - 1.0) == 3
+    assert book.counted(gone_s - 0.5) == 3
+    book.heard("n3", gone_s)
+    assert book.counted(gone_s) == 2
+
+
+def test_a_node_that_is_cut_off_reckons_with_all_it_knows():
+    """Alone it must not use the whole of a shared limit."""
+    book = _book()
+    book.heard("n1", 5.0)
+    book.heard("n3", 5.0)
+    assert book.counted(5.0 + 2 * peerbook.COUNTED_S) == 3
+
+
+def test_a_node_unheard_for_long_is_forgotten():
+    book = _book()
+    book.heard("n1", 5.0)
+    assert book.forget_gone(peerbook.FORGOTTEN_S) == ["n3"]
+    assert book.node_ids == ("n1",)
+
+
+def test_nodes_heard_not_long_ago_are_recent():
+    book = _book()
+    late_s = 3 * peerbook.COUNTED_S
+    assert book.recent(late_s) == ["n1", "n3"]
+    book.heard("n1", late_s)
+    assert book.recent(late_s) == ["n1"]
 
 
 def test_an_older_start_is_no_news():
--- /dev/null
+++ b/tests/gateway/networks.py
@@ -0,0 +1,228 @@
+"""Nodes that talk over streams in memory, on one clock."""
+
+import json
+
+from twisted.internet import task
+
+from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import desk
+from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import peerbook
+from fireflypulley.core.gateway import rows
+from fireflypulley.core.gateway import usage
+from fireflypulley.gateway import follower
+from fireflypulley.gateway import gossip
+from fireflypulley.nodes import codec
+from fireflypulley.nodes import messages
+
+DELAY_S = 0.002
+BEAT_S = 0.25
+OPERATORS = "operators"
+ENDPOINTS = "endpoints"
+
+
+class Hub:
+    """The streams of one node; a network carries the bytes."""
+
+    def __init__(self, network, node_id, listener):
+        self._network = network
+        self._node_id = node_id
+        self._listener = listener
+        self._wanted = ()
+        self.dialed = set()
+        self.open = set()
+        self.messages_sent = 0
+        self.bytes_sent = 0
+
+    def start(self):
+        pass
+
+    def stop(self):
+        for other in list(self.open):
+            self._network.close(self._node_id, other)
+
+    @property
+    def peers(self):
+        return sorted(self.open)
+
+    def want_peers(self, node_ids):
+        self._wanted = node_ids
+        self.dial_missing()
+
+    def dial_missing(self):
+        for other in self._wanted:
+            if other not in self.open:
+                self._network.dial(self._node_id, other)
+
+    def drop_unwanted(self):
+        for other in list(self.open & self.dialed):
+            if other not in self._wanted:
+                self._network.close(self._node_id, other)
+
+    def drop_peer(self, node_id):
+        self._network.close(self._node_id, node_id)
+
+    def send(self, node_id, message):
+        self.send_to([node_id], message)
+
+    def send_to(self, node_ids, message):
+        data = codec.encode(message)
+        for node_id in node_ids:
+            self.messages_sent += 1
+            self.bytes_sent += len(data)
+            self._network.carry(self._node_id, node_id, data)
+
+    def spread(self, message, except_node):
+        self.send_to(
+            [one for one in self.peers if one != except_node], message
+        )
+
+    def up(self, other):
+        self.open.add(other)
+        self._listener.peer_up(other, 1)
+
+    def down(self, other):
+        self.open.discard(other)
+        self.dialed.discard(other)
+        self._listener.peer_down(other)
+
+    def deliver(self, other, data):
+        for message in codec.Reader(codec.MAX_MESSAGE_BYTES).feed(data):
+            self._listener.heard(other, message)
+
+
+class Translation:
+    """The tables of the nodes under test."""
+
+    operator_table = OPERATORS
+    endpoint_table = ENDPOINTS
+
+    def operator_entry(self, row):
+        raise AssertionError("not used here")
+
+    def registration(self, row):
+        raise AssertionError("not used here")
+
+
+class Node:
+    """One node without callers and endpoints."""
+
+    def __init__(self, network, node_id, started_ms=1):
+        self.clock = network.clock
+        self.node_id = node_id
+        entry = peerbook.NodeEntry(node_id, f"{node_id}:1", "a", started_ms)
+        self.entry = entry
+        self.book = peerbook.PeerBook(entry)
+        limits = bounds.SharedBounds(limit_tolerance=1000.0)
+        self.desk = desk.Desk("a", limits, node_id)
+        workspaces = (
+            document.Workspace("w", (), rate_per_s=100.0, burst=400.0),
+        )
+        self.desk.limits.put_in_force(workspaces, 1.0, 0.0)
+        self.usage = usage.UsageCounts(5.0)
+        self.follower = follower.Follower(
+            network.clock, None, Translation(), self.desk
+        )
+        self.taken = []
+        self.follower._apply = self.taken.append
+        self.holds = False
+        self.gossip = gossip.Gossip(
+            network.clock,
+            self.book,
+            b"key",
+            self.desk,
+            self.usage,
+            self.follower,
+            lambda: self.holds,
+        )
+        self.hub = Hub(network, node_id, self.gossip)
+        self.gossip.hub = self.gossip._rows._hub = self.hub
+        self.beating = task.LoopingCall(self._beat)
+        self.beating.clock = network.clock
+
+    def _beat(self):
+        self.hub.dial_missing()
+        self.gossip.beat()
+
+    def start(self):
+        self.gossip.start()
+        self.beating.start(BEAT_S)
+
+    def read_row(self, version):
+        """Take in a row as read from the store."""
+        row = rows.FollowedRow(OPERATORS, "k", version, json.dumps(1).encode())
+        self.follower.take(OPERATORS, (row,), version, version == 1)
+
+    @property
+    def alive(self):
+        return self.book.alive(self.clock.seconds())
+
+
+class Network:
+    """Carries messages between nodes, unless they are apart."""
+
+    def __init__(self, count, delay_s=DELAY_S):
+        self.clock = task.Clock()
+        self.delay_s = delay_s
+        self.apart = lambda one, other: False
+        self.nodes = {}
+        for number in range(count):
+            self.add(f"n{number:03}")
+
+    def add(self, node_id, started_ms=1):
+        node = Node(self, node_id, started_ms)
+        for other in self.nodes.values():
+            node.book.put(other.entry, self.clock.seconds())
+            other.book.put(node.entry, self.clock.seconds())
+        self.nodes[node_id] = node
+        return node
+
+    def start(self):
+        for node in self.nodes.values():
+            node.start()
+
+    def kill(self, node_id):
+        node = self.nodes.pop(node_id)
+        node.beating.stop()
+        for other in list(node.hub.open):
+            self.close(node_id, other)
+
+    def run(self, seconds, step_s=0.05):
+        for _ in range(round(seconds / step_s)):
+            self.clock.advance(step_s)
+
+    def _reach(self, one, other):
+        both = one in self.nodes and other in self.nodes
+        return both and not self.apart(one, other)
+
+    def dial(self, one, other):
+        if not self._reach(one, other):
+            return
+        self.clock.callLater(self.delay_s, self._connected, one, other)
+
+    def _connected(self, one, other):
+        if not self._reach(one, other) or other in self.nodes[one].hub.open:
+            return
+        self.nodes[one].hub.dialed.add(other)
+        self.nodes[one].hub.up(other)
+        self.nodes[other].hub.up(one)
+
+    def close(self, one, other):
+        for this, peer in ((one, other), (other, one)):
+            node = self.nodes.get(this)
+            if node is not None and peer in node.hub.open:
+                node.hub.down(peer)
+
+    def carry(self, one, other, data):
+        if self._reach(one, other):
+            self.clock.callLater(self.delay_s, self._arrived, one, other, data)
+
+    def _arrived(self, one, other, data):
+        if self._reach(one, other) and one in self.nodes[other].hub.open:
+            self.nodes[other].hub.deliver(one, data)
+
+
+def states_in(data):
+    """Return the states of an encoded message, if it holds any."""
+    (message,) = codec.Reader(codec.MAX_MESSAGE_BYTES).feed(data)
+    return message.states if isinstance(message, messages.States) else ()
--- /dev/null
+++ b/tests/gateway/test_gossip.py
@@ -0,0 +1,234 @@
+"""What nodes know of each other, few and many, whole and apart."""
+
+import pytest
+
+from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import overlay
+from fireflypulley.core.gateway import peerbook
+
+from . import networks
+
+MANY = 60
+
+
+@pytest.fixture(params=[9, MANY], ids=["few", "many"])
+def network(request):
+    found = networks.Network(request.param)
+    found.start()
+    found.run(3.0)
+    return found
+
+
+def _all_hear_all(network):
+    names = sorted(network.nodes)
+    return all(node.alive == names for node in network.nodes.values())
+
+
+def _one(network):
+    """Return a node that is no relay where there are any."""
+    for node in network.nodes.values():
+        if node.gossip.is_mesh or not node.gossip._overlay.is_relay:
+            return node
+    raise AssertionError("only relays")
+
+
+def _relays(network):
+    return sorted(_one(network).gossip._overlay.relays)
+
+
+def test_every_node_hears_every_other(network):
+    assert _all_hear_all(network)
+    network.run(5.0)
+    assert _all_hear_all(network)
+
+
+def test_most_of_many_nodes_keep_two_streams():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(5.0)
+    relays = _relays(network)
+    for name, node in network.nodes.items():
+        if name not in relays:
+            assert len(node.hub.peers) == overlay.RELAYS_A_NODE
+
+
+def test_a_node_of_many_sends_and_gets_little():
+    """Per node, what is sent does not grow with the square of nodes."""
+    sent = {}
+    for count in (20, 80):
+        network = networks.Network(count)
+        network.start()
+        network.run(5.0)
+        before = sum(n.hub.messages_sent for n in network.nodes.values())
+        network.run(5.0)
+        after = sum(n.hub.messages_sent for n in network.nodes.values())
+        sent[count] = (after - before) / count / 5.0
+    assert sent[80] <= 2 * sent[20]
+    assert sent[80] <= 40
+
+
+def _level(node):
+    """Return how much of the shared limit a node reckons is left."""
+    bucket = node.desk.limits.limiter._buckets["w"]
+    bucket.fill(node.clock.seconds())
+    return bucket.level
+
+
+def test_what_one_node_spends_is_charged_on_all(network):
+    node = _one(network)
+    before = {name: _level(one) for name, one in network.nodes.items()}
+    now_s = network.clock.seconds()
+    assert node.desk.limits.limiter.spend("w", 150.0, now_s) == 0.0
+    network.run(1.0)
+    for name, other in network.nodes.items():
+        assert _level(other) == pytest.approx(before[name] + 100.0 - 150.0)
+
+
+def test_usage_of_all_nodes_is_known_on_each(network):
+    for node in network.nodes.values():
+        node.usage.count("w", 12.0)
+    network.run(1.0)
+    for node in network.nodes.values():
+        assert node.usage.report(2).counts == {"w": len(network.nodes)}
+
+
+def test_load_of_all_nodes_is_known_while_it_lasts(network):
+    node = _one(network)
+    held = {"e": loads.Shared(3, 70)}
+    node.desk.own_loads = lambda now_s: held
+    network.run(5.0)
+    for other in network.nodes.values():
+        if other is not node:
+            state = other.gossip._states.get(node.node_id)
+            assert state.loads == {"e": (3, 70, 0)}
+
+
+def test_a_row_that_relays_read_is_known_on_all_at_once():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(3.0)
+    relays = _relays(network)
+    for name in relays:
+        network.nodes[name].read_row(1)
+    network.run(0.1)
+    for node in network.nodes.values():
+        assert node.follower.cache.version(networks.OPERATORS) == 1
+    network.nodes[relays[0]].read_row(2)
+    network.run(0.1)
+    fed = [
+        node
+        for name, node in network.nodes.items()
+        if relays[0] in node.hub.peers and name not in relays
+    ]
+    assert fed
+    for node in fed:
+        assert node.follower.cache.version(networks.OPERATORS) == 2
+
+
+def test_few_of_many_nodes_read_the_store():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(3.0)
+    fed = [n for n in network.nodes.values() if n.gossip.is_fed]
+    assert len(fed) == MANY - len(_relays(network))
+
+
+def test_a_node_whose_relays_doubt_the_store_reads_it_itself():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(3.0)
+    node = _one(network)
+    for name in node.hub.peers:
+        network.nodes[name].follower.note_failure("away")
+    network.run(0.6)
+    assert not node.gossip.is_fed
+
+
+def test_few_nodes_read_the_store_themselves():
+    network = networks.Network(9)
+    network.start()
+    network.run(3.0)
+    assert not any(node.gossip.is_fed for node in network.nodes.values())
+
+
+def test_the_rest_go_on_when_most_relays_die():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(3.0)
+    for name in _relays(network)[:-2]:
+        network.kill(name)
+    network.run(6.0)
+    assert _all_hear_all(network)
+
+
+def test_a_new_node_is_heard_by_all(network):
+    node = networks.Node(network, "x-new")
+    for other in network.nodes.values():
+        node.book.put(other.entry, network.clock.seconds())
+    network.nodes["x-new"] = node
+    node.start()
+    network.run(3.0)
+    assert _all_hear_all(network)
+
+
+@pytest.mark.parametrize("apart_s", [8.0, 30.0, 90.0])
+def test_two_halves_that_were_apart_hear_each_other_again(network, apart_s):
+    names = sorted(network.nodes)
+    half = set(names[: len(names) // 2])
+    network.apart = lambda one, other: (one in half) != (other in half)
+    network.run(apart_s)
+    for name in names:
+        alive = network.nodes[name].alive
+        assert set(alive) <= (half if name in half else set(names) - half)
+    network.apart = lambda one, other: False
+    if apart_s > peerbook.FORGOTTEN_S:
+        for node in network.nodes.values():
+            for other in network.nodes.values():
+                node.book.put(other.entry, network.clock.seconds())
+    network.run(25.0)
+    assert _all_hear_all(network)
+
+
+def test_a_fact_reaches_every_node(network):
+    node = _one(network)
+    fact = node.desk.suspects.crashed("f", network.clock.seconds())
+    node.gossip.tell([fact])
+    network.run(0.5)
+    for other in network.nodes.values():
+        assert other.desk.shared.get("suspicion", "f") == fact
+
+
+def test_the_duty_holder_is_heard_on_all(network):
+    node = _one(network)
+    node.holds = True
+    network.run(3.0)
+    now_s = network.clock.seconds()
+    for other in network.nodes.values():
+        assert now_s - other.gossip.duty_claimed_s < 1.5
+
+
+def test_much_spending_is_passed_on_before_the_next_beat():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(3.0)
+    network.run(0.06, 0.005)
+    node = _one(network)
+    now_s = network.clock.seconds()
+    urgent = 50.0
+    assert node.desk.limits.limiter.spend("w", urgent, now_s) == 0.0
+    assert node.desk.limits.is_urgent(0.0)
+    node.gossip.hurry()
+    network.run(0.1, 0.005)
+    for other in network.nodes.values():
+        if other is not node:
+            state = other.gossip._states.get(node.node_id)
+            assert state.spent == {"w": urgent}
+
+
+def test_nodes_find_each_other_though_all_are_slow_to_answer():
+    """As right after a start of all, when each has much to load."""
+    network = networks.Network(MANY, delay_s=0.6)
+    network.start()
+    network.run(10.0)
+    for node in network.nodes.values():
+        assert len(node.alive) > MANY / 2
--- /dev/null
+++ b/tests/gateway/test_status.py
@@ -0,0 +1,97 @@
+"""The page that shows operators what a node knows."""
+
+import json
+import types
+
+import pytest
+
+from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import desk
+from fireflypulley.core.gateway import peerbook
+from fireflypulley.core.gateway import versions
+from fireflypulley.gateway import status
+
+from ..core.gateway import builders
+
+NOW_S = 10.0
+
+
+@pytest.fixture
+def served():
+    """Return a desk with a configuration and four endpoints."""
+    names = ("e1", "e2", "e3", "e4")
+    entries = [builders.entry(name) for name in names]
+    found = builders.a_desk(None, *entries)
+    found.put_in_force(builders.a_document(version=4), 8.0)
+    return found
+
+
+def _page(served):
+    book = peerbook.PeerBook(peerbook.NodeEntry("n1", "h:1", "a", 1))
+    following = types.SimpleNamespace(
+        store_doubted=False,
+        unreadable=2,
+        cache=types.SimpleNamespace(versions=lambda: {"t": 7}),
+    )
+    keeper = types.SimpleNamespace(
+        holds=True, fence=types.SimpleNamespace(fencing=3)
+    )
+    sources = status.Sources(served, book, following, keeper)
+    page = status.describe(sources, NOW_S, 5)
+    assert json.loads(status.render(page)) == page
+    return page
+
+
+def _reasons(served):
+    return {
+        one["endpoint"]: one["no_work_because"]
+        for one in _page(served)["endpoints"]
+    }
+
+
+def test_the_node_and_its_configuration_are_shown(served):
+    page = _page(served)
+    assert page["node"]["node"] == "n1"
+    assert page["node"]["open_requests"] == 5
+    assert page["node"]["rows"] == {"t": 7}
+    assert page["node"]["fencing"] == 3
+    assert page["configuration"]["version"] == 4
+    assert page["configuration"]["age_s"] == 2.0
+
+
+def test_a_node_without_a_configuration_says_so():
+    empty = desk.Desk("a", bounds.SharedBounds())
+    assert _page(empty)["configuration"] == {"version": 0}
+
+
+def test_an_endpoint_in_use_has_no_reason(served):
+    assert set(_reasons(served).values()) == {""}
+
+
+def test_each_reason_for_no_work_is_named(served):
+    e1, e2, e3, e4 = sorted(served.fleet, key=lambda one: one.endpoint_id)
+    e1.leaving = True
+    served.load_of(e2).is_lost = True
+    served.load_of(e3).full_until_s = NOW_S + 1
+    e4.cold_until_s = NOW_S + 1
+    assert _reasons(served) == {
+        "e1": "leaving",
+        "e2": "unreached",
+        "e3": "full",
+        "e4": "cold",
+    }
+
+
+def test_an_evacuated_domain_is_a_reason(served):
+    served.drained_domains.add("a")
+    assert set(_reasons(served).values()) == {"evacuated"}
+    assert _page(served)["evacuations"] == ["a"]
+
+
+def test_rollouts_are_shown_with_their_phase(served):
+    served.versions.order(versions.Rollout("s/v2/1", "s", "v2", 4.0, 12.0))
+    (found,) = _page(served)["rollouts"]
+    assert found["phase"] == "trial"
+    assert found["left_s"] == 6.0
+    assert found["answers"] == 0
+    assert not found["is_bad"]
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -7,6 +7,7 @@
 
 from fireflypulley.core import configuration
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import versions
@@ -63,8 +64,21 @@
         JOB,
     ),
     messages.HandoverTaken("r"),
-    messages.Digest(
-        {"e": (1, 200, True)}, {"w": 2.5}, {7: {"w": 3}}, {"t": 9}, {"s": 1}
+    messages.States(
+        (
+            node_states.NodeState(
+                "n",
+                5,
+                7,
+                {"e": (1, 200, 1)},
+                {"w": 2.5},
+                {7: {"w": 3}},
+                {"t": 9},
+                {"s": 1},
+                True,
+            ),
+            node_states.NodeState("m", 5, 8, None, {}, {}, {}, {}),
+        )
     ),
     messages.Rows(
         "t",
