--- /dev/null
+++ b/packages/cli/src/fireflypulley/cli/gateways.py
@@ -0,0 +1,241 @@
+"""Shows what gateway nodes know and do, and follows changes there."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import enum
+import json
+import time
+import typing
+import urllib.request
+
+import cappa
+
+from fireflypulley.cli import common
+from fireflypulley.cli import output
+
+TIMEOUT_S = 2.0
+MAX_ASKED_AT_ONCE = 16
+Json = typing.Any
+
+
+class Subject(enum.StrEnum):
+    """What there is to show."""
+
+    NODES = "nodes"
+    CONFIGURATION = "configuration"
+    ENDPOINTS = "endpoints"
+    EVACUATIONS = "evacuations"
+    ROLLOUTS = "rollouts"
+    LIMITS = "limits"
+    REFUSALS = "refusals"
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """A node's status page, or why there is none."""
+
+    address: str
+    body: Json = None
+    problem: str = ""
+
+    @property
+    def node(self) -> str:
+        """Return the node's name, its address when it is not known."""
+        if self.body is None:
+            return self.address
+        name: str = self.body["node"]["node"]
+        return name
+
+
+def read(address: str) -> Page:
+    """Return the status page of the node at a ``host:port``."""
+    url = f"http://{address}/status"
+    try:
+        with urllib.request.urlopen(url, timeout=TIMEOUT_S) as reply:
+            return Page(address, json.load(reply))
+    except (OSError, ValueError) as error:
+        return Page(address, None, str(error))
+
+
+def read_all(addresses: collections.abc.Sequence[str]) -> list[Page]:
+    """Return the status pages of several nodes, in their order."""
+    workers = min(MAX_ASKED_AT_ONCE, len(addresses))
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        return list(pool.map(read, addresses))
+
+
+def rows(subject: Subject, page: Page) -> list[Json]:
+    """Return one node's rows of a table."""
+    if page.body is None:
+        return [{"node": page.node, "problem": page.problem}]
+    found = _ROWS[subject](page.body)
+    return [{"node": page.node} | row for row in found]
+
+
+def _node_rows(body: Json) -> list[Json]:
+    node = dict(body["node"])
+    node.pop("node")
+    node["nodes_alive"] = len(node["nodes_alive"])
+    node["nodes_known"] = len(node["nodes_known"])
+    return [node]
+
+
+def _evacuation_rows(body: Json) -> list[Json]:
+    return [{"failure_domain": name} for name in body["evacuations"]]
+
+
+def _refusal_rows(body: Json) -> list[Json]:
+    found = body["refused"]
+    return [{"reason": name, "count": found[name]} for name in sorted(found)]
+
+
+_ROWS: dict[Subject, collections.abc.Callable[[Json], list[Json]]] = {
+    Subject.NODES: _node_rows,
+    Subject.CONFIGURATION: lambda body: [body["configuration"]],
+    Subject.ENDPOINTS: lambda body: list(body["endpoints"]),
+    Subject.EVACUATIONS: _evacuation_rows,
+    Subject.ROLLOUTS: lambda body: list(body["rollouts"]),
+    Subject.LIMITS: lambda body: list(body["limits"]),
+    Subject.REFUSALS: _refusal_rows,
+}
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Asking:
+    """Base of the commands that ask gateway nodes."""
+
+    node: typing.Annotated[
+        list[str],
+        cappa.Arg(
+            long="--node",
+            help="HOST:PORT of a node's metrics; may be given repeatedly.",
+        ),
+    ]
+    json: typing.Annotated[
+        bool, cappa.Arg(long="--json", help="Print JSON.")
+    ] = False
+
+    def __call__(self) -> None:
+        """Run the command and exit with its code."""
+        raise cappa.Exit(code=int(self.run(output.Printer(self.json))))
+
+    def run(self, printer: output.Printer) -> output.ExitCode:
+        """Do what the command is for; return its exit code."""
+        raise NotImplementedError
+
+
+@cappa.command(name="show")
+@dataclasses.dataclass(kw_only=True)
+class Show(_Asking):
+    """Show what each node knows of a subject."""
+
+    subject: Subject
+
+    def run(self, printer: output.Printer) -> output.ExitCode:
+        """Print the table."""
+        pages = read_all(self.node)
+        printer.show(
+            [row for page in pages for row in rows(self.subject, page)]
+        )
+        if all(page.body is None for page in pages):
+            return output.ExitCode.UNREACHABLE
+        return output.ExitCode.OK
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Following(_Asking):
+    """Base of the commands that wait for a verdict."""
+
+    timeout_s: typing.Annotated[
+        float, cappa.Arg(long="--timeout-s", help="How long to wait.")
+    ] = 60.0
+
+    def run(self, printer: output.Printer) -> output.ExitCode:
+        """Print progress until there is a verdict."""
+        ends_s = time.monotonic() + self.timeout_s
+        last = ""
+        while True:
+            text, verdict = self.look(read_all(self.node))
+            if text != last:
+                printer.line(text)
+                last = text
+            if verdict is not None:
+                return verdict
+            if time.monotonic() >= ends_s:
+                printer.line(f"no verdict within {self.timeout_s} s")
+                return output.ExitCode.FAILED
+            time.sleep(common.WATCH_PERIOD_S)
+
+    def look(self, pages: list[Page]) -> tuple[str, output.ExitCode | None]:
+        """Return the progress, and the verdict if there is one."""
+        raise NotImplementedError
+
+
+@cappa.command(name="follow-rollout")
+@dataclasses.dataclass(kw_only=True)
+class FollowRollout(_Following):
+    """Follow a service's rollout until it is done or undone.
+
+    Exits with 0 when done, 3 when undone.
+    """
+
+    service: str
+
+    def look(self, pages: list[Page]) -> tuple[str, output.ExitCode | None]:
+        """Return the furthest phase that a node tells."""
+        found = [
+            one
+            for page in pages
+            if page.body is not None
+            for one in page.body["rollouts"]
+            if one["service"] == self.service
+        ]
+        if not found:
+            return f"{self.service}: no rollout", None
+        last = max(found, key=lambda one: _PHASES.index(one["phase"]))
+        text = (
+            f"{self.service} to {last['target']}: {last['phase']},"
+            f" {last['answers']} answers,"
+            f" {'bad' if last['is_bad'] else 'not bad'}"
+        )
+        return text, _VERDICTS.get(last["phase"])
+
+
+_PHASES = ("trial", "moving", "done", "undone")
+_VERDICTS = {
+    "done": output.ExitCode.OK,
+    "undone": output.ExitCode.UNDONE,
+}
+
+
+@cappa.command(name="follow-configuration")
+@dataclasses.dataclass(kw_only=True)
+class FollowConfiguration(_Following):
+    """Wait until a configuration, or a later one, is in force everywhere.
+
+    A node that does not answer does not have it.
+    """
+
+    version: int
+
+    def look(self, pages: list[Page]) -> tuple[str, output.ExitCode | None]:
+        """Return which nodes are behind."""
+        behind = [
+            page.node
+            for page in pages
+            if page.body is None
+            or page.body["configuration"]["version"] < self.version
+        ]
+        if not behind:
+            text = f"version {self.version} in force on {len(pages)} nodes"
+            return text, output.ExitCode.OK
+        return f"waiting for {', '.join(behind)}", None
+
+
+@cappa.command(name="gateway")
+@dataclasses.dataclass
+class Gateway:
+    """Look into running gateway nodes."""
+
+    command: cappa.Subcommands[Show | FollowRollout | FollowConfiguration]
--- a/packages/cli/src/fireflypulley/cli/main.py
+++ b/packages/cli/src/fireflypulley/cli/main.py
@@ -5,6 +5,7 @@
 import cappa
 
 from fireflypulley.cli import configuring
+from fireflypulley.cli import gateways
 from fireflypulley.cli import operating
 from fireflypulley.cli import tracing
 
@@ -25,6 +26,7 @@
         | operating.Status
         | configuring.Settings
         | tracing.Trace
+        | gateways.Gateway
     ]
 
 
