--- a/packages/cli/src/fireflypulley/cli/output.py
+++ b/packages/cli/src/fireflypulley/cli/output.py
@@ -10,6 +10,7 @@
 
 from fireflypulley.cli import client
 
+PIPE_WIDTH = 240
 Json = typing.Any
 
 
@@ -38,6 +39,11 @@
     def __init__(self, as_json: bool) -> None:
         self.as_json = as_json
         self._out = rich.console.Console(soft_wrap=True, highlight=False)
+        if not self._out.is_terminal:
+            # A file or a pipe has no edge at which to cut a table.
+            self._out = rich.console.Console(
+                soft_wrap=True, highlight=False, width=PIPE_WIDTH
+            )
         self._err = rich.console.Console(
             stderr=True, soft_wrap=True, highlight=False
         )
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -42,7 +42,7 @@
 
 def render(page: Json) -> bytes:
     """Return the page's bytes."""
-    return json.dumps(page, indent=1, sort_keys=True).encode()
+    return json.dumps(page, indent=1).encode()
 
 
 def _counts(counter: typing.Any) -> dict[str, int]:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -7,6 +7,8 @@
 import pathlib
 import signal
 import socket
+import subprocess
+import sys
 import time
 import typing
 
@@ -365,3 +367,37 @@
     assert _call(node, "/fetch/1", method="GET").status == 200
     loading_s = time.monotonic() - connected_s
     assert loading_s > 0.05, "the port was opened only after loading"
+
+
+def _gateway_command(system, *words):
+    options = [part for n in system.nodes for part in ("--node", n.metrics)]
+    run = "from fireflypulley.cli import main; main.main()"
+    command = [sys.executable, "-c", run, "gateway", *words]
+    done = subprocess.run(
+        [*command, *options], capture_output=True, text=True, timeout=30
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+def test_an_operator_sees_and_follows_what_nodes_know(system):
+    code, printed = _gateway_command(system, "show", "endpoints", "--json")
+    assert code == 0, printed
+    assert {
+        (row["node"], row["endpoint"], row["no_work_because"])
+        for row in json.loads(printed)
+    } == {
+        (node, endpoint, "")
+        for node in ("node-1", "node-2")
+        for endpoint in system.replicas
+    }
+    system.put("op", "config", gateways.configuration(9))
+    code, printed = _gateway_command(system, "follow-configuration", "9")
+    assert code == 0, printed
+    assert "version 9 in force on 2 nodes" in printed
+    system.put("op", "evacuate/a", {"zone": "a"})
+
+    def evacuated():
+        _, text = _gateway_command(system, "show", "endpoints")
+        return text.count("evacuated") == 2 * len(system.replicas)
+
+    local.wait_for("the evacuation is shown", evacuated, 10)
