Let large nodes relay, and send states without the names of fields

Relays of 10 Mbit/s were full: a batch of 80 states was some 16 KB with the fields' names, sent to 16 nodes, and relays passed on at once whenever much had been spent, which is always.

Ruled out: nodes that hear no relay (alive was 70 to 80 until the kill of all), the store (relays had the rows within 10 ms).

Change: states are tuples (103 bytes with two endpoints); versions only where changed; nodes register their cores and the largest relay; others prefer relays of their own failure domain; among many nodes nothing is sent ahead of the beat.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -125,25 +125,19 @@
         incarnation: int,
         totals: dict[str, float],
         now_s: float,
-    ) -> float:
-        """Charge what another node has let pass since last told.
-
-        Returns how much that was.
-        """
+    ) -> None:
+        """Charge what another node has let pass since last told."""
         known = self._heard.get((node_id, incarnation))
         if known is None:
             self._heard[(node_id, incarnation)] = dict(totals)
-            return 0.0
-        charged = 0.0
+            return
         for name, total in totals.items():
             amount = total - known.get(name, 0.0)
-            charged += amount
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.fill(now_s)
                 bucket.level -= amount
             known[name] = total
-        return charged
 
 
 class RetryBudget:
--- a/packages/core/src/fireflypulley/core/gateway/node_states.py
+++ b/packages/core/src/fireflypulley/core/gateway/node_states.py
@@ -5,23 +5,24 @@
 """
 
 import collections.abc
-import dataclasses
 import typing
 
 Loads = dict[str, tuple[int, int, int]]
 """By endpoint: requests, waiting prompt tokens, 1 for a doubt."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeState:
+class NodeState(typing.NamedTuple):
     """What a node tells of itself several times a second.
 
+    A tuple, since relays pass on those of all nodes, and the names of
+    fields would be most of what they send.
+
     ``loads`` are its own by endpoint where it has any, None when they
     are as before.  ``spent`` is what it has let pass by workspace,
-    ``usage`` its counts by window and workspace, both only where they
-    have changed; ``versions`` are the newest rows that it knows by
-    table.  ``store_doubted`` tells that the store is, or just was, out
-    of its reach.
+    ``usage`` its counts by window and workspace, ``versions`` the newest
+    rows that it knows by table, all three only where they have changed.
+    ``store_doubted`` tells that the store is, or just was, out of its
+    reach.
     """
 
     node_id: str
@@ -45,20 +46,20 @@
         if older.incarnation != self.incarnation:
             return self
         loads = older.loads if self.loads is None else self.loads
-        return dataclasses.replace(
-            self,
+        return self._replace(
             loads=loads,
             spent=older.spent | self.spent,
             usage=older.usage | self.usage,
+            versions=older.versions | self.versions,
         )
 
     def changed_from(self, older: "NodeState") -> "NodeState":
         """Return this state without what an older one has told."""
-        return dataclasses.replace(
-            self,
+        return self._replace(
             loads=None if self.loads == older.loads else self.loads,
             spent=_changed(self.spent, older.spent),
             usage=_changed(self.usage, older.usage),
+            versions=_changed(self.versions, older.versions),
         )
 
 
@@ -106,7 +107,7 @@
         whole = state if known is None else state.after(known)
         newest = sorted(whole.usage)[-self._usage_windows :]
         usage = {window: whole.usage[window] for window in newest}
-        self._whole[state.node_id] = dataclasses.replace(whole, usage=usage)
+        self._whole[state.node_id] = whole._replace(usage=usage)
         waiting = self._news.get(state.node_id)
         self._news[state.node_id] = (
             state if waiting is None else state.after(waiting)
--- a/packages/core/src/fireflypulley/core/gateway/overlay.py
+++ b/packages/core/src/fireflypulley/core/gateway/overlay.py
@@ -1,15 +1,17 @@
 """Which nodes keep streams to each other, by their number.
 
-Few nodes all talk to each other.  Among many, some relay: the others
-keep streams to two of them, and a relay passes on what it hears.  All
-nodes reckon the relays from the nodes that they know, so nothing has to
-be agreed; where two reckon differently, there are streams more than
-needed for a while.
+Few nodes all talk to each other.  Among many, some relay, the largest
+ones: the others keep streams to two of them, in their own failure domain
+where there are any, and a relay passes on what it hears.  All nodes
+reckon the relays from the nodes that they know, so nothing has to be
+agreed; where two reckon differently, there are streams more than needed
+for a while.
 """
 
 import collections.abc
 import math
 
+from fireflypulley.core.gateway import peerbook
 from fireflypulley.core import ownership
 
 MESH_NODES = 12
@@ -25,38 +27,41 @@
     """The streams between nodes as one node sees them."""
 
     def __init__(
-        self, this: str, others: collections.abc.Iterable[str]
+        self,
+        this: peerbook.NodeEntry,
+        others: collections.abc.Iterable[peerbook.NodeEntry],
     ) -> None:
-        self._this = this
-        self._nodes = sorted({this, *others})
-        self.is_mesh = len(self._nodes) <= MESH_NODES
-        self.relays = self._find_relays()
+        self._this = this.node_id
+        nodes = {one.node_id: one for one in (*others, this)}
+        self.is_mesh = len(nodes) <= MESH_NODES
+        self.relays = frozenset(self._find_relays(nodes))
+        self._preferred = sorted(
+            ownership.ranking(self._this, self.relays),
+            key=lambda one: nodes[one].failure_domain != this.failure_domain,
+        )
 
-    def _find_relays(self) -> frozenset[str]:
+    def _find_relays(self, nodes: dict[str, peerbook.NodeEntry]) -> list[str]:
+        ranking = ownership.ranking(_RELAY_KEY, nodes)
         if self.is_mesh:
-            return frozenset(self._nodes)
-        count = max(MIN_RELAYS, math.isqrt(len(self._nodes)) + 1)
-        ranking = ownership.ranking(_RELAY_KEY, self._nodes)
-        return frozenset(ranking[:count])
+            return ranking
+        ranking.sort(key=lambda one: -nodes[one].cores)
+        count = max(MIN_RELAYS, math.isqrt(len(nodes)) + 1)
+        return ranking[:count]
 
     @property
     def is_relay(self) -> bool:
         """Return whether this node relays."""
         return self._this in self.relays
 
-    @property
-    def relays_others(self) -> bool:
-        """Return whether this node passes on what others tell."""
-        return self.is_relay and not self.is_mesh
-
     def proven(
         self,
         connected: collections.abc.Container[str],
         alive: collections.abc.Container[str],
     ) -> tuple[str, ...]:
         """Return the relays that feed this node; enough, or too few."""
-        ranking = ownership.ranking(self._this, self.relays)
-        found = [one for one in ranking if one in connected and one in alive]
+        found = [
+            one for one in self._preferred if one in connected and one in alive
+        ]
         return tuple(found[:RELAYS_A_NODE])
 
     def wanted(
@@ -76,8 +81,7 @@
         found = self.proven(connected, alive)
         if len(found) == RELAYS_A_NODE:
             return found
-        ranking = ownership.ranking(self._this, self.relays)
-        rest = [one for one in ranking if one not in found]
+        rest = [one for one in self._preferred if one not in found]
         reached = [one for one in rest if one in connected]
         likely = [one for one in rest if one in alive][:RELAYS_A_NODE]
         first = turn * TRIED_AT_ONCE % max(1, len(rest))
--- a/packages/core/src/fireflypulley/core/gateway/peerbook.py
+++ b/packages/core/src/fireflypulley/core/gateway/peerbook.py
@@ -13,12 +13,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeEntry:
-    """A node as it registers itself."""
+    """A node as it registers itself.
+
+    ``cores`` is the processor share that it may use.
+    """
 
     node_id: str
     address: str
     failure_domain: str
     started_ms: int
+    cores: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,17 +96,18 @@
         known = self._known.get(node_id)
         return float("inf") if known is None else now_s - known.heard_s
 
-    def recent(self, now_s: float) -> list[str]:
+    def recent(self, now_s: float) -> list[NodeEntry]:
         """Return the other nodes that were there not long ago.
 
         All known ones where none was, as after a long partition.
         """
+        everyone = [known.entry for known in self._known.values()]
         found = [
-            node_id
-            for node_id, known in self._known.items()
+            known.entry
+            for known in self._known.values()
             if now_s - known.heard_s < COUNTED_S
         ]
-        return sorted(found or self._known)
+        return sorted(found or everyone, key=lambda one: one.node_id)
 
     def forget_gone(self, now_s: float) -> list[str]:
         """Drop the nodes unheard for long; return their ids."""
--- a/packages/core/src/fireflypulley/core/gateway/workspace_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/workspace_limits.py
@@ -67,10 +67,7 @@
             name = request.workspace.name
             self.limiter.give_back(name, request.usage_tokens)
 
-    def is_urgent(self, passed_on: float) -> bool:
-        """Return whether the peers are to hear at once what was spent.
-
-        ``passed_on`` is what other nodes spent and these do not know yet.
-        """
-        untold = self.limiter.untold + passed_on
-        return bool(self._urgent) and untold > self._urgent
+    @property
+    def has_urgent_news(self) -> bool:
+        """Return whether the peers are to hear at once what was spent."""
+        return bool(self._urgent) and self.limiter.untold > self._urgent
--- a/packages/gateway/src/fireflypulley/gateway/gossip.py
+++ b/packages/gateway/src/fireflypulley/gateway/gossip.py
@@ -47,11 +47,11 @@
         self._holds_duty = holds_duty
         this = book.this
         self._states = node_states.StateBook(this.node_id, usage.KEPT_WINDOWS)
-        self._overlay = overlay.Overlay(this.node_id, ())
+        self._recent: list[peerbook.NodeEntry] = []
+        self._overlay = overlay.Overlay(this, ())
         self._wanted: tuple[str, ...] = ()
         self._sequence = 0
         self._stream_heard_s: dict[str, float] = {}
-        self._passed_on_spending = 0.0
         self.duty_claimed_s = reactor.seconds()
         self._beaten_s = float("-inf")
         node = topology.Node(this.node_id, this.address, this.failure_domain)
@@ -110,8 +110,10 @@
     def nodes_changed(self) -> None:
         """Take in that the book holds other nodes than before."""
         now_s = self._reactor.seconds()
-        this_id = self._book.this.node_id
-        self._overlay = overlay.Overlay(this_id, self._book.recent(now_s))
+        recent = self._book.recent(now_s)
+        if recent != self._recent:
+            self._recent = recent
+            self._overlay = overlay.Overlay(self._book.this, recent)
         self._book.heard_within_s = peerbook.RELAYED_HEARD_S
         if self._overlay.is_mesh:
             self._book.heard_within_s = peerbook.HEARD_S
@@ -142,7 +144,7 @@
 
         Else two parts of the nodes that were apart would stay so.
         """
-        recent = set(self._book.recent(now_s))
+        recent = {one.node_id for one in self._book.recent(now_s)}
         lost = [one for one in self._book.node_ids if one not in recent]
         return (lost[turn % len(lost)],) if lost else ()
 
@@ -160,7 +162,6 @@
             self.duty_claimed_s = now_s
         self._states.tell(self._state(now_s))
         self._desk.limits.limiter.told()
-        self._passed_on_spending = 0.0
         self._pass_on()
         self.tell(self._desk.versions.news(now_s))
         self.nodes_changed()
@@ -178,9 +179,12 @@
         self._states.passed_on()
 
     def hurry(self) -> None:
-        """Tell the peers before the next beat when much was spent."""
-        limits = self._desk.limits
-        if not limits.is_urgent(self._passed_on_spending):
+        """Tell the peers before the next beat when much was spent.
+
+        Not among many nodes: together they always spend much, and relays
+        would do little else.
+        """
+        if not self._overlay.is_mesh or not self._desk.limits.has_urgent_news:
             return
         if self._reactor.seconds() - self._beaten_s >= HURRY_EVERY_S:
             self.beat()
@@ -245,7 +249,6 @@
             for state in message.states:
                 self._take_state(node_id, state, now_s)
             self._rows.answer(node_id)
-            self.hurry()
         elif isinstance(message, messages.Rows):
             self._follower.take(
                 message.table, message.rows, message.version, message.is_whole
@@ -289,11 +292,9 @@
         self._book.heard(node_id, now_s)
         self._desk.take_peer_loads(node_id, self._loads_of(node_id), now_s)
         self._desk.take_old_running(node_id, state.old_running, now_s)
-        spent = self._desk.limits.limiter.take_peer(
+        self._desk.limits.limiter.take_peer(
             node_id, incarnation, state.spent, now_s
         )
-        if self._overlay.relays_others:
-            self._passed_on_spending += spent
         self._usage.take_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
             self._follower.note_peer_doubt()
