Keep as many endpoints as were provided at the start

Cause: on 80 nodes 18 endpoints were in use where 45 had been provided; first events came after 2 s for one request in ten. Before the traffic nobody asks for anything, so the plan let all regular endpoints go for two cheap ones in each failure domain. On the sites of today the plan ordered four regular endpoints 11 s before the traffic, for the five that were there had not registered yet.

Ruled out: the limit of orders (46 a domain), reclaims (none before 8 s).

Change: endpoints seen in the first 4 s are what was provided; the plan never wants fewer in all. In that time no regular ones are ordered.

The tests of the plan show the cause: 45 provided stay 45, and nothing is ordered while they register.

--- a/packages/core/src/fireflypulley/core/gateway/supply.py
+++ b/packages/core/src/fireflypulley/core/gateway/supply.py
@@ -17,6 +17,8 @@
 PEAK_FACTOR = 1.3
 PEAK_MEMORY_S = 12.0
 SPREAD_MIN = 2
+PROVIDED_S = 4.0
+"""Endpoints that are there at the start register within this time."""
 REFUSED_FOR_S = 4.0
 SETTLE_S = 2.0
 REPEAT_S = 3.0
@@ -44,6 +46,8 @@
     def __init__(self) -> None:
         self._peak = 0.0
         self._peak_s = float("-inf")
+        self._provided = 0
+        self._began_s: float | None = None
         self._refused: dict[str, float] = {}
         self._ordered: dict[Place, tuple[int, float]] = {}
 
@@ -55,6 +59,20 @@
             self._peak = needed
             self._peak_s = now_s
 
+    def note_ready(self, total: int, now_s: float) -> None:
+        """Learn how many endpoints operators have provided.
+
+        The load can't show at the start how many are needed, so there
+        are never fewer than at first, of whichever kind.
+        """
+        if self._began_s is None:
+            self._began_s = now_s
+        if self._is_learning(now_s):
+            self._provided = max(self._provided, total)
+
+    def _is_learning(self, now_s: float) -> bool:
+        return self._began_s is None or now_s - self._began_s < PROVIDED_S
+
     def refused(self, failure_domain: str, now_s: float) -> None:
         """Record that no reclaimable endpoint is to be had there."""
         self._refused[failure_domain] = now_s + REFUSED_FOR_S
@@ -74,7 +92,11 @@
     ) -> int:
         """Return the count for each domain that outlives one's loss."""
         surviving = max(1, domains - 1)
-        count = max(SPREAD_MIN, math.ceil(self._needed() / surviving))
+        count = max(
+            SPREAD_MIN,
+            math.ceil(self._needed() / surviving),
+            math.ceil(self._provided / max(1, domains)),
+        )
         return max(scaling.min_count, min(scaling.max_count, count))
 
     def _coming(
@@ -118,6 +140,9 @@
             if have < needed:
                 found[place] = self._coming(place, scaling, ready, now_s)
                 coming += found[place]
+        if self._is_learning(now_s):
+            # Some that are there may not have registered yet.
+            return found
         for domain in domains:
             room = scaling.max_count - found[Place(domain, False)]
             room -= ready[Place(domain, True)]
--- a/packages/gateway/src/fireflypulley/gateway/orders.py
+++ b/packages/gateway/src/fireflypulley/gateway/orders.py
@@ -59,8 +59,9 @@
         return self._plans.setdefault(service, supply.Plan())
 
     def _follow(self, service: document.Service, now_s: float) -> None:
-        demand = self._desk.demand(service.name, now_s)
-        self._plan(service.name).note_demand(demand, now_s)
+        plan = self._plan(service.name)
+        plan.note_demand(self._desk.demand(service.name, now_s), now_s)
+        plan.note_ready(sum(self._ready(service.name).values()), now_s)
 
     def _ready(self, service: str) -> collections.Counter[supply.Place]:
         found: collections.Counter[supply.Place] = collections.Counter()
--- a/tests/core/gateway/test_supply.py
+++ b/tests/core/gateway/test_supply.py
@@ -24,6 +24,8 @@
         self.dry = set()
         self.cost = 0.0
         self.fewest = 10**6
+        self.scaling = SCALING
+        self.ordered_regular = 0
 
     def reclaim(self, domain):
         """Take a domain's reclaimable endpoints away."""
@@ -36,7 +38,8 @@
             self._arrive()
             demand = supply.Demand(running, 0)
             self.plan.note_demand(demand, self.now_s)
-            orders = self.plan.orders(SCALING, self.ready, self.now_s)
+            self.plan.note_ready(sum(self.ready.values()), self.now_s)
+            orders = self.plan.orders(self.scaling, self.ready, self.now_s)
             for place, count in orders.items():
                 self._order(place, count)
             self.fewest = min(self.fewest, sum(self.ready.values()))
@@ -57,6 +60,8 @@
             self.plan.refused(place.failure_domain, self.now_s)
             return
         self.plan.ordered(place, count, self.now_s)
+        if not place.reclaimable and count > self.ready[place]:
+            self.ordered_regular += count
         if count < self.ready[place]:
             self.ready[place] = count
         else:
@@ -132,3 +137,24 @@
     regular = 60.0 * (2 * 1.0 + 0.8 + 1.25 + 0.9)
     assert cloud.cost == pytest.approx(60.0 * 0.18 * 2 * 3.95, rel=0.01)
     assert cloud.cost < regular / 3
+
+
+def test_cheap_ones_are_as_many_as_were_provided():
+    """Before any load, nobody knows how many it will need."""
+    scaling = document.Scaling(1, 46, 4.0, 0.18, PRICES)
+    cloud = Cloud(a=12, b=11, c=11, d=11)
+    cloud.scaling = scaling
+    cloud.run(30.0)
+    assert cloud.total(False) == 0
+    assert cloud.total(True) == 48
+    assert cloud.fewest >= 45
+
+
+def test_no_regular_one_is_added_before_those_there_have_registered():
+    cloud = Cloud()
+    cloud.run(1.0)
+    cloud.ready.update({supply.Place("a", False): 2})
+    cloud.run(1.0)
+    cloud.ready.update({supply.Place(d, False): 1 for d in "bcd"})
+    cloud.run(6.0)
+    assert cloud.ordered_regular == 0
