Start background work in one way, and split the exchange's tests

Six modules each kept their own pair of callbacks for work that nobody waits for; background.start logs a failure with what it was about and calls what is to follow.

--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/background.py
@@ -0,0 +1,27 @@
+"""Work that nobody waits for, whose failure still gets a line."""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer
+
+from fireflypulley.gateway import decision_log
+
+
+def start(
+    work: collections.abc.Coroutine[typing.Any, typing.Any, None],
+    done: collections.abc.Callable[[], None] | None = None,
+    **about: typing.Any,
+) -> None:
+    """Start work; a failure is logged with what it was ``about``.
+
+    ``done`` is called at the end, whichever it was.
+    """
+
+    def broke(reason: object) -> None:
+        decision_log.note("error", problem=str(reason), **about)
+
+    doing = defer.ensureDeferred(work)
+    doing.addErrback(broke)
+    if done is not None:
+        doing.addBoth(lambda _: done())
--- a/packages/gateway/src/fireflypulley/gateway/conductor.py
+++ b/packages/gateway/src/fireflypulley/gateway/conductor.py
@@ -1,13 +1,11 @@
 """Leads rollouts to their end while this node holds the duty."""
 
-import typing
-
-from twisted.internet import defer
 from twisted.internet import interfaces
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import versions
+from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import translation
 from fireflypulley.platform import base
@@ -46,9 +44,9 @@
             return True
         if not self._recalling and now_s >= self._retry_s.get("", 0.0):
             self._recalling = True
-            reading = defer.ensureDeferred(self._read_told())
-            reading.addErrback(self._broke)
-            reading.addBoth(lambda _: self._end_recall())
+            background.start(
+                self._read_told(), self._end_recall, rollouts=True
+            )
         return False
 
     def _end_recall(self) -> None:
@@ -121,12 +119,11 @@
         if now_s < self._retry_s.get(rollout_id, 0.0):
             return
         self._writing.add(rollout_id)
-        writing = defer.ensureDeferred(self._write(rollout, phase))
-        writing.addErrback(self._broke)
-        writing.addBoth(lambda _: self._writing.discard(rollout_id))
-
-    def _broke(self, reason: typing.Any) -> None:
-        decision_log.note("error", rollouts=True, problem=str(reason))
+        background.start(
+            self._write(rollout, phase),
+            lambda: self._writing.discard(rollout_id),
+            rollout=rollout_id,
+        )
 
     async def _write(
         self, rollout: versions.Rollout, phase: versions.Phase
--- a/packages/gateway/src/fireflypulley/gateway/duties.py
+++ b/packages/gateway/src/fireflypulley/gateway/duties.py
@@ -5,12 +5,12 @@
 import time
 import typing
 
-from twisted.internet import defer
 from twisted.internet import interfaces
 
 from fireflypulley.core.gateway import duty
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.core.gateway import usage
+from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import gossip
 from fireflypulley.platform import base
@@ -83,18 +83,13 @@
             if step is not duty.Step.WAIT:
                 self._is_busy = True
                 work = self._look if step is duty.Step.LOOK else self._write
-                doing = defer.ensureDeferred(work())
-                doing.addErrback(self._broke)
-                doing.addBoth(lambda _: self._rest())
+                background.start(work(), self._rest, duty=KEY)
         if self.holds:
             self._send_reports()
 
     def _rest(self) -> None:
         self._is_busy = False
 
-    def _broke(self, reason: typing.Any) -> None:
-        decision_log.note("error", duty=KEY, problem=str(reason))
-
     def _is_candidate(self, peers: gossip.Gossip | None) -> bool:
         """Return whether nobody seems to hold, by rank in turn."""
         if peers is None:
@@ -217,8 +212,7 @@
             if window in self._sent or window in self._sending:
                 continue
             self._sending.add(window)
-            sending = defer.ensureDeferred(self._send(window))
-            sending.addErrback(self._broke)
+            background.start(self._send(window), duty=KEY, window=window)
 
     async def _send(self, window: int) -> None:
         counts = self._reports[window]
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -117,11 +117,7 @@
         self._attempt_over(calls.Outcome.CUT, "internal error")
 
     def _pool(self, run: runs.Run) -> outbound.EndpointPool:
-        return self._tools.connections.pool(
-            run.member.registration.key,
-            run.address,
-            lambda: run.load.heard(self._now_s()),
-        )
+        return self._tools.connections.pool(run.member, run.load)
 
     async def _connect(self, run: runs.Run) -> None:
         pool = self._pool(run)
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -1,15 +1,14 @@
 """Keeps what a node knows in step with the store's rows."""
 
 import collections.abc
-import typing
 
-from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
 
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import versions
+from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import translation
 from fireflypulley.platform import base
@@ -80,14 +79,17 @@
         """Follow no more."""
         self._is_running = False
 
-    def _broke(self, reason: typing.Any, table: str) -> None:
-        decision_log.note("error", table=table, problem=str(reason))
-        self._reactor.callLater(RETRY_S, self._begin, table)
-
     def _begin(self, table: str) -> None:
         if self._is_running:
-            following = defer.ensureDeferred(self._follow(table))
-            following.addErrback(self._broke, table)
+            background.start(
+                self._follow(table),
+                lambda: self._begin_again(table),
+                table=table,
+            )
+
+    def _begin_again(self, table: str) -> None:
+        """Go on after a fault of this program; it has been logged."""
+        self._reactor.callLater(RETRY_S, self._begin, table)
 
     async def _follow(self, table: str) -> None:
         is_known = False
--- a/packages/gateway/src/fireflypulley/gateway/orders.py
+++ b/packages/gateway/src/fireflypulley/gateway/orders.py
@@ -1,14 +1,13 @@
 """Orders endpoints while this node holds the duty."""
 
 import collections
-import typing
 
-from twisted.internet import defer
 from twisted.internet import interfaces
 
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import supply
+from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.platform import base
 
@@ -45,16 +44,11 @@
             return
         self._next_s = now_s + ORDER_EVERY_S
         self._is_busy = True
-        ordering = defer.ensureDeferred(self._order(config, fence))
-        ordering.addErrback(self._broke)
-        ordering.addBoth(lambda _: self._rest())
+        background.start(self._order(config, fence), self._rest, orders=True)
 
     def _rest(self) -> None:
         self._is_busy = False
 
-    def _broke(self, reason: typing.Any) -> None:
-        decision_log.note("error", orders=True, problem=str(reason))
-
     def _plan(self, service: str) -> supply.Plan:
         return self._plans.setdefault(service, supply.Plan())
 
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -13,6 +13,8 @@
 from zope import interface
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import dialect
 from fireflypulley.transport import sockets
 
@@ -365,16 +367,16 @@
         self._reactor = reactor
         self._pools: dict[tuple[str, int, str], EndpointPool] = {}
 
-    def pool(
-        self,
-        key: tuple[str, int],
-        address: str,
-        heard: collections.abc.Callable[[], None],
-    ) -> EndpointPool:
-        """Return the pool of an endpoint's start at an address."""
-        place = (*key, address)
+    def pool(self, member: fleet.Member, load: loads.Load) -> EndpointPool:
+        """Return the pool of an endpoint's start at its address."""
+        spec = member.registration
+        place = (*spec.key, spec.address)
         if place not in self._pools:
-            self._pools[place] = EndpointPool(self._reactor, address, heard)
+            self._pools[place] = EndpointPool(
+                self._reactor,
+                spec.address,
+                lambda: load.heard(self._reactor.seconds()),
+            )
         return self._pools[place]
 
     def tick(self, present: set[tuple[str, int]]) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
 
@@ -10,6 +9,7 @@
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import runs
+from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import outbound
 
@@ -46,20 +46,15 @@
             if not self._desk.load_of(member).wants_probe(now_s):
                 continue
             self._probing.add(key)
-            probing = defer.ensureDeferred(self._probe(member))
-            probing.addErrback(self._broke)
-            probing.addBoth(lambda _, key=key: self._probing.discard(key))
-
-    def _broke(self, reason: object) -> None:
-        decision_log.note("error", probe=True, problem=str(reason))
+            background.start(
+                self._probe(member),
+                lambda key=key: self._probing.discard(key),
+                probe=member.endpoint_id,
+            )
 
     async def _reaches(self, member: fleet.Member) -> bool:
         load = self._desk.load_of(member)
-        pool = self._connections.pool(
-            member.registration.key,
-            member.registration.address,
-            lambda: load.heard(self._reactor.seconds()),
-        )
+        pool = self._connections.pool(member, load)
         try:
             pool.give_back(await pool.connection(fresh=True))
         except (error.ConnectError, error.ConnectionClosed):
@@ -79,8 +74,7 @@
         self._reactor.callLater(CRASH_CHECK_S, self._begin_check, run)
 
     def _begin_check(self, run: runs.Run) -> None:
-        checking = defer.ensureDeferred(self._check(run))
-        checking.addErrback(self._broke)
+        background.start(self._check(run), probe=run.member.endpoint_id)
 
     async def _check(self, run: runs.Run) -> None:
         if await self._reaches(run.member):
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -1,12 +1,10 @@
 """Builds a gateway node from its settings and runs it to its end."""
 
-import collections.abc
 import dataclasses
 import socket
 import time
 import typing
 
-from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
 
@@ -16,6 +14,7 @@
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.core.gateway import usage
+from fireflypulley.gateway import background
 from fireflypulley.gateway import conductor
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import dialect
@@ -146,7 +145,7 @@
         self._follower.start()
         self._await_view(self._reactor.seconds() + START_PATIENCE_S)
         self._ticking.start(TICK_S, now=False)
-        self._spawn(self._join())
+        background.start(self._join(), joining=True)
         decision_log.note("node", state="started")
 
     def _await_view(self, last_s: float) -> None:
@@ -178,14 +177,6 @@
         )
         return port
 
-    def _spawn(
-        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        doing = defer.ensureDeferred(work)
-        doing.addErrback(
-            lambda reason: decision_log.note("error", problem=str(reason))
-        )
-
     def _tick(self) -> None:
         now_s = self._reactor.seconds()
         for endpoint_id in self._desk.fleet.expire(now_s):
--- /dev/null
+++ b/tests/gateway/exchanges.py
@@ -0,0 +1,157 @@
+"""A desk with two endpoints, and a request whose sends a test answers."""
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import task
+
+from fireflypulley.core.gateway import document
+from fireflypulley.gateway import exchange
+from fireflypulley.gateway import inbound
+from fireflypulley.gateway import metrics
+from fireflypulley.gateway import prober
+
+from ..core.gateway import builders
+from . import dialects
+
+SEALED = [(b"x-request-id", b"q1"), (b"x-seal", b"s1")]
+STREAM = document.RouteKind.STREAM
+AT_MOST_ONCE = document.RouteKind.AT_MOST_ONCE
+PROMISES = (408, 421, 429, 503)
+
+
+class Sink(inbound.CallerSink):
+    """What the caller gets."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = []
+        self.body = b""
+        self.state = "open"
+
+    def head(self, status, headers):
+        assert self.status is None
+        self.status = status
+        self.headers = headers
+
+    def data(self, data):
+        self.body += data
+
+    def end(self):
+        assert self.state == "open"
+        self.state = "whole"
+
+    def cut(self):
+        assert self.state == "open"
+        self.state = "cut"
+
+
+class Connection:
+    """One send to an endpoint, answered by the test."""
+
+    def __init__(self, endpoint_id):
+        self.endpoint_id = endpoint_id
+        self.listener = None
+        self.aborted = False
+        self.discarded = False
+
+    def send(self, method, target, headers, body, listener):
+        self.method, self.target, self.body = method, target, body
+        self.headers = dict(headers)
+        self.listener = listener
+
+    def abort(self):
+        self.aborted = True
+
+    def discard_answer(self):
+        self.discarded = True
+
+    def pause(self):
+        pass
+
+    def resume(self):
+        pass
+
+
+class Pool:
+    """Connections to one endpoint."""
+
+    def __init__(self, world, endpoint_id):
+        self.world = world
+        self.endpoint_id = endpoint_id
+        self.given_back = []
+
+    def connection(self, fresh):
+        if self.endpoint_id in self.world.unreachable:
+            return defer.fail(error.ConnectError())
+        if self.world.slow_connect is not None:
+            return self.world.slow_connect
+        found = Connection(self.endpoint_id)
+        self.world.sent.append(found)
+        return defer.succeed(found)
+
+    def give_back(self, connection):
+        self.given_back.append(connection)
+
+
+class World:
+    """A desk with two endpoints and a request."""
+
+    def __init__(self, kind=document.RouteKind.IDEMPOTENT, **fields):
+        config = builders.a_document(builders.route(kind, **fields))
+        self.clock = task.Clock()
+        self.desk = builders.a_desk(
+            config, builders.entry("e1"), builders.entry("e2")
+        )
+        for _ in range(50):
+            self.desk.retries.note_request("s", 0.0)
+        self.unreachable = set()
+        self.slow_connect = None
+        self.sent = []
+        self.pools = {}
+        self.done = []
+        self.usage = []
+        self.told = []
+        self.sink = Sink()
+        tools = exchange.Tools(
+            self.clock,
+            self.desk,
+            dialects.PlainDialect(),
+            self,
+            self.usage.append,
+            metrics.GatewayMetrics(),
+            prober.Prober(self.clock, self.desk, self, self.told.append),
+            self.done.append,
+        )
+        request = inbound.IncomingRequest(
+            b"POST",
+            b"/a/x",
+            [(b"host", b"h"), (b"x-request-id", b"q1")],
+            0.0,
+            b"body",
+        )
+        self.exchange = exchange.Exchange(tools, request, self.sink)
+
+    def pool(self, member, load):
+        """Return an endpoint's pool, as Connections does."""
+        key = member.registration.key
+        return self.pools.setdefault(key, Pool(self, key[0]))
+
+    def begin(self):
+        """Begin the request; return the first send, if any."""
+        self.exchange.begin()
+        return self.sent[-1] if self.sent else None
+
+    def finished(self):
+        """Return whether everything is let go."""
+        running = sum(
+            self.desk.load_of(one).running for one in self.desk.fleet
+        )
+        return len(self.done) == 1 and not running
+
+
+def answer(connection, status=200, body=b"ok", headers=SEALED):
+    listener = connection.listener
+    listener.answer_head(status, list(headers))
+    if body:
+        listener.answer_data(body)
+    listener.answer_end()
