Spread the first requests of many nodes to a cold endpoint

Each node paces its part of the rate, but its first request went at once: 80 nodes, one each.

Ruled out: nodes that reckon with too few others (80 of 80 in touch).

Change: where a node's part is less than one a second, it begins at a moment of its own within its pause, and loses a turn that it does not take within a second. Six and nine nodes pace as before.

The test with 80 and 390 nodes, first time and after a pause, fails without the change (all nodes in one second).

--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -47,7 +47,7 @@
             shared_bounds.retry_slack,
             shared_bounds.retry_window_s,
         )
-        self.cold = limits.ColdPacer()
+        self.cold = limits.ColdPacer(node_id)
         self.shared = facts.SharedState()
         self.versions = versions.Versions(node_id, self.shared)
         self.suspects = suspects.Suspects(self.shared)
@@ -250,7 +250,10 @@
         if self.load_of(one.member).full_until_s > now_s:
             return False
         if rate_per_s and one.member.is_cold(now_s):
-            return self.cold.may_send(one.endpoint_id, now_s)
+            nodes = max(self.nodes_alive, 1)
+            return self.cold.may_send(
+                one.endpoint_id, rate_per_s, nodes, now_s
+            )
         return True
 
     def choose(
--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -8,7 +8,9 @@
 import collections.abc
 import dataclasses
 
+from fireflypulley.core import ownership
 
+TURN_KEPT_S = 1.0
 START_FRACTION = 0.25
 """Of the burst; a node that starts does not know what was spent before."""
 
@@ -178,17 +180,34 @@
 
 
 class ColdPacer:
-    """Paces requests to cold endpoints, each node its part of the rate."""
+    """Paces requests to cold endpoints, each node its part of the rate.
 
-    def __init__(self) -> None:
+    A node whose part is less than one a second begins at a moment of its
+    own, and loses a turn that it doesn't take; or the first requests of
+    many nodes would come all at once.
+    """
+
+    def __init__(self, node_id: str = "") -> None:
+        self._node_id = node_id
         self._next_s: dict[str, float] = {}
 
-    def may_send(self, endpoint_id: str, now_s: float) -> bool:
+    def may_send(
+        self, endpoint_id: str, rate_per_s: float, nodes: int, now_s: float
+    ) -> bool:
         """Return whether this node may send one request there now."""
-        return now_s >= self._next_s.get(endpoint_id, 0.0)
+        pause_s = self._pause_s(rate_per_s, nodes)
+        next_s = self._next_s.get(endpoint_id, float("-inf"))
+        if pause_s > TURN_KEPT_S and now_s > next_s + TURN_KEPT_S:
+            point = ownership.fraction(f"{self._node_id}/{endpoint_id}")
+            next_s = self._next_s[endpoint_id] = now_s + point * pause_s
+        return now_s >= next_s
 
     def sent(
         self, endpoint_id: str, rate_per_s: float, nodes: int, now_s: float
     ) -> None:
         """Count a request to a cold endpoint."""
-        self._next_s[endpoint_id] = now_s + nodes / max(rate_per_s, 0.1)
+        pause_s = self._pause_s(rate_per_s, nodes)
+        self._next_s[endpoint_id] = now_s + pause_s
+
+    def _pause_s(self, rate_per_s: float, nodes: int) -> float:
+        return nodes / max(rate_per_s, 0.1)
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -123,12 +123,36 @@
     for tick in range(1000):
         now_s = tick * 0.01
         for pacer in pacers:
-            if pacer.may_send("e", now_s):
+            if pacer.may_send("e", 9.1, 10, now_s):
                 pacer.sent("e", 9.1, 10, now_s)
                 sent += 1
     assert sent <= 9.1 * 10 + 10
 
 
+@pytest.mark.parametrize("nodes", [6, 9, 80, 390])
+@pytest.mark.parametrize("quiet_s", [0.0, 60.0])
+def test_a_cold_endpoint_bears_the_first_second_of_many_nodes(nodes, quiet_s):
+    """Each node has its first request at once, also when cold again."""
+    rate_per_s = 9.1
+    pacers = [limits.ColdPacer(f"n{number}") for number in range(nodes)]
+    if quiet_s:
+        for pacer in pacers:
+            pacer.sent("e", rate_per_s, nodes, -quiet_s)
+    times = []
+    for tick in range(2000):
+        now_s = tick * 0.01
+        for pacer in pacers:
+            if pacer.may_send("e", rate_per_s, nodes, now_s):
+                pacer.sent("e", rate_per_s, nodes, now_s)
+                times.append(now_s)
+    busiest = max(
+        sum(1 for at_s in times if from_s <= at_s < from_s + 1.0)
+        for from_s in times
+    )
+    assert busiest <= 1.5 * rate_per_s + 5
+    assert len(times) >= 0.8 * rate_per_s * 20
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("nodes", [2, 6, 9])
 def test_a_workspace_at_six_times_its_limit_stays_within_tolerance(
