--- a/standins/fireflystandins/gateways.py
+++ b/standins/fireflystandins/gateways.py
@@ -67,6 +67,18 @@
     } | changes
 
 
+def caller_headers(
+    request_id: str, key: str, patience_ms: int
+) -> dict[str, str]:
+    """Return what a caller sends along with a request."""
+    return {
+        "Host": HOST,
+        "Attempt-Id": request_id,
+        "Deadline-Ms": str(patience_ms),
+        "Key": key,
+    }
+
+
 @dataclasses.dataclass
 class Node(local.Process):
     """A gateway node with its addresses."""
@@ -210,11 +222,7 @@
                 }
             )
         )
-        process = self._spawn(
-            name,
-            [sys.executable, str(ENTRY)],
-            {"FIREFLYPULLEY_BOOT": str(path)},
-        )
+        process = self._spawn_node(name)
         node = Node(
             name,
             "",
@@ -228,6 +236,20 @@
         self.nodes.append(node)
         return node
 
+    def _spawn_node(self, name: str) -> local.Process:
+        path = self.folder / f"{name}.json"
+        return self._spawn(
+            name,
+            [sys.executable, str(ENTRY)],
+            {"FIREFLYPULLEY_BOOT": str(path)},
+        )
+
+    def restart_node(self, node: Node) -> None:
+        """Start a node that has ended again, at its addresses."""
+        process = self._spawn_node(node.name)
+        self.processes.pop()
+        node.popen = process.popen
+
     def is_ready(self, node: Node) -> bool:
         """Return whether a node says that it is ready."""
         url = f"http://{node.readiness}/readyz"
--- /dev/null
+++ b/standins/fireflystandins/load/__init__.py
@@ -0,0 +1,1 @@
+"""Plays load and faults against gateway nodes on loopback."""
--- /dev/null
+++ b/standins/fireflystandins/load/__main__.py
@@ -0,0 +1,97 @@
+"""The command: ``python -m fireflystandins.load``."""
+
+import dataclasses
+import pathlib
+import sys
+import tempfile
+import typing
+
+import cappa
+import rich.console
+import rich.progress
+import rich.table
+
+from fireflypulley.core import findings
+from fireflystandins.load import plans
+from fireflystandins.load import player
+from fireflystandins.load import results
+
+WIDTH = 160
+
+
+def show(rows: list[results.Row]) -> None:
+    """Print a table."""
+    console = rich.console.Console(highlight=False)
+    if not console.is_terminal:
+        console = rich.console.Console(highlight=False, width=WIDTH)
+    table = rich.table.Table(*rows[0], box=None)
+    for row in rows:
+        table.add_row(*[str(value) for value in row.values()])
+    console.print(table)
+
+
+@cappa.command(name="play")
+@dataclasses.dataclass
+class Play:
+    """Play a file of load and faults; write results.csv and plot.svg."""
+
+    plan: pathlib.Path
+    out: typing.Annotated[
+        pathlib.Path, cappa.Arg(long="--out", help="Folder for the results.")
+    ]
+
+    def __call__(self) -> None:
+        """Play the plan."""
+        try:
+            plan = plans.read(self.plan)
+        except findings.InvalidInput as error:
+            print(error, file=sys.stderr)
+            raise cappa.Exit(code=2)
+        self.out.mkdir(parents=True, exist_ok=True)
+        console = rich.console.Console(stderr=True)
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            rich.progress.Progress(console=console) as bar,
+        ):
+            work = bar.add_task("playing", total=plan.load.duration_s)
+            rows = player.Player(plan, pathlib.Path(folder)).play(
+                lambda at_s: bar.update(work, completed=at_s)
+            )
+            bar.update(work, completed=plan.load.duration_s)
+        results.write_csv(self.out / "results.csv", rows)
+        results.write_plot(self.out / "plot.svg", {"": rows})
+        show(rows)
+
+
+@cappa.command(name="compare")
+@dataclasses.dataclass
+class Compare:
+    """Show the results of several runs side by side; write a plot."""
+
+    folders: list[pathlib.Path]
+    plot: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long="--plot", help="SVG file for the percentiles."),
+    ] = None
+
+    def __call__(self) -> None:
+        """Print the table."""
+        tables = {
+            str(folder): results.read_csv(folder / "results.csv")
+            for folder in self.folders
+        }
+        show(results.side_by_side(tables))
+        if self.plot is not None:
+            results.write_plot(self.plot, tables)
+
+
+@cappa.command(name="fireflystandins.load")
+@dataclasses.dataclass
+class Main:
+    """Play load and faults against gateway nodes on loopback."""
+
+    command: cappa.Subcommands[Play | Compare]
+
+
+if __name__ == "__main__":
+    cappa.invoke(Main)
--- /dev/null
+++ b/standins/fireflystandins/load/player.py
@@ -0,0 +1,130 @@
+"""Starts a system, sends a plan's requests to it and makes its faults."""
+
+import collections.abc
+import concurrent.futures
+import http.client
+import itertools
+import pathlib
+import signal
+import threading
+import time
+
+from fireflystandins import gateways
+from fireflystandins.load import arrivals
+from fireflystandins.load import plans
+from fireflystandins.load import results
+
+SERVICES = ("speech", "registry")
+SETTLE_S = 1.0
+Progress = collections.abc.Callable[[float], None]
+
+
+class Player:
+    """One run of a plan against a system that it starts."""
+
+    def __init__(self, plan: plans.Plan, folder: pathlib.Path) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._lock = threading.Lock()
+        self._turns = itertools.count()
+        self.results = {
+            name: results.KindResult(kind.target_ms)
+            for name, kind in plan.kinds.items()
+        }
+
+    def play(self, progress: Progress) -> list[results.Row]:
+        """Play the plan; return the table."""
+        with gateways.running(self._folder) as system:
+            self._start(system)
+            began_s = time.monotonic()
+            faults = threading.Thread(
+                target=self._make_faults, args=(system, began_s)
+            )
+            faults.start()
+            self._send_all(system, began_s, progress)
+            faults.join()
+        return [one.row(name) for name, one in self.results.items()]
+
+    def _start(self, system: gateways.GatewaySystem) -> None:
+        system.start_store()
+        for number in range(1, self._plan.load.replicas + 1):
+            for service in SERVICES:
+                system.start_replica(f"{service}-{number}", service)
+        for number in range(1, self._plan.load.nodes + 1):
+            system.start_node(f"node-{number}")
+        system.wait_ready()
+        time.sleep(SETTLE_S)
+
+    def _send_all(
+        self,
+        system: gateways.GatewaySystem,
+        began_s: float,
+        progress: Progress,
+    ) -> None:
+        addresses = [node.callers for node in system.nodes]
+        workers = self._plan.load.max_open
+        with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+            for one in arrivals.arrivals(self._plan):
+                _sleep_until(began_s + one.at_s)
+                progress(one.at_s)
+                address = addresses[next(self._turns) % len(addresses)]
+                due_s = began_s + one.at_s
+                pool.submit(self._send, address, one.kind, due_s)
+
+    def _send(self, address: str, name: str, due_s: float) -> None:
+        """Send a request; its time counts from when it was due."""
+        kind = self._plan.kinds[name]
+        status = call(address, kind, f"load-{name}-{next(self._turns)}")
+        took_s = time.monotonic() - due_s
+        with self._lock:
+            self.results[name].add(status, took_s)
+
+    def _make_faults(
+        self, system: gateways.GatewaySystem, began_s: float
+    ) -> None:
+        planned = sorted(self._plan.faults.values(), key=lambda f: f.at_s)
+        for fault in planned:
+            _sleep_until(began_s + fault.at_s)
+            make_fault(system, fault)
+
+
+def make_fault(system: gateways.GatewaySystem, fault: plans.Fault) -> None:
+    """Make a fault and its end; raises ``KeyError`` for no such process."""
+    process = {one.name: one for one in system.processes}[fault.on]
+    if fault.what is plans.What.PAUSE:
+        process.signal(signal.SIGSTOP)
+        time.sleep(fault.for_s)
+        process.signal(signal.SIGCONT)
+        return
+    if fault.what is plans.What.KILL:
+        process.kill()
+    else:
+        process.signal(signal.SIGTERM)
+        process.popen.wait()
+    if isinstance(process, gateways.Node):
+        time.sleep(fault.for_s)
+        system.restart_node(process)
+
+
+def call(address: str, kind: plans.Kind, request_id: str) -> int | None:
+    """Return the status of a whole answer, None when there was none."""
+    headers = gateways.caller_headers(request_id, kind.key, kind.patience_ms)
+    connection = http.client.HTTPConnection(
+        address, timeout=kind.patience_ms / 1000
+    )
+    body = kind.body.encode() if kind.method == "POST" else None
+    try:
+        connection.request(kind.method, kind.path + "load", body, headers)
+        reply = connection.getresponse()
+        reply.read()
+        return reply.status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def _sleep_until(moment_s: float) -> None:
+    left_s = moment_s - time.monotonic()
+    if left_s > 0:
+        time.sleep(left_s)
--- /dev/null
+++ b/standins/fireflystandins/load/results.py
@@ -0,0 +1,95 @@
+"""What became of the requests, by kind."""
+
+import collections
+import csv
+import pathlib
+import typing
+
+import hdrh.histogram
+import pygal
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 95.0, 99.0, 100.0)
+UNANSWERED = "unanswered"
+COLUMNS = ("kind", "asked", "in_time", "answers") + tuple(
+    f"p{percentile:g}_ms" for percentile in PERCENTILES
+)
+Row = dict[str, typing.Any]
+
+
+class KindResult:
+    """The answers to one kind of request."""
+
+    def __init__(self, target_ms: float) -> None:
+        self._target_ms = target_ms
+        self._histogram = hdrh.histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, DIGITS
+        )
+        self.asked = 0
+        self.in_time = 0
+        self.answers: collections.Counter[str] = collections.Counter()
+
+    def add(self, status: int | None, took_s: float) -> None:
+        """Count a request; ``status`` is None without a whole answer."""
+        self.asked += 1
+        self.answers[UNANSWERED if status is None else str(status)] += 1
+        if status != 200:
+            return
+        self._histogram.record_value(max(LOWEST_US, round(took_s * 1e6)))
+        if took_s * 1000 <= self._target_ms:
+            self.in_time += 1
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile of the good answers' times."""
+        found: float = self._histogram.get_value_at_percentile(percentile)
+        return round(found / 1000, 2)
+
+    def row(self, kind: str) -> Row:
+        """Return the line of the table."""
+        answers = " ".join(f"{k}:{n}" for k, n in sorted(self.answers.items()))
+        times = [self.percentile_ms(one) for one in PERCENTILES]
+        values = (kind, self.asked, self.in_time, answers, *times)
+        return dict(zip(COLUMNS, values, strict=True))
+
+
+def write_csv(path: pathlib.Path, rows: list[Row]) -> None:
+    """Write the table as CSV."""
+    with path.open("w", newline="") as file:
+        writer = csv.DictWriter(file, COLUMNS)
+        writer.writeheader()
+        writer.writerows(rows)
+
+
+def read_csv(path: pathlib.Path) -> list[Row]:
+    """Return the table of a CSV file."""
+    with path.open(newline="") as file:
+        return list(csv.DictReader(file))
+
+
+def write_plot(path: pathlib.Path, tables: dict[str, list[Row]]) -> None:
+    """Write the percentiles of one or more tables as an SVG image."""
+    chart = pygal.Line(
+        logarithmic=True,
+        x_title="percentile",
+        y_title="ms",
+        title="Time to the whole answer",
+    )
+    names = [f"p{percentile:g}_ms" for percentile in PERCENTILES]
+    chart.x_labels = [name.removesuffix("_ms") for name in names]
+    for label, rows in tables.items():
+        for row in rows:
+            title = " ".join(filter(None, (label, str(row["kind"]))))
+            chart.add(title, [float(row[name]) or None for name in names])
+    chart.render_to_file(str(path))
+
+
+def side_by_side(tables: dict[str, list[Row]]) -> list[Row]:
+    """Return the rows of several tables, those of a kind together."""
+    found = [
+        {"kind": row["kind"], "run": label} | row
+        for label, rows in tables.items()
+        for row in rows
+    ]
+    return sorted(found, key=lambda row: str(row["kind"]))
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -49,12 +49,7 @@
 def _call(node, path, body=b"", method="POST", key="key-court", **headers):
     request_id = f"q{next(_numbers)}"
     connection = http.client.HTTPConnection(node.callers, timeout=15)
-    fields = {
-        "Host": gateways.HOST,
-        "Attempt-Id": request_id,
-        "Deadline-Ms": "5000",
-        "Key": key,
-    } | headers
+    fields = gateways.caller_headers(request_id, key, 5000) | headers
     try:
         connection.request(method, path, body, fields)
         reply = connection.getresponse()
