Never call a request not run that the end of a node cuts off

Found on the way: an answer "not run" to an earlier request, late on a kept connection, was taken for the next request's.

Change: the end of a node counts a sent request as one that may have run (502, or a closed stream); "not run" and "misdirected" count only for the request whose id they bear.

--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -184,7 +184,9 @@
 
     def answer_head(self, status: int, headers: dialect.Headers) -> None:
         found = self._tools.dialect.read_answer(status, headers)
-        if found.misdirected or found.not_run:
+        # One turned away late comes where the next request's answer is due.
+        is_ours = found.request_id in ("", self._record.request_id)
+        if is_ours and (found.misdirected or found.not_run):
             outcome = calls.Outcome.NOT_RUN
             if found.misdirected:
                 outcome = calls.Outcome.MISDIRECTED
@@ -226,10 +228,9 @@
         assert request is not None
         if not request.route.repeatable or self._relay.head_sent:
             return False
-        now_s = self._now_s()
         if self._record.tried.runs + 1 >= request.route.max_attempts:
             return False
-        left_s = request.deadline_s - now_s
+        left_s = request.deadline_s - self._now_s()
         if left_s < MIN_LEFT_TO_REPEAT_S:
             return False
         self._let_go()
@@ -305,10 +306,14 @@
 
     def _timed_out(self) -> None:
         self._timer = None
+        self._break_off()
+        self._give_up(runs.Refusal(calls.Refused.TIMEOUT))
+
+    def _break_off(self) -> None:
+        """Wait no more for an endpoint; what was sent may have run."""
         if self._was_sent and self._run is not None:
             self._record.tried.runs += 1
         self._drop_connection()
-        self._give_up(runs.Refusal(calls.Refused.TIMEOUT))
 
     def _give_up(self, refusal: runs.Refusal) -> None:
         """Give the final answer of a request that no endpoint answered."""
@@ -391,5 +396,5 @@
         """End the request now, as at the end of a shutdown."""
         if self._relay.is_over:
             return
-        self._drop_connection()
+        self._break_off()
         self._give_up(runs.Refusal(calls.Refused.TIMEOUT, None, "shutdown"))
--- a/standins/fireflystandins/load/__main__.py
+++ b/standins/fireflystandins/load/__main__.py
@@ -14,6 +14,7 @@
 from fireflypulley.core import findings
 from fireflystandins.load import plans
 from fireflystandins.load import player
+from fireflystandins.load import plots
 from fireflystandins.load import results
 
 WIDTH = 160
@@ -59,7 +60,7 @@
             )
             bar.update(work, completed=plan.load.duration_s)
         results.write_csv(self.out / "results.csv", rows)
-        results.write_plot(self.out / "plot.svg", {"": rows})
+        plots.write_plot(self.out / "plot.svg", {"": rows})
         show(rows)
 
 
@@ -82,7 +83,7 @@
         }
         show(results.side_by_side(tables))
         if self.plot is not None:
-            results.write_plot(self.plot, tables)
+            plots.write_plot(self.plot, tables)
 
 
 @cappa.command(name="fireflystandins.load")
--- /dev/null
+++ b/standins/fireflystandins/load/plots.py
@@ -0,0 +1,31 @@
+"""Plots of one or more runs."""
+
+import pathlib
+import sys
+
+import pygal
+
+from fireflystandins.load import results
+
+# pygal leaves an import hook of the old kind, at which pytest's imports of
+# everything that follows break.
+sys.meta_path[:] = [one for one in sys.meta_path if hasattr(one, "find_spec")]
+
+
+def write_plot(
+    path: pathlib.Path, tables: dict[str, list[results.Row]]
+) -> None:
+    """Write the percentiles of one or more tables as an SVG image."""
+    chart = pygal.Line(
+        logarithmic=True,
+        x_title="percentile",
+        y_title="ms",
+        title="Time to the whole answer",
+    )
+    names = [f"p{percentile:g}_ms" for percentile in results.PERCENTILES]
+    chart.x_labels = [name.removesuffix("_ms") for name in names]
+    for label, rows in tables.items():
+        for row in rows:
+            title = " ".join(filter(None, (label, str(row["kind"]))))
+            chart.add(title, [float(row[name]) or None for name in names])
+    chart.render_to_file(str(path))
--- a/standins/fireflystandins/load/results.py
+++ b/standins/fireflystandins/load/results.py
@@ -6,7 +6,6 @@
 import typing
 
 import hdrh.histogram
-import pygal
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
@@ -68,23 +67,6 @@
         return list(csv.DictReader(file))
 
 
-def write_plot(path: pathlib.Path, tables: dict[str, list[Row]]) -> None:
-    """Write the percentiles of one or more tables as an SVG image."""
-    chart = pygal.Line(
-        logarithmic=True,
-        x_title="percentile",
-        y_title="ms",
-        title="Time to the whole answer",
-    )
-    names = [f"p{percentile:g}_ms" for percentile in PERCENTILES]
-    chart.x_labels = [name.removesuffix("_ms") for name in names]
-    for label, rows in tables.items():
-        for row in rows:
-            title = " ".join(filter(None, (label, str(row["kind"]))))
-            chart.add(title, [float(row[name]) or None for name in names])
-    chart.render_to_file(str(path))
-
-
 def side_by_side(tables: dict[str, list[Row]]) -> list[Row]:
     """Return the rows of several tables, those of a kind together."""
     found = [
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -50,6 +50,40 @@
     assert world.finished()
 
 
+@pytest.mark.parametrize(
+    "late", [(503, (b"x-not-run", b"1")), (421, (b"x", b"1"))]
+)
+def test_one_turned_away_late_is_no_word_on_the_next_request(late):
+    """An answer to an earlier request comes where the next is due."""
+    status, field = late
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    sent = world.begin()
+    sent.listener.answer_head(status, [(b"x-request-id", b"q0"), field])
+    assert sent.aborted
+    assert len(world.sent) == 1
+    assert world.sink.status == 502
+
+
+@pytest.mark.parametrize("kind", [exchanges.AT_MOST_ONCE, exchanges.STREAM])
+def test_one_that_the_end_of_the_node_cuts_off_may_have_run(kind):
+    """It was sent, and its endpoint has not answered yet."""
+    world = exchanges.World(kind, max_attempts=1)
+    world.begin()
+    world.clock.advance(1.0)
+    world.exchange.cut()
+    assert world.sink.status not in exchanges.PROMISES
+    assert world.finished()
+
+
+def test_one_that_was_not_sent_when_the_node_ends_has_not_run():
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    world.slow_connect = defer.Deferred()
+    world.begin()
+    world.exchange.cut()
+    assert world.sink.status == 503
+    assert world.finished()
+
+
 def test_a_503_that_does_not_say_not_run_is_no_promise():
     world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
     exchanges.answer(world.begin(), 503, b"busy")
--- a/tests/load/test_results.py
+++ b/tests/load/test_results.py
@@ -1,7 +1,10 @@
 """Tables, files and plots of a run."""
 
+import sys
+
 import pytest
 
+from fireflystandins.load import plots
 from fireflystandins.load import results
 
 
@@ -41,8 +44,12 @@
 
 def test_a_plot_is_an_image_of_all_runs(tmp_path):
     path = tmp_path / "plot.svg"
-    results.write_plot(path, {"old": _rows(), "new": _rows()})
+    plots.write_plot(path, {"old": _rows(), "new": _rows()})
     text = path.read_text()
     assert "<svg" in text
     assert "old fetch" in text
     assert "new fetch" in text
+
+
+def test_the_plots_leave_no_import_hook_of_the_old_kind():
+    assert all(hasattr(one, "find_spec") for one in sys.meta_path)
