--- a/packages/core/src/fireflypulley/core/gateway/overlay.py
+++ b/packages/core/src/fireflypulley/core/gateway/overlay.py
@@ -64,6 +64,15 @@
         ]
         return tuple(found[:RELAYS_A_NODE])
 
+    def may_drop_others(
+        self,
+        connected: collections.abc.Container[str],
+        alive: collections.abc.Container[str],
+    ) -> bool:
+        """Return whether streams beside the wanted ones are needless."""
+        enough = len(self.proven(connected, alive)) == RELAYS_A_NODE
+        return enough and not self.is_mesh
+
     def wanted(
         self,
         connected: collections.abc.Container[str],
--- a/packages/gateway/src/fireflypulley/gateway/gossip.py
+++ b/packages/gateway/src/fireflypulley/gateway/gossip.py
@@ -125,26 +125,23 @@
         turn = int(now_s / TURN_S)
         wanted = self._overlay.wanted(connected, alive, turn)
         if self._overlay.is_relay:
-            wanted += self._lost_node(now_s, turn)
+            wanted += self._lost_node(turn)
         if wanted != self._wanted:
             self._wanted = wanted
             self.hub.want_peers(wanted)
-        proven = self._overlay.proven(connected, alive)
-        if not self._overlay.is_mesh and len(proven) == (
-            overlay.RELAYS_A_NODE
-        ):
+        if self._overlay.may_drop_others(connected, alive):
             self.hub.drop_unwanted()
         for node_id in self.hub.peers:
             heard_s = self._stream_heard_s.get(node_id, now_s)
             if now_s - heard_s > SILENT_STREAM_S:
                 self.hub.drop_peer(node_id)
 
-    def _lost_node(self, now_s: float, turn: int) -> tuple[str, ...]:
+    def _lost_node(self, turn: int) -> tuple[str, ...]:
         """Return one node unheard for long to try again, if any.
 
         Else two parts of the nodes that were apart would stay so.
         """
-        recent = {one.node_id for one in self._book.recent(now_s)}
+        recent = {one.node_id for one in self._recent}
         lost = [one for one in self._book.node_ids if one not in recent]
         return (lost[turn % len(lost)],) if lost else ()
 
--- a/standins/fireflystandins/load/__main__.py
+++ b/standins/fireflystandins/load/__main__.py
@@ -9,27 +9,14 @@
 import cappa
 import rich.console
 import rich.progress
-import rich.table
 
+from fireflypulley.cli import output
 from fireflypulley.core import findings
 from fireflystandins.load import plans
 from fireflystandins.load import player
 from fireflystandins.load import plots
 from fireflystandins.load import results
 
-WIDTH = 160
-
-
-def show(rows: list[results.Row]) -> None:
-    """Print a table."""
-    console = rich.console.Console(highlight=False)
-    if not console.is_terminal:
-        console = rich.console.Console(highlight=False, width=WIDTH)
-    table = rich.table.Table(*rows[0], box=None)
-    for row in rows:
-        table.add_row(*[str(value) for value in row.values()])
-    console.print(table)
-
 
 @cappa.command(name="play")
 @dataclasses.dataclass
@@ -61,7 +48,7 @@
             bar.update(work, completed=plan.load.duration_s)
         results.write_csv(self.out / "results.csv", rows)
         plots.write_plot(self.out / "plot.svg", {"": rows})
-        show(rows)
+        output.Printer(as_json=False).show(rows)
 
 
 @cappa.command(name="compare")
@@ -81,7 +68,7 @@
             str(folder): results.read_csv(folder / "results.csv")
             for folder in self.folders
         }
-        show(results.side_by_side(tables))
+        output.Printer(as_json=False).show(results.side_by_side(tables))
         if self.plot is not None:
             plots.write_plot(self.plot, tables)
 
