Say how long a removed endpoint is kept, and when a request went there

Change: the line of a dropped endpoint says how long it was kept and how many endpoints of its service stay; the line of a request says how long the entry had been gone when the bytes left. Fleet.expire returns the endpoints in place of their ids; the tests compare the ids as before. Nothing is decided differently.

--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -323,6 +323,12 @@
 
     # Attempts
 
+    def sent(self, run: runs.Run, now_s: float) -> None:
+        """Record that a request's bytes leave for its endpoint."""
+        current = self.fleet.get(run.member.endpoint_id)
+        if current is not None and current.removed_s is not None:
+            run.removed_before_s = now_s - current.removed_s
+
     def first_event(self, run: runs.Run, now_s: float) -> None:
         """Record the start of an answer."""
         if run.first_event_s is None:
--- a/packages/core/src/fireflypulley/core/gateway/fleet.py
+++ b/packages/core/src/fireflypulley/core/gateway/fleet.py
@@ -146,8 +146,15 @@
             peer.lapses_at_s = removed_s + self._lapse_grace_s
         return True
 
-    def expire(self, now_s: float) -> list[str]:
-        """Drop the entries that have not come back; return their ids."""
+    def staying(self, service: str) -> int:
+        """Return how many endpoints of a service are not about to go."""
+        return sum(
+            not member.leaving and member.removed_s is None
+            for member in self.of_service(service)
+        )
+
+    def expire(self, now_s: float) -> list[Member]:
+        """Drop the entries that have not come back, and return them."""
         lapsed = [
             member
             for member in self._members.values()
@@ -157,7 +164,7 @@
         ]
         for member in lapsed:
             del self._members[member.endpoint_id]
-        return [member.endpoint_id for member in lapsed]
+        return lapsed
 
     def _is_needed(self, member: Member, now_s: float) -> bool:
         """Return whether all of a service was removed, a moment ago."""
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -34,7 +34,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Run:
-    """One attempt under way at an endpoint."""
+    """One attempt under way at an endpoint.
+
+    ``removed_before_s`` is how long the endpoint's entry had been gone
+    when the request was sent, None when it was there.
+    """
 
     request: calls.Admitted
     member: fleet.Member
@@ -42,6 +46,7 @@
     tokens: int
     began_s: float
     choice: Choice
+    removed_before_s: float | None = None
     first_event_s: float | None = None
     observed: bool = False
     over: bool = False
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -153,6 +153,7 @@
         self._connection = connection
         self._record.tried.arrivals += 1
         self._was_sent = True
+        self._tools.desk.sent(run, now_s)
         if request.route.repeatable:
             self._silence = silence.SilenceWatch(
                 self._tools.reactor,
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -182,6 +182,7 @@
     def _apply_endpoint(self, row: rows.FollowedRow) -> None:
         now_s = self._reactor.seconds()
         before = self._desk.fleet.get(row.key)
+        member = before
         if row.value is None:
             self._desk.fleet.remove(row.key, now_s, self.store_doubted)
             state = "removed"
@@ -191,12 +192,14 @@
             state = "leaving" if member.leaving else "in-use"
             if before is not None and before.is_same(member):
                 return
+        service = member.registration.service if member else ""
         decision_log.note(
             "endpoint",
             endpoint=row.key,
             state=state,
             row_version=row.version,
             store_doubted=self.store_doubted,
+            staying=self._desk.fleet.staying(service),
         )
 
     def _apply_operator(self, row: rows.FollowedRow) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -84,6 +84,8 @@
         fields: dict[str, object] = dataclasses.asdict(run.choice)
         fields["endpoint"] = run.member.endpoint_id
         fields["chosen_ms"] = _ms(run.began_s - self.arrived_s)
+        if run.removed_before_s is not None:
+            fields["removed_before_ms"] = _ms(run.removed_before_s)
         if run.first_event_s is not None:
             fields["first_event_ms"] = _ms(run.first_event_s - run.began_s)
         return fields
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -12,6 +12,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peerbook
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
@@ -179,8 +180,8 @@
 
     def _tick(self) -> None:
         now_s = self._reactor.seconds()
-        for endpoint_id in self._desk.fleet.expire(now_s):
-            decision_log.note("endpoint", endpoint=endpoint_id, state="lapsed")
+        for member in self._desk.fleet.expire(now_s):
+            self._note_lapsed(member, now_s)
         self._desk.forget_absent()
         self._desk.shared.expire(now_s)
         present = {one.registration.key for one in self._desk.fleet}
@@ -192,6 +193,17 @@
             self._duties.tick(self._gossip)
             self._tick_duties()
 
+    def _note_lapsed(self, member: fleet.Member, now_s: float) -> None:
+        kept_s = now_s - (member.removed_s or now_s)
+        service = member.registration.service
+        decision_log.note(
+            "endpoint",
+            endpoint=member.endpoint_id,
+            state="lapsed",
+            kept_ms=round(kept_s * 1000),
+            staying=self._desk.fleet.staying(service),
+        )
+
     def _tick_duties(self) -> None:
         """Do what goes with the duty while this node holds it."""
         fence = self._duties.fence if self._duties.holds else None
--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -23,6 +23,10 @@
     return found
 
 
+def _ids(members):
+    return [member.endpoint_id for member in members]
+
+
 def test_leaving_is_final_for_one_start():
     found = _fleet()
     found.put(_entry(leaving=True), 1.0)
@@ -34,7 +38,7 @@
     found = _fleet("e1", "e2", "e3", "e4")
     found.remove("e1", 10.0, False)
     assert found.expire(10.0 + GRACE_S - 0.1) == []
-    assert found.expire(10.0 + GRACE_S) == ["e1"]
+    assert _ids(found.expire(10.0 + GRACE_S)) == ["e1"]
     assert found.get("e1") is None
 
 
@@ -57,7 +61,7 @@
 def test_a_lapsed_entry_that_stays_away_is_gone():
     found = _fleet("e1", "e2", "e3", "e4")
     found.remove("e1", 10.0, True)
-    assert found.expire(10.0 + LAPSE_S) == ["e1"]
+    assert _ids(found.expire(10.0 + LAPSE_S)) == ["e1"]
 
 
 def test_entries_that_go_together_have_lapsed_without_a_known_outage():
@@ -66,10 +70,17 @@
     for endpoint_id in ("e1", "e2", "e3"):
         found.remove(endpoint_id, 10.0, False)
     assert found.expire(10.0 + fleet.LAPSE_OF_ALL_GRACE_S - 0.1) == []
-    gone = found.expire(10.0 + fleet.LAPSE_OF_ALL_GRACE_S)
+    gone = _ids(found.expire(10.0 + fleet.LAPSE_OF_ALL_GRACE_S))
     assert sorted(gone) == ["e1", "e2", "e3"]
 
 
+def test_endpoints_that_stay_are_those_not_about_to_go():
+    found = _fleet("e1", "e2", "e3")
+    found.put(_entry("e2", leaving=True), 1.0)
+    found.remove("e3", 1.0, False)
+    assert found.staying("svc") == 1
+
+
 def test_cold_time_counts_from_the_entry():
     found = _fleet()
     member = found.put(_entry(cold_s=3.0), 5.0)
@@ -82,7 +93,7 @@
     for endpoint_id in ("e1", "e2"):
         found.remove(endpoint_id, 10.0, False)
     assert found.expire(10.0 + GRACE_S + 0.1) == []
-    assert sorted(found.expire(10.0 + LAPSE_S)) == ["e1", "e2"]
+    assert sorted(_ids(found.expire(10.0 + LAPSE_S))) == ["e1", "e2"]
 
 
 @pytest.mark.parametrize("together", [1, 2, 3])
