--- a/tests/core/gateway/test_desk.py
+++ b/tests/core/gateway/test_desk.py
@@ -12,6 +12,8 @@
 
 AT_MOST_ONCE = document.RouteKind.AT_MOST_ONCE
 STREAM = document.RouteKind.STREAM
+PEER_DELAY_S = 0.45
+"""A peer may have heard of a removal so much sooner than this node."""
 
 
 def test_without_a_configuration_nothing_is_denied():
@@ -79,6 +81,26 @@
     assert not found.still_allowed(run)
 
 
+# Guards against DRAIN of inc1: sending to endpoints that have left for as
+# long as no other endpoint of their service is there.
+@pytest.mark.parametrize("store_doubted", [False, True])
+def test_endpoints_that_all_leave_get_nothing_after_the_drain_time(
+    store_doubted,
+):
+    names = ["e1", "e2", "e3"]
+    found = builders.a_desk(None, *map(builders.entry, names))
+    request = builders.admitted(found)
+    run = found.choose(request, frozenset(), 0.0)
+    heard_s = 0.2
+    for name in names:
+        found.fleet.remove(name, heard_s, store_doubted)
+    late_s = heard_s + bounds.SharedBounds().serves_on_s - PEER_DELAY_S
+    found.fleet.expire(late_s)
+    assert not found.still_allowed(run)
+    refusal = found.choose(request, frozenset(), late_s)
+    assert refusal.reason is calls.Refused.NO_ENDPOINT
+
+
 def test_another_start_at_the_same_id_is_another_endpoint():
     found = builders.a_desk(None, builders.entry("e1"))
     run = found.choose(builders.admitted(found), frozenset(), 0.0)
