Send nothing to endpoints that all left once their drain time is over

Cause: when every endpoint of a service was leaving or removed, those whose entry was removed were kept for 2.5 s, as if their entries had lapsed in an outage of the store. All going at once is what a reclaim of every failure domain looks like too: an exception for one cause was granted on a symptom that others share, and was not held to the bound. Ruled out: a late row (the log has the removal 2 to 11 ms after its acknowledgement) and a request that waited (removed_before_ms up to 2,190 when the bytes left). Change: the longer time is given only where the whole store is known to be out of reach, to this node and to every other that reads it, and until two seconds after its return. Whether an endpoint may be sent to is asked at each choice and each sending by the clock, not by a tick 0.25 s apart. The test that asked for 2.5 s without any known outage was wrong: it held the fault. Two take its place, one for each cause.

--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -225,7 +225,7 @@
         found = [
             member
             for member in self.fleet.of_service(request.service.name)
-            if not member.leaving
+            if self.fleet.is_in_use(member, now_s)
             and member.registration.failure_domain not in self.drained_domains
         ]
         return self.versions.allowed(
@@ -308,13 +308,13 @@
             self.cold.sent(member.endpoint_id, rate_per_s, nodes, now_s)
         return runs.Run(request, member, load, tokens, now_s, choice)
 
-    def still_allowed(self, run: runs.Run) -> bool:
+    def still_allowed(self, run: runs.Run, now_s: float) -> bool:
         """Return whether a run's endpoint may still be sent to.
 
         Asked right before the bytes leave, after any wait.
         """
         current = self.fleet.get(run.member.endpoint_id)
-        if current is None or current.leaving:
+        if current is None or not self.fleet.is_in_use(current, now_s):
             return False
         if current.registration.key != run.member.registration.key:
             return False
--- a/packages/core/src/fireflypulley/core/gateway/fleet.py
+++ b/packages/core/src/fireflypulley/core/gateway/fleet.py
@@ -7,9 +7,9 @@
 LAPSE_GRACE_FRACTION = 0.75
 """Of the time that an endpoint serves on after its entry is gone.  The
 rest is for nodes that hear of it later, and for requests on their way."""
-LAPSE_OF_ALL_GRACE_S = 2.5
-"""Entries that lapsed in an outage are back within two seconds; when no
-other endpoint of a service is left, they are kept for so long."""
+OUTAGE_GRACE_S = 2.5
+"""Entries that lapsed in an outage are back within two seconds of its end;
+when no other endpoint of a service is left, they are kept for so long."""
 MASS_REMOVAL_FRACTION = 0.34
 """So much of a service goes at once only when its entries lapse."""
 MASS_REMOVAL_S = 1.0
@@ -49,6 +49,7 @@
     cold_until_s: float = 0.0
     leaving: bool = False
     removed_s: float | None = None
+    removed_in_outage: bool = False
     lapses_at_s: float | None = None
 
     @property
@@ -103,15 +104,20 @@
         return member
 
     def remove(
-        self, endpoint_id: str, now_s: float, store_doubted: bool
+        self,
+        endpoint_id: str,
+        now_s: float,
+        store_doubted: bool,
+        in_outage: bool = False,
     ) -> None:
         """Take in the removal of an entry.
 
         An endpoint that did not say that it leaves is kept for as long as
-        it still serves.  While the store is or just was away, and when
-        much of a service goes at once, the entry may only have lapsed; it
-        is kept longer, but never beyond the time that one which has left
-        would serve on.
+        it still serves.  While the store is or just was out of this
+        node's reach, and when much of a service goes at once, the entry
+        may only have lapsed; it is kept longer, but never beyond the time
+        that one which has left would serve on.  Only ``in_outage``, while
+        no node reaches the store, a removal says nothing of leaving.
         """
         member = self._members.get(endpoint_id)
         if member is None:
@@ -120,6 +126,7 @@
             del self._members[endpoint_id]
             return
         member.removed_s = now_s
+        member.removed_in_outage = in_outage
         grace_s = self._removal_grace_s
         if store_doubted or self._is_mass_removal(member, now_s):
             grace_s = self._lapse_grace_s
@@ -153,24 +160,30 @@
             for member in self.of_service(service)
         )
 
+    def is_in_use(self, member: Member, now_s: float) -> bool:
+        """Return whether an endpoint may be sent to."""
+        if member.leaving:
+            return False
+        if member.lapses_at_s is None or now_s < member.lapses_at_s:
+            return True
+        return self._is_needed(member, now_s)
+
     def expire(self, now_s: float) -> list[Member]:
         """Drop the entries that have not come back, and return them."""
         lapsed = [
             member
             for member in self._members.values()
-            if member.lapses_at_s is not None
-            and member.lapses_at_s <= now_s
-            and not self._is_needed(member, now_s)
+            if not member.leaving and not self.is_in_use(member, now_s)
         ]
         for member in lapsed:
             del self._members[member.endpoint_id]
         return lapsed
 
     def _is_needed(self, member: Member, now_s: float) -> bool:
-        """Return whether all of a service was removed, a moment ago."""
-        if member.removed_s is None:
+        """Return whether an outage has taken all entries of a service."""
+        if member.removed_s is None or not member.removed_in_outage:
             return False
-        if now_s - member.removed_s >= LAPSE_OF_ALL_GRACE_S:
+        if now_s - member.removed_s >= OUTAGE_GRACE_S:
             return False
         peers = self.of_service(member.registration.service)
         if len(peers) < 2:
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -130,7 +130,7 @@
         if self._relay.is_over or run is not self._run or run.over:
             pool.give_back(connection)
             return
-        if not self._tools.desk.still_allowed(run):
+        if not self._tools.desk.still_allowed(run, self._now_s()):
             pool.give_back(connection)
             self._attempt_over(calls.Outcome.UNREACHED, "endpoint has left")
             return
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -19,6 +19,8 @@
 STALE_RETRY_S = 0.4
 STORE_DOUBT_S = 3.5
 """For so long after a failed call, absent entries may only have lapsed."""
+RETURNED_S = 2.0
+"""Entries that lapsed in an outage are back so soon after its end."""
 
 
 class Follower:
@@ -38,10 +40,12 @@
         self.cache = rows.RowCache()
         self.on_news: collections.abc.Callable[[str], None] | None = None
         self.is_fed: collections.abc.Callable[[], bool] = lambda: False
+        self.others_doubt: collections.abc.Callable[[], bool] = lambda: False
         self.unreadable = 0
         self._failed_s = float("-inf")
         self._peer_doubt_s = float("-inf")
         self._is_lost = False
+        self._regained_s = float("-inf")
         self._is_running = False
 
     @property
@@ -61,6 +65,17 @@
         doubted_s = self._reactor.seconds() - self._peer_doubt_s
         return self.store_failed or doubted_s < STORE_DOUBT_S
 
+    @property
+    def in_outage(self) -> bool:
+        """Return whether the store is, or just was, out of all reach.
+
+        One that turns away some nodes tells the others the truth.
+        """
+        if not self.store_failed or not self.others_doubt():
+            return False
+        returned_s = self._reactor.seconds() - self._regained_s
+        return self._is_lost or returned_s < RETURNED_S
+
     def note_failure(self, problem: str) -> None:
         """Record that a call of the store got no answer."""
         self._lost(problem)
@@ -123,6 +138,7 @@
     def _reached(self) -> None:
         if self._is_lost:
             self._is_lost = False
+            self._regained_s = self._reactor.seconds()
             decision_log.note("store", state="regained")
 
     def _lost(self, problem: str) -> None:
@@ -184,7 +200,9 @@
         before = self._desk.fleet.get(row.key)
         member = before
         if row.value is None:
-            self._desk.fleet.remove(row.key, now_s, self.store_doubted)
+            self._desk.fleet.remove(
+                row.key, now_s, self.store_doubted, self.in_outage
+            )
             state = "removed"
         else:
             found = self._translation.registration(row)
@@ -199,6 +217,7 @@
             state=state,
             row_version=row.version,
             store_doubted=self.store_doubted,
+            in_outage=self.in_outage,
             staying=self._desk.fleet.staying(service),
         )
 
--- a/packages/gateway/src/fireflypulley/gateway/gossip.py
+++ b/packages/gateway/src/fireflypulley/gateway/gossip.py
@@ -107,6 +107,26 @@
                 return True
         return False
 
+    @property
+    def others_doubt_store(self) -> bool:
+        """Return whether no other node that reads the store reaches it.
+
+        Among few others it can't be told from trouble of some nodes.
+        """
+        now_s = self._reactor.seconds()
+        alive = self._book.alive(now_s)
+        if 2 * len(alive) <= self._book.counted(now_s):
+            return False
+        readers = self._overlay.relays
+        states = [
+            self._states.get(node_id)
+            for node_id in alive
+            if node_id in readers and node_id != self._book.this.node_id
+        ]
+        return bool(states) and all(
+            state is not None and state.store_doubted for state in states
+        )
+
     def nodes_changed(self) -> None:
         """Take in that the book holds other nodes than before."""
         now_s = self._reactor.seconds()
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -229,6 +229,7 @@
         self._listen(self._config.nodes, found.hub.server_factory())
         self._gossip = found
         self._follower.is_fed = lambda: found.is_fed
+        self._follower.others_doubt = lambda: found.others_doubt_store
         found.start()
         await self._membership.keep_up(
             found.nodes_changed, lambda: found.is_mesh
--- a/tests/core/gateway/test_desk.py
+++ b/tests/core/gateway/test_desk.py
@@ -69,7 +69,7 @@
     run = found.choose(request, frozenset(), 0.0)
     assert run.member.endpoint_id == "e2"
     found.drained_domains.add("b")
-    assert not found.still_allowed(run)
+    assert not found.still_allowed(run, 0.2)
     refusal = found.choose(request, frozenset(), 0.0)
     assert refusal.reason is calls.Refused.NO_ENDPOINT
 
@@ -78,7 +78,7 @@
     found = builders.a_desk(None, builders.entry("e1"))
     run = found.choose(builders.admitted(found), frozenset(), 0.0)
     found.fleet.put(builders.entry("e1", leaving=True), 0.1)
-    assert not found.still_allowed(run)
+    assert not found.still_allowed(run, 0.2)
 
 
 # Guards against DRAIN of inc1: sending to endpoints that have left for as
@@ -95,8 +95,7 @@
     for name in names:
         found.fleet.remove(name, heard_s, store_doubted)
     late_s = heard_s + bounds.SharedBounds().serves_on_s - PEER_DELAY_S
-    found.fleet.expire(late_s)
-    assert not found.still_allowed(run)
+    assert not found.still_allowed(run, late_s)
     refusal = found.choose(request, frozenset(), late_s)
     assert refusal.reason is calls.Refused.NO_ENDPOINT
 
@@ -105,7 +104,7 @@
     found = builders.a_desk(None, builders.entry("e1"))
     run = found.choose(builders.admitted(found), frozenset(), 0.0)
     found.fleet.put(builders.entry("e1", started_ms=2), 0.1)
-    assert not found.still_allowed(run)
+    assert not found.still_allowed(run, 0.2)
 
 
 def test_work_goes_where_least_runs_and_not_to_one_that_turned_away():
--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -64,13 +64,21 @@
     assert _ids(found.expire(10.0 + LAPSE_S)) == ["e1"]
 
 
-def test_entries_that_go_together_have_lapsed_without_a_known_outage():
-    """All lapse while only the long polls of this node are open."""
+def test_entries_that_all_lapse_in_an_outage_are_kept_until_they_are_back():
     found = _fleet("e1", "e2", "e3")
     for endpoint_id in ("e1", "e2", "e3"):
-        found.remove(endpoint_id, 10.0, False)
-    assert found.expire(10.0 + fleet.LAPSE_OF_ALL_GRACE_S - 0.1) == []
-    gone = _ids(found.expire(10.0 + fleet.LAPSE_OF_ALL_GRACE_S))
+        found.remove(endpoint_id, 10.0, True, in_outage=True)
+    assert found.expire(10.0 + fleet.OUTAGE_GRACE_S - 0.1) == []
+    gone = _ids(found.expire(10.0 + fleet.OUTAGE_GRACE_S))
+    assert sorted(gone) == ["e1", "e2", "e3"]
+
+
+@pytest.mark.parametrize("is_doubted", [False, True])
+def test_without_an_outage_endpoints_that_all_go_have_left(is_doubted):
+    found = _fleet("e1", "e2", "e3")
+    for endpoint_id in ("e1", "e2", "e3"):
+        found.remove(endpoint_id, 10.0, is_doubted)
+    gone = _ids(found.expire(10.0 + SERVES_ON_S - PEER_DELAY_S))
     assert sorted(gone) == ["e1", "e2", "e3"]
 
 
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,58 @@
+"""What a node makes of calls to the store that fail."""
+
+import pytest
+from twisted.internet import task
+
+from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import desk
+from fireflypulley.gateway import follower
+
+from . import networks
+
+
+@pytest.fixture
+def clock():
+    return task.Clock()
+
+
+@pytest.fixture
+def following(clock):
+    found = follower.Follower(
+        clock,
+        None,
+        networks.Translation(),
+        desk.Desk("a", bounds.SharedBounds()),
+    )
+    found.others_doubt = lambda: True
+    clock.advance(100.0)
+    return found
+
+
+def test_the_store_is_in_outage_while_no_node_reaches_it(following):
+    assert not following.in_outage
+    following.note_failure("no answer")
+    assert following.in_outage
+
+
+def test_a_node_turned_away_alone_knows_of_no_outage(following):
+    following.others_doubt = lambda: False
+    following.note_failure("busy")
+    assert not following.in_outage
+
+
+def test_an_outage_known_from_other_nodes_alone_is_none(following):
+    following.note_peer_doubt()
+    assert following.store_doubted
+    assert not following.in_outage
+
+
+# Guards against DRAIN: a removal acknowledged by a store that has been
+# back for long is no lapse.
+def test_an_outage_is_over_once_lapsed_entries_are_back(following, clock):
+    following.note_failure("no answer")
+    following._reached()
+    clock.advance(follower.RETURNED_S - 0.1)
+    assert following.in_outage
+    clock.advance(0.2)
+    assert following.store_failed
+    assert not following.in_outage
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -266,3 +266,37 @@
     network.run(10.0)
     for node in network.nodes.values():
         assert len(node.alive) > MANY / 2
+
+
+def _lose_store(nodes):
+    for node in nodes:
+        node.follower.note_failure("no answer")
+
+
+def test_a_store_that_no_node_reaches_is_in_outage(network):
+    one = _one(network)
+    _lose_store(network.nodes.values())
+    network.run(1.0)
+    assert one.gossip.others_doubt_store
+
+
+def test_a_store_that_turns_away_some_nodes_is_in_no_outage():
+    network = networks.Network(9)
+    network.start()
+    network.run(3.0)
+    nodes = list(network.nodes.values())
+    _lose_store(nodes[:-1])
+    network.run(1.0)
+    assert not nodes[0].gossip.others_doubt_store
+
+
+def test_a_node_apart_from_most_others_knows_of_no_outage():
+    network = networks.Network(9)
+    network.start()
+    network.run(3.0)
+    nodes = list(network.nodes.values())
+    for node in nodes[4:]:
+        network.kill(node.node_id)
+    _lose_store(nodes[:4])
+    network.run(3.0)
+    assert not nodes[0].gossip.others_doubt_store
