Let endpoints that leave take what ends before they do, as a last resort

Cause: an endpoint was either used for everything or for nothing. Ruled out: choosing by load alone (the cut streams went to endpoints with room). Change: an endpoint that leaves, says so or not, gets nothing while another has room; else it takes, for three quarters of the time that it serves on, requests whose usual time ends before it does. A removal in a store that is in doubt keeps the endpoint in use for the same time, as before. Eligible takes the question out of the desk.

--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -6,6 +6,7 @@
 from fireflypulley.core.gateway import bounds
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import eligible
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import loads
@@ -38,7 +39,6 @@
         self.document: document.Document | None = None
         self.in_force_s = 0.0
         self.fleet = fleet.Fleet(shared_bounds.serves_on_s)
-        self.drained_domains: set[str] = set()
         self.limits = workspace_limits.WorkspaceLimits(
             shared_bounds.limit_overshoot, shared_bounds.limit_tolerance
         )
@@ -50,6 +50,7 @@
         self.cold = limits.ColdPacer(node_id)
         self.shared = facts.SharedState()
         self.versions = versions.Versions(node_id, self.shared)
+        self.eligible = eligible.Eligible(self.fleet, self.versions)
         self.suspects = suspects.Suspects(self.shared)
         self.nodes_alive = 1
         self.nodes_known = 1
@@ -219,19 +220,6 @@
 
     # Placing
 
-    def _usable(
-        self, request: calls.Admitted, now_s: float
-    ) -> list[fleet.Member]:
-        found = [
-            member
-            for member in self.fleet.of_service(request.service.name)
-            if self.fleet.is_in_use(member, now_s)
-            and member.registration.failure_domain not in self.drained_domains
-        ]
-        return self.versions.allowed(
-            request.service.name, request.facts.request_id, found
-        )
-
     def _candidate(
         self, member: fleet.Member, now_s: float
     ) -> placing.Candidate:
@@ -263,16 +251,38 @@
         now_s: float,
     ) -> runs.Run | runs.Refusal:
         """Begin an attempt at an endpoint, or say why there is none."""
-        members = self._usable(request, now_s)
+        members = self.eligible.in_use(request, now_s)
+        fresh = [one for one in members if one.registration.key not in avoid]
+        found = self._pick(request, fresh or members, now_s)
+        if found is not None:
+            return self._begin(request, *found, now_s)
+        going = [
+            one
+            for one in self.eligible.going(request, now_s)
+            if one.registration.key not in avoid
+        ]
+        found = self._pick(request, going, now_s, last_resort=True)
+        if found is not None:
+            return self._begin(request, *found, now_s)
         if not members:
             return runs.Refusal(
                 calls.Refused.NO_ENDPOINT, RETRY_SOON_S, "none in use"
             )
-        fresh = [one for one in members if one.registration.key not in avoid]
-        everyone = [self._candidate(one, now_s) for one in fresh or members]
+        return runs.Refusal(calls.Refused.ENDPOINTS_FULL, RETRY_SOON_S)
+
+    def _pick(
+        self,
+        request: calls.Admitted,
+        members: list[fleet.Member],
+        now_s: float,
+        last_resort: bool = False,
+    ) -> tuple[fleet.Member, runs.Choice] | None:
+        """Return the best of some endpoints, None where none has room."""
         rate_per_s = request.service.cold_rate_per_s
         open_now = [
-            one for one in everyone if self._has_room(one, rate_per_s, now_s)
+            one
+            for one in (self._candidate(member, now_s) for member in members)
+            if self._has_room(one, rate_per_s, now_s)
         ]
         sound = [one for one in open_now if not one.doubted]
         policy = self._plain_placing
@@ -282,15 +292,16 @@
             sound or open_now, request, self._failure_domain
         )
         if chosen is None:
-            return runs.Refusal(calls.Refused.ENDPOINTS_FULL, RETRY_SOON_S)
+            return None
         choice = runs.Choice(
             len(members),
             len(open_now),
             len(sound),
             chosen.running,
             chosen.waiting_tokens,
+            last_resort,
         )
-        return self._begin(request, chosen.member, choice, now_s)
+        return chosen.member, choice
 
     def _begin(
         self,
@@ -313,13 +324,7 @@
 
         Asked right before the bytes leave, after any wait.
         """
-        current = self.fleet.get(run.member.endpoint_id)
-        if current is None or not self.fleet.is_in_use(current, now_s):
-            return False
-        if current.registration.key != run.member.registration.key:
-            return False
-        domain = current.registration.failure_domain
-        return domain not in self.drained_domains
+        return self.eligible.still_allowed(run, now_s)
 
     # Attempts
 
@@ -382,6 +387,9 @@
             self._observe(run, failed, now_s)
         if outcome is calls.Outcome.COMPLETE:
             run.load.succeeded()
+            self.eligible.durations.observe(
+                request.route.name, now_s - run.began_s
+            )
             self.suspects.answered(request.fingerprint)
         elif outcome is calls.Outcome.NOT_RUN:
             run.load.full_until_s = now_s + FULL_BACKOFF_S
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/gateway/eligible.py
@@ -0,0 +1,77 @@
+"""Which endpoints a request may be sent to at all."""
+
+import collections.abc
+
+from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import durations
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import runs
+from fireflypulley.core.gateway import versions
+
+
+class Eligible:
+    """Keeps requests to endpoints in use, outside of drained domains.
+
+    One that leaves is the last resort, for what ends before it does.
+    """
+
+    def __init__(
+        self, known: fleet.Fleet, rollouts: versions.Versions
+    ) -> None:
+        self._fleet = known
+        self._versions = rollouts
+        self.drained_domains: set[str] = set()
+        self.durations = durations.Durations()
+
+    def in_use(
+        self, request: calls.Admitted, now_s: float
+    ) -> list[fleet.Member]:
+        """Return the endpoints that may get any request."""
+        return self._allowed(
+            request, self._fleet.in_use(request.service.name, now_s)
+        )
+
+    def going(
+        self, request: calls.Admitted, now_s: float
+    ) -> list[fleet.Member]:
+        """Return the endpoints that leave, but after the request's end."""
+        expected_s = self.durations.expected_s(request.route.name)
+        if expected_s is None:
+            return []
+        return self._allowed(
+            request,
+            (
+                member
+                for member in self._fleet.of_service(request.service.name)
+                if self._fleet.is_going(member, now_s)
+                and now_s + expected_s <= member.ends_s
+            ),
+        )
+
+    def _allowed(
+        self,
+        request: calls.Admitted,
+        members: collections.abc.Iterable[fleet.Member],
+    ) -> list[fleet.Member]:
+        drained = self.drained_domains
+        found = [
+            member
+            for member in members
+            if member.registration.failure_domain not in drained
+        ]
+        return self._versions.allowed(
+            request.service.name, request.facts.request_id, found
+        )
+
+    def still_allowed(self, run: runs.Run, now_s: float) -> bool:
+        """Return whether a run's endpoint may still be sent to."""
+        current = self._fleet.get(run.member.endpoint_id)
+        if current is None:
+            return False
+        if current.registration.key != run.member.registration.key:
+            return False
+        is_taken = self._fleet.is_in_use(current, now_s)
+        if run.choice.last_resort:
+            is_taken = is_taken or self._fleet.is_going(current, now_s)
+        domain = current.registration.failure_domain
+        return is_taken and domain not in self.drained_domains
--- a/packages/core/src/fireflypulley/core/gateway/fleet.py
+++ b/packages/core/src/fireflypulley/core/gateway/fleet.py
@@ -2,17 +2,15 @@
 
 import collections.abc
 import dataclasses
+import math
 
-REMOVAL_GRACE_FRACTION = 0.6
-LAPSE_GRACE_FRACTION = 0.75
-"""Of the time that an endpoint serves on after its entry is gone.  The
-rest is for nodes that hear of it later, and for requests on their way."""
+LAST_USE_FRACTION = 0.75
+"""Of the time that an endpoint serves on once it leaves or its entry is
+gone.  The rest is for nodes that hear of it later, and for requests on
+their way."""
 OUTAGE_GRACE_S = 2.5
 """Entries that lapsed in an outage are back within two seconds of its end;
 when no other endpoint of a service is left, they are kept for so long."""
-MASS_REMOVAL_FRACTION = 0.34
-"""So much of a service goes at once only when its entries lapse."""
-MASS_REMOVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,14 +41,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Member:
-    """An endpoint in use; ``leaving`` stays true once it was."""
+    """An endpoint that is there; ``leaving`` stays true once it was.
+
+    Between ``going_s``, when it began to leave or its entry was removed,
+    and ``ends_s`` it surely still serves.
+    """
 
     registration: Registration
     cold_until_s: float = 0.0
     leaving: bool = False
     removed_s: float | None = None
+    removed_in_doubt: bool = False
     removed_in_outage: bool = False
-    lapses_at_s: float | None = None
+    going_s: float | None = None
+    ends_s: float = math.inf
 
     @property
     def endpoint_id(self) -> str:
@@ -60,7 +64,7 @@
     def is_same(self, other: "Member") -> bool:
         """Return whether another entry says nothing new of the endpoint."""
         same_start = self.registration.key == other.registration.key
-        if not same_start or self.lapses_at_s is not None:
+        if not same_start or self.removed_s is not None:
             return False
         return self.leaving == other.leaving
 
@@ -70,13 +74,13 @@
 
 
 class Fleet:
-    """The endpoints that are registered."""
+    """The endpoints that are registered, or were a moment ago."""
 
     def __init__(self, serves_on_s: float) -> None:
-        self._removal_grace_s = serves_on_s * REMOVAL_GRACE_FRACTION
-        self._lapse_grace_s = serves_on_s * LAPSE_GRACE_FRACTION
+        self._serves_on_s = serves_on_s
+        self._last_use_s = serves_on_s * LAST_USE_FRACTION
         self._members: dict[str, Member] = {}
-        self._left: set[tuple[str, int]] = set()
+        self._leaving_s: dict[tuple[str, int], float] = {}
 
     def __iter__(self) -> collections.abc.Iterator[Member]:
         return iter(self._members.values())
@@ -97,12 +101,21 @@
         """Take in an entry; leaving is final for one start."""
         member = Member(registration)
         member.cold_until_s = now_s + registration.cold_s
-        member.leaving = registration.leaving or registration.key in self._left
+        key = registration.key
+        member.leaving = registration.leaving or key in self._leaving_s
         if member.leaving:
-            self._left.add(registration.key)
+            self._note_leaving(member, now_s)
         self._members[registration.endpoint_id] = member
         return member
 
+    def _note_leaving(self, member: Member, now_s: float) -> None:
+        key = member.registration.key
+        member.going_s = self._leaving_s.setdefault(key, now_s)
+        member.ends_s = member.going_s + self._serves_on_s
+        leaves_in_s = member.registration.leaves_in_s
+        if leaves_in_s is not None:
+            member.ends_s = min(member.ends_s, now_s + leaves_in_s)
+
     def remove(
         self,
         endpoint_id: str,
@@ -112,12 +125,12 @@
     ) -> None:
         """Take in the removal of an entry.
 
-        An endpoint that did not say that it leaves is kept for as long as
-        it still serves.  While the store is or just was out of this
-        node's reach, and when much of a service goes at once, the entry
-        may only have lapsed; it is kept longer, but never beyond the time
-        that one which has left would serve on.  Only ``in_outage``, while
-        no node reaches the store, a removal says nothing of leaving.
+        The endpoint has left without saying so, and serves on like one
+        that has said it.  With ``store_doubted``, while the store is or
+        just was out of a node's reach, the entry may only have lapsed;
+        the endpoint is used as before, but never beyond the time that
+        one which has left would serve on.  Only ``in_outage``, while no
+        node reaches the store, a removal says nothing of leaving.
         """
         member = self._members.get(endpoint_id)
         if member is None:
@@ -125,55 +138,47 @@
         if member.leaving:
             del self._members[endpoint_id]
             return
-        member.removed_s = now_s
+        member.removed_s = member.going_s = now_s
+        member.ends_s = now_s + self._serves_on_s
+        member.removed_in_doubt = store_doubted
         member.removed_in_outage = in_outage
-        grace_s = self._removal_grace_s
-        if store_doubted or self._is_mass_removal(member, now_s):
-            grace_s = self._lapse_grace_s
-        member.lapses_at_s = now_s + grace_s
-
-    def _is_mass_removal(self, member: Member, now_s: float) -> bool:
-        """Return whether much of a service was removed just now.
-
-        The earlier removals of the same moment get the longer grace too.
-        """
-        peers = self.of_service(member.registration.service)
-        together = [
-            peer
-            for peer in peers
-            if peer.removed_s is not None
-            and now_s - peer.removed_s < MASS_REMOVAL_S
-        ]
-        if len(together) < 2:
-            return False
-        if len(together) < MASS_REMOVAL_FRACTION * len(peers):
-            return False
-        for peer in together:
-            removed_s = peer.removed_s or now_s
-            peer.lapses_at_s = removed_s + self._lapse_grace_s
-        return True
-
-    def staying(self, service: str) -> int:
-        """Return how many endpoints of a service are not about to go."""
-        return sum(
-            not member.leaving and member.removed_s is None
-            for member in self.of_service(service)
-        )
 
     def is_in_use(self, member: Member, now_s: float) -> bool:
-        """Return whether an endpoint may be sent to."""
+        """Return whether an endpoint takes any request."""
         if member.leaving:
             return False
-        if member.lapses_at_s is None or now_s < member.lapses_at_s:
+        if member.removed_s is None:
+            return True
+        if member.removed_in_doubt and self._is_of_last_use(member, now_s):
             return True
         return self._is_needed(member, now_s)
 
+    def is_going(self, member: Member, now_s: float) -> bool:
+        """Return whether an endpoint takes what ends before it does."""
+        if self.is_in_use(member, now_s):
+            return False
+        return self._is_of_last_use(member, now_s)
+
+    def _is_of_last_use(self, member: Member, now_s: float) -> bool:
+        going_s = member.going_s
+        return going_s is not None and now_s < going_s + self._last_use_s
+
+    def in_use(self, service: str, now_s: float) -> list[Member]:
+        """Return the endpoints of a service that take any request."""
+        return [
+            member
+            for member in self.of_service(service)
+            if self.is_in_use(member, now_s)
+        ]
+
     def expire(self, now_s: float) -> list[Member]:
         """Drop the entries that have not come back, and return them."""
         lapsed = [
             member
             for member in self._members.values()
-            if not member.leaving and not self.is_in_use(member, now_s)
+            if member.removed_s is not None
+            and not self.is_in_use(member, now_s)
+            and not self.is_going(member, now_s)
         ]
         for member in lapsed:
             del self._members[member.endpoint_id]
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -22,7 +22,8 @@
 
     ``usable`` endpoints of the service could be used at all, ``open``
     had room and ``sound`` were not doubted; ``running`` and
-    ``waiting_tokens`` are those of all nodes at the chosen one.
+    ``waiting_tokens`` are those of all nodes at the chosen one.  With
+    ``last_resort`` only endpoints that leave had room.
     """
 
     usable: int
@@ -30,6 +31,7 @@
     sound: int
     running: int
     waiting_tokens: int
+    last_resort: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -218,7 +218,7 @@
             row_version=row.version,
             store_doubted=self.store_doubted,
             in_outage=self.in_outage,
-            staying=self._desk.fleet.staying(service),
+            in_use=len(self._desk.fleet.in_use(service, now_s)),
         )
 
     def _apply_operator(self, row: rows.FollowedRow) -> None:
@@ -226,7 +226,7 @@
         if isinstance(entry, translation.ConfigurationEntry):
             self._apply_configuration(entry, row.version)
         elif isinstance(entry, translation.EvacuationEntry):
-            drained = self._desk.drained_domains
+            drained = self._desk.eligible.drained_domains
             if entry.is_active:
                 drained.add(entry.failure_domain)
             else:
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -195,13 +195,13 @@
 
     def _note_lapsed(self, member: fleet.Member, now_s: float) -> None:
         kept_s = now_s - (member.removed_s or now_s)
-        service = member.registration.service
+        in_use = self._desk.fleet.in_use(member.registration.service, now_s)
         decision_log.note(
             "endpoint",
             endpoint=member.endpoint_id,
             state="lapsed",
             kept_ms=round(kept_s * 1000),
-            staying=self._desk.fleet.staying(service),
+            in_use=len(in_use),
         )
 
     def _tick_duties(self) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -32,7 +32,7 @@
         "node": _node(sources, now_s, open_requests),
         "configuration": _configuration(sources.desk, now_s),
         "endpoints": _endpoints(sources.desk, now_s),
-        "evacuations": sorted(sources.desk.drained_domains),
+        "evacuations": sorted(sources.desk.eligible.drained_domains),
         "rollouts": _rollouts(sources.desk, now_s),
         "limits": _limits(sources.desk, now_s),
         "refused": _counts(sources.desk.refused),
@@ -106,7 +106,7 @@
         return "removed"
     if member.leaving:
         return "leaving"
-    if spec.failure_domain in node_desk.drained_domains:
+    if spec.failure_domain in node_desk.eligible.drained_domains:
         return "evacuated"
     if not node_desk.versions.allowed(spec.service, "", [member]):
         return "other version"
