Replace an endpoint when its entry goes, not when it is dropped

What callers saw: after the last endpoint of a service left, refusals went on until new ones had started. Change: only endpoints in use count as ready.

--- a/packages/gateway/src/fireflypulley/gateway/orders.py
+++ b/packages/gateway/src/fireflypulley/gateway/orders.py
@@ -58,13 +58,15 @@
         plan.note_ready(sum(self._ready(service.name).values()), now_s)
 
     def _ready(self, service: str) -> collections.Counter[supply.Place]:
-        found: collections.Counter[supply.Place] = collections.Counter()
-        for member in self._desk.fleet.of_service(service):
-            if not member.leaving:
-                spec = member.registration
-                place = supply.Place(spec.failure_domain, spec.reclaimable)
-                found[place] += 1
-        return found
+        now_s = self._reactor.seconds()
+        specs = [
+            member.registration
+            for member in self._desk.fleet.in_use(service, now_s)
+        ]
+        return collections.Counter(
+            supply.Place(spec.failure_domain, spec.reclaimable)
+            for spec in specs
+        )
 
     async def _order(
         self, config: document.Document, fence: base.Fence
