--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -210,10 +210,13 @@
             state = "leaving" if member.leaving else "in-use"
             if before is not None and before.is_same(member):
                 return
-        service = member.registration.service if member else ""
+        spec = member.registration if member else None
+        service = spec.service if spec else ""
         decision_log.note(
             "endpoint",
             endpoint=row.key,
+            service=service,
+            version=spec.version if spec else "",
             state=state,
             row_version=row.version,
             store_doubted=self.store_doubted,
