Undo a version that is several times slower within its target

Cause: the evidence called an answer slow only beyond the route's target, which a slow version meets while it gets a small share; and all traffic moved at 15.2 s whatever the evidence leant to. Ruled out: late or lost evidence between nodes (it was pooled; there were no slow answers in it). Change: each node keeps what is usual on a route (geometric means of the time to the first event and of the pauses between events) and counts answers three, or 2.5, times beyond it by version, as measures of their own; a sound version may have 15 in 100 of them. Traffic moves only where the evidence does not speak ten to one for a bad version. The tests in test_paces.py fail before; a version without cached prompts, 1.6 times slower at first, is not undone on 20 seeds.

--- a/packages/core/src/fireflypulley/core/facts.py
+++ b/packages/core/src/fireflypulley/core/facts.py
@@ -97,11 +97,24 @@
     NEW = "new"
 
 
+class Measure(enum.StrEnum):
+    """What is looked at in an answer.
+
+    ANSWER: whether it failed, or came later than the route's bound.
+    FIRST_EVENT, PAUSE: whether the first event or the pauses between
+    events took much longer than is usual on the route.
+    """
+
+    ANSWER = "answer"
+    FIRST_EVENT = "first_event"
+    PAUSE = "pause"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ArmCount:
     """What one node saw of one arm on one route.
 
-    ``slow`` counts the answers over the route's slow bound.
+    ``slow`` counts the answers that the measure finds slow.
     """
 
     route: str
@@ -109,6 +122,7 @@
     served: int
     failed: int
     slow: int
+    measure: Measure = Measure.ANSWER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import paces
 from fireflypulley.core.gateway import placing
 from fireflypulley.core.gateway import repeating
 from fireflypulley.core.gateway import runs
@@ -50,6 +51,7 @@
         self.cold = limits.ColdPacer(node_id)
         self.shared = facts.SharedState()
         self.versions = versions.Versions(node_id, self.shared)
+        self._paces = paces.Paces(self.versions)
         self.eligible = eligible.Eligible(self.fleet, self.versions)
         self.suspects = suspects.Suspects(self.shared)
         self.nodes_alive = 1
@@ -334,12 +336,15 @@
         if current is not None and current.removed_s is not None:
             run.removed_before_s = now_s - current.removed_s
 
-    def first_event(self, run: runs.Run, now_s: float) -> None:
-        """Record the start of an answer."""
+    def event(self, run: runs.Run, event_id: int | None, now_s: float) -> None:
+        """Record the start of an answer, and each event of a stream."""
         if run.first_event_s is None:
             run.first_event_s = now_s
             run.load.answering(run.tokens)
             self._observe(run, False, now_s)
+            self._paces.first_event(run, now_s)
+        if event_id is not None:
+            self._paces.event(run, event_id, now_s)
 
     def _observe(self, run: runs.Run, failed: bool, now_s: float) -> None:
         """Count an answer for or against its version."""
@@ -387,6 +392,8 @@
             self._observe(run, failed, now_s)
         if outcome is calls.Outcome.COMPLETE:
             run.load.succeeded()
+            if run.first_event_s is None:
+                self._paces.first_event(run, now_s)
             self.eligible.durations.observe(
                 request.route.name, now_s - run.began_s
             )
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/gateway/paces.py
@@ -0,0 +1,105 @@
+"""How fast answers come, against what is usual on their route.
+
+A version that is several times slower may still answer within each
+route's target while it has little to do.
+"""
+
+import math
+
+from fireflypulley.core import facts
+from fireflypulley.core.gateway import runs
+from fireflypulley.core.gateway import versions
+
+SMOOTHING = 0.1
+"""Weight of the newest answer in what is usual."""
+KNOWN_ANSWERS = 3
+"""What is usual is not known from fewer."""
+LATE_FACTOR = 3.0
+"""A first event so much later than usual is late.  A version without
+cached prompts is slower too, by less."""
+LONG_PAUSE_FACTOR = 2.5
+PACE_EVENTS = 8
+"""Pauses are averaged over so many; those of one stream are alike."""
+
+
+class UsualTimes:
+    """Geometric means of times by name."""
+
+    def __init__(self) -> None:
+        self._log_means: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
+
+    def observe(self, name: str, time_s: float) -> None:
+        """Take in a time."""
+        count = self._counts[name] = self._counts.get(name, 0) + 1
+        weight = max(SMOOTHING, 1.0 / count)
+        mean = self._log_means.get(name, 0.0)
+        self._log_means[name] = mean + weight * (_log(time_s) - mean)
+
+    def is_longer(self, name: str, time_s: float, factor: float) -> bool:
+        """Return whether a time is longer than usual by a factor."""
+        return _log(time_s) > self._log_means[name] + math.log(factor)
+
+    def is_known(self, name: str) -> bool:
+        """Return whether enough times were seen to compare with."""
+        return self._counts.get(name, 0) >= KNOWN_ANSWERS
+
+
+def _log(time_s: float) -> float:
+    return math.log(max(time_s, 0.001))
+
+
+class Paces:
+    """Measures answers, and counts them for or against their version."""
+
+    def __init__(self, rollouts: versions.Versions) -> None:
+        self._versions = rollouts
+        self._first_events = UsualTimes()
+        self._pauses = UsualTimes()
+
+    def first_event(self, run: runs.Run, now_s: float) -> None:
+        """Take in the first event of an answer."""
+        self._measure(
+            run,
+            now_s - run.began_s,
+            self._first_events,
+            LATE_FACTOR,
+            facts.Measure.FIRST_EVENT,
+        )
+
+    def event(self, run: runs.Run, event_id: int, now_s: float) -> None:
+        """Take in any event of a stream."""
+        if run.first_event_s is None:
+            return
+        if run.first_event_id is None:
+            run.first_event_id = event_id
+        events = event_id - run.first_event_id
+        if events < PACE_EVENTS or run.paced:
+            return
+        run.paced = True
+        self._measure(
+            run,
+            (now_s - run.first_event_s) / events,
+            self._pauses,
+            LONG_PAUSE_FACTOR,
+            facts.Measure.PAUSE,
+        )
+
+    def _measure(
+        self,
+        run: runs.Run,
+        time_s: float,
+        usual: UsualTimes,
+        factor: float,
+        measure: facts.Measure,
+    ) -> None:
+        service = run.request.service.name
+        version = run.member.registration.version
+        route = run.request.route.name
+        if usual.is_known(route):
+            is_long = usual.is_longer(route, time_s, factor)
+            self._versions.observe(
+                service, version, route, False, is_long, measure
+            )
+        if self._versions.is_usual(service, version):
+            usual.observe(route, time_s)
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -50,6 +50,8 @@
     choice: Choice
     removed_before_s: float | None = None
     first_event_s: float | None = None
+    first_event_id: int | None = None
+    paced: bool = False
     observed: bool = False
     over: bool = False
 
--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -194,6 +194,13 @@
 
     # Evidence
 
+    def is_usual(self, service: str, version: str) -> bool:
+        """Return whether a version serves the bulk of the requests."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or not self.is_under_way(service):
+            return True
+        return rollout.arm(version) is facts.Arm.OLD
+
     def observe(
         self,
         service: str,
@@ -201,13 +208,19 @@
         route: str,
         failed: bool,
         slow: bool,
+        measure: facts.Measure = facts.Measure.ANSWER,
     ) -> None:
-        """Count one answer of a version."""
+        """Count one answer of a version, or what is measured of it."""
         rollout = self._rollouts.get(service)
         if rollout is None or not self.is_under_way(service):
             return
         self._book.observe(
-            rollout.rollout_id, route, rollout.arm(version), failed, slow
+            rollout.rollout_id,
+            route,
+            rollout.arm(version),
+            failed,
+            slow,
+            measure,
         )
         rollout.is_changed = True
 
@@ -264,7 +277,8 @@
         finding = self._book.finding(rollout.rollout_id)
         if phase is Phase.TRIAL and left_s <= MOVE_BEFORE_END_S:
             enough = finding.answers >= MIN_MOVE_ANSWERS
-            next_phase = Phase.MOVING if enough else Phase.UNDONE
+            may_move = enough and not finding.suspect
+            next_phase = Phase.MOVING if may_move else Phase.UNDONE
             return self._reach(rollout, next_phase, now_s)
         if phase is Phase.MOVING:
             old = own_old_running
--- a/packages/core/src/fireflypulley/core/rollout_evidence.py
+++ b/packages/core/src/fireflypulley/core/rollout_evidence.py
@@ -28,14 +28,33 @@
         self.slow += slow
 
 
-Counts = dict[tuple[str, facts.Arm], Tally]
-"""Tallies by route and side of the rollout."""
+SLOW_AT_FIRST_RATE = 0.15
+"""So many answers of a sound version may take much longer than usual: it
+has no cached prompts yet, and its endpoints may be of a slower class."""
+
+Counts = dict[tuple[str, facts.Arm, facts.Measure], Tally]
+"""Tallies by route, side of the rollout and measure."""
+
+
+_SLOW_REASONS = {
+    facts.Measure.ANSWER: "slow answers",
+    facts.Measure.FIRST_EVENT: "late first events",
+    facts.Measure.PAUSE: "long pauses",
+}
 
 
 def _tallies() -> Counts:
     return collections.defaultdict(Tally)
 
 
+def _base_rate(measure: facts.Measure, bad: int, total: int) -> float:
+    """Return the rate of bad answers that a sound version may have."""
+    base = sequential.base_rate(bad, total)
+    if measure is facts.Measure.ANSWER:
+        return base
+    return max(base, SLOW_AT_FIRST_RATE)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Mark:
     bad: int
@@ -44,13 +63,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
-    """What the evidence on one rollout says."""
+    """What the evidence on one rollout says.
+
+    One that is ``suspect`` is rather bad than good, by what is known yet.
+    """
 
     bad: bool
     good: bool
     answers: int
     route: str = ""
     reason: str = ""
+    suspect: bool = False
 
 
 class EvidenceBook:
@@ -69,10 +92,11 @@
         arm: facts.Arm,
         failed: bool,
         slow: bool,
+        measure: facts.Measure = facts.Measure.ANSWER,
     ) -> None:
-        """Count one attempt's end."""
+        """Count one attempt's end, or what was measured of it before."""
         own = self._own.setdefault(rollout_id, _tallies())
-        own[(route, arm)].add(1, failed, slow)
+        own[(route, arm, measure)].add(1, failed, slow)
 
     def own(self, rollout_id: str) -> Counts:
         """Return this node's counts."""
@@ -83,8 +107,12 @@
     ) -> facts.Evidence:
         """Return this node's counts for the others."""
         counts = tuple(
-            facts.ArmCount(route, arm, one.served, one.failed, one.slow)
-            for (route, arm), one in sorted(self.own(rollout_id).items())
+            facts.ArmCount(
+                route, arm, one.served, one.failed, one.slow, measure
+            )
+            for (route, arm, measure), one in sorted(
+                self.own(rollout_id).items()
+            )
         )
         return facts.Evidence(
             rollout_id, self._node_id, sequence, counts, until_s
@@ -101,9 +129,8 @@
             if fact.node_id == self._node_id:
                 continue
             for count in fact.counts:
-                pooled[(count.route, count.arm)].add(
-                    count.served, count.failed, count.slow
-                )
+                key = (count.route, count.arm, count.measure)
+                pooled[key].add(count.served, count.failed, count.slow)
         return pooled
 
     def finding(self, rollout_id: str) -> Finding:
@@ -111,23 +138,27 @@
         pooled = self.pooled(rollout_id)
         answers = 0
         good = True
-        for (route, arm), new in pooled.items():
+        suspect = False
+        for (route, arm, measure), new in pooled.items():
             if arm is not facts.Arm.NEW:
                 continue
-            answers += new.served
-            old = pooled.get((route, facts.Arm.OLD), Tally())
+            if measure is facts.Measure.ANSWER:
+                answers += new.served
+            old = pooled.get((route, facts.Arm.OLD, measure), Tally())
             for reason, bad, base_bad in (
                 ("failures", new.failed, old.failed),
-                ("slow answers", new.slow, old.slow),
+                (_SLOW_REASONS[measure], new.slow, old.slow),
             ):
-                base = sequential.base_rate(base_bad, old.served)
+                base = _base_rate(measure, base_bad, old.served)
                 ratio = sequential.log_ratio(bad, new.served, base)
                 key = (rollout_id, route, reason)
                 turned = self._turned_bad(key, bad, new.served, base)
                 if ratio >= sequential.BAD_LOG_RATIO or turned:
-                    return Finding(True, False, answers, route, reason)
+                    return Finding(True, False, answers, route, reason, True)
                 good = good and ratio < 0.0
-        return Finding(False, good and answers > 0, answers)
+                suspect = suspect or ratio >= sequential.SUSPECT_LOG_RATIO
+        good = good and answers > 0
+        return Finding(False, good, answers, suspect=suspect)
 
     def _turned_bad(
         self, key: tuple[str, str, str], bad: int, total: int, base: float
--- a/packages/core/src/fireflypulley/core/sequential.py
+++ b/packages/core/src/fireflypulley/core/sequential.py
@@ -9,6 +9,7 @@
 
 BAD_LOG_RATIO = math.log(10_000.0)
 TURNED_LOG_RATIO = math.log(1_000_000.0)
+SUSPECT_LOG_RATIO = math.log(10.0)
 GOOD_LOG_RATIO = -math.log(20.0)
 PRIOR_BAD = 1.0
 PRIOR_GOOD = 49.0
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -247,7 +247,8 @@
             return
         if has_event and self._run is not None:
             self._count_run()
-            self._tools.desk.first_event(self._run, self._now_s())
+            event_id = self._relay.last_event_id
+            self._tools.desk.event(self._run, event_id, self._now_s())
 
     def answer_end(self) -> None:
         if self._relay.is_over:
--- /dev/null
+++ b/tests/core/gateway/test_paces.py
@@ -0,0 +1,117 @@
+"""Versions that are slower than usual, though within their target.
+
+Load: 20 streams a second of one route, at nodes that know their past.
+"""
+
+import random
+
+import pytest
+
+from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import paces
+from fireflypulley.core.gateway import versions
+
+from . import builders
+
+STREAM = document.RouteKind.STREAM
+FIRST_EVENT_S = 0.06
+PAUSE_S = 0.025
+EVENTS = 40
+ALLOWED_BAD_ANSWERS = 50
+"""So many more than a tenth of the requests a bad version may get."""
+
+
+class World:
+    """One desk that serves streams by two versions."""
+
+    def __init__(self, seed, kind=STREAM):
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.is_stream = kind is STREAM
+        route = builders.route(kind, target_latency_s=1.2, timeout_s=30.0)
+        self.desk = builders.a_desk(
+            builders.a_document(route),
+            *(
+                builders.entry(f"{version}-{one}", version=version)
+                for version in ("v1", "v2")
+                for one in range(3)
+            ),
+        )
+        for endpoint_id in ("v2-0", "v2-1", "v2-2"):
+            self.desk.fleet.remove(endpoint_id, 0.0, False)
+        self.desk.fleet.expire(10.0)
+        self.new_answers = 0
+
+    def roll_out(self):
+        for one in range(3):
+            self.desk.fleet.put(
+                builders.entry(f"v2-{one}", version="v2"), self.now_s
+            )
+        self.desk.versions.order(
+            versions.Rollout("s/v2/1", "s", "v2", self.now_s, 15.0)
+        )
+
+    @property
+    def phase(self):
+        rollout = next(iter(self.desk.versions))
+        return self.desk.versions.phase(rollout)
+
+    def serve(self, count, slowness=1.0):
+        for _ in range(count):
+            self.now_s += 0.05
+            request = builders.admitted(
+                self.desk, f"q{self.random.random()}", self.now_s
+            )
+            run = self.desk.choose(request, frozenset(), self.now_s)
+            factor = self.random.lognormvariate(0.0, 0.4)
+            if run.member.registration.version == "v2":
+                self.new_answers += 1
+                factor *= slowness
+            self._answer(run, factor)
+            self.desk.versions.news(self.now_s)
+
+    def _answer(self, run, factor):
+        at_s = self.now_s + FIRST_EVENT_S * factor
+        if self.is_stream:
+            for event_id in range(EVENTS):
+                self.desk.event(run, event_id, at_s)
+                at_s += PAUSE_S * factor
+        self.desk.ended(run, calls.Outcome.COMPLETE, at_s)
+
+
+# Guards against EXPOSURE of the day hasty: a version several times slower
+# was kept, since its answers came within their route's target.
+@pytest.mark.parametrize("kind", [STREAM, document.RouteKind.IDEMPOTENT])
+@pytest.mark.parametrize("seed", range(10))
+def test_a_version_several_times_slower_within_its_target_is_undone(
+    seed, kind
+):
+    world = World(seed, kind)
+    world.serve(40)
+    world.roll_out()
+    world.serve(200, slowness=4.0)
+    assert world.phase is versions.Phase.UNDONE
+    assert world.new_answers < ALLOWED_BAD_ANSWERS
+
+
+@pytest.mark.parametrize("kind", [STREAM, document.RouteKind.IDEMPOTENT])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_version_that_is_a_little_slower_at_first_is_not_undone(seed, kind):
+    """It has no cached prompts yet."""
+    world = World(seed, kind)
+    world.serve(40)
+    world.roll_out()
+    world.serve(60, slowness=1.6)
+    world.serve(200)
+    assert world.phase is not versions.Phase.UNDONE
+
+
+def test_nothing_is_late_before_it_is_known_what_is_usual():
+    usual = paces.UsualTimes()
+    for _ in range(paces.KNOWN_ANSWERS):
+        assert not usual.is_known("r")
+        usual.observe("r", 0.1)
+    assert usual.is_known("r")
+    assert usual.is_longer("r", 0.31, 3.0)
+    assert not usual.is_longer("r", 0.29, 3.0)
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -26,7 +26,11 @@
     facts.Leaving("e", 5.0),
     facts.Suspicion("f", 2, 9.0),
     facts.Evidence(
-        "r", "n", 1, (facts.ArmCount("x", facts.Arm.NEW, 1, 2, 3),), 9.0
+        "r",
+        "n",
+        1,
+        (facts.ArmCount("x", facts.Arm.NEW, 1, 2, 3, facts.Measure.PAUSE),),
+        9.0,
     ),
     facts.Trip("r", "x", "failures", 9.0),
     facts.NodeDown("n", 1, True, 9.0),
