Count failures that are passed on against their version

Cause: an endpoint's 500 that may not be tried elsewhere is passed on whole, and the run ended as COMPLETE, so it was a good answer to the evidence (97 of them by the log), to the endpoint's standing and to the doubt about a crashing request. Ruled out: too few answers (v2 had 190). Change: a run whose answer has a status of 500 or more ends as FAILED. The test fails before.

--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -21,6 +21,8 @@
 from fireflypulley.gateway import silence
 
 MIN_LEFT_TO_REPEAT_S = 0.05
+FAILURE_STATUS = 500
+"""An endpoint's status from here on is a failure of its own."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -201,7 +203,7 @@
             return
         if not self._relay.is_stream:
             self._count_run()
-        if status >= 500 and self._go_on_after_failure(status):
+        if status >= FAILURE_STATUS and self._go_on_after_failure(status):
             return
         self._relay.take_head(status, headers)
 
@@ -254,7 +256,10 @@
         if self._relay.is_over:
             return
         self._connection = None
-        self._end_run(calls.Outcome.COMPLETE)
+        is_failure = self._relay.status >= FAILURE_STATUS
+        self._end_run(
+            calls.Outcome.FAILED if is_failure else calls.Outcome.COMPLETE
+        )
         self._relay.finish()
         self._finish("answered", self._relay.status)
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import versions
 from fireflypulley.gateway import prober
 
 from ..core.gateway import builders
@@ -98,6 +99,20 @@
     assert (b"x-seal", b"s1") in world.sink.headers
 
 
+# Guards against EXPOSURE of a version that fails: its failures that were
+# passed on counted as good answers.
+@pytest.mark.parametrize("status", [500, 504])
+def test_a_failure_that_is_passed_on_counts_against_its_version(status):
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    order = versions.Rollout("s/v1/1", "s", "v1", 0.0, 15.0)
+    world.desk.versions.order(order)
+    exchanges.answer(world.begin(), status, b"oh")
+    assert world.desk.outcomes == {calls.Outcome.FAILED: 1}
+    (evidence,) = world.desk.versions.news(1.0)
+    (count,) = evidence.counts
+    assert (count.served, count.failed) == (1, 1)
+
+
 def test_a_failure_of_a_repeatable_request_is_tried_elsewhere():
     world = exchanges.World()
     first = world.begin()
