Give no endpoint back while an unused version is still there

Cause: after a verdict the plan of endpoints counted those of the version that gets nothing as ready; the cloud counts both versions too, and gave back all twelve of the good one at 15.83 s, and the bad ones drained two seconds later. Ruled out: the rollback itself (its endpoints drain some seconds later, as the platform says). Change: a service gets no orders from the order of a rollout until the other version's endpoints are gone, or 15 s after the deadline. The tests fail before. Conclusion: the plan sees one version only.

--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -26,6 +26,7 @@
 WATCH_UNTIL_END_S = 1.4
 """A version that turns bad when all traffic moves shows it before this."""
 DONE_BEFORE_END_S = 0.8
+UNUSED_GO_WITHIN_S = 15.0
 MIN_MOVE_ANSWERS = 3
 PEER_LIFE_S = 1.5
 FACT_KEPT_S = 3600.0
@@ -134,6 +135,30 @@
             return False
         return self.phase(rollout) in (Phase.TRIAL, Phase.MOVING)
 
+    def is_settled(
+        self, service: str, members: list[fleet.Member], now_s: float
+    ) -> bool:
+        """Return whether no version of a service is about to go.
+
+        After a verdict the endpoints of the other version go by
+        themselves; one that does not is waited for no longer than
+        ``UNUSED_GO_WITHIN_S`` after the deadline.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return True
+        if self.is_under_way(service):
+            return False
+        if now_s >= rollout.deadline_s + UNUSED_GO_WITHIN_S:
+            return True
+        unused = facts.Arm.OLD
+        if self.phase(rollout) is Phase.UNDONE:
+            unused = facts.Arm.NEW
+        return not any(
+            rollout.arm(member.registration.version) is unused
+            for member in members
+        )
+
     def recall(
         self,
         service: str,
--- a/packages/gateway/src/fireflypulley/gateway/orders.py
+++ b/packages/gateway/src/fireflypulley/gateway/orders.py
@@ -74,9 +74,12 @@
         for service in config.services:
             if service.scaling is None:
                 continue
-            if self._desk.versions.is_under_way(service.name):
-                continue
             now_s = self._reactor.seconds()
+            # The cloud counts the endpoints of both versions, and takes
+            # any away.
+            in_use = self._desk.fleet.in_use(service.name, now_s)
+            if not self._desk.versions.is_settled(service.name, in_use, now_s):
+                continue
             plan = self._plan(service.name)
             ready = self._ready(service.name)
             due = plan.orders(service.scaling, ready, now_s)
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -7,6 +7,7 @@
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import supply
+from fireflypulley.core.gateway import versions
 from fireflypulley.gateway import orders
 from fireflypulley.platform import base
 
@@ -17,16 +18,17 @@
 
 
 class Cloud(base.CloudCalls):
-    """Takes every order for regular endpoints."""
+    """Takes every order, for reclaimable endpoints only if it has some."""
 
-    def __init__(self):
+    def __init__(self, has_reclaimable=False):
+        self.has_reclaimable = has_reclaimable
         self.orders = []
 
     async def report_usage(self, fence, window, counts):
         raise AssertionError("not used here")
 
     async def order(self, fence, order):
-        if order.reclaimable:
+        if order.reclaimable and not self.has_reclaimable:
             raise base.OrderRefused("none to be had")
         self.orders.append(order)
 
@@ -65,3 +67,55 @@
         known.fleet.remove(endpoint_id, clock.seconds(), False)
     _run(clock, placing, 2 * orders.ORDER_EVERY_S)
     assert any(order.count for order in cloud.orders)
+
+
+def _end_rollout(known, phase):
+    """Add as many endpoints of a second version, and end its rollout."""
+    for place in range(4):
+        known.fleet.put(
+            builders.entry(
+                f"new{place}", "ab"[place % 2], version="v2", reclaimable=True
+            ),
+            0.0,
+        )
+    known.versions.order(versions.Rollout("s/v2/1", "s", "v2", 0.0, 15.0))
+    rollout = next(iter(known.versions))
+    known.versions._reach(rollout, phase, 0.0)
+
+
+# Guards against giving back the endpoints in use after a rollout: those of
+# the version that gets nothing counted as ready beside them.
+@pytest.mark.parametrize(
+    ("phase", "unused"),
+    [(versions.Phase.UNDONE, "new"), (versions.Phase.DONE, "e")],
+)
+def test_nothing_is_given_back_while_the_unused_version_is_there(
+    clock, known, phase, unused
+):
+    cloud = Cloud(has_reclaimable=True)
+    placing = orders.Orders(clock, known, cloud)
+    _run(clock, placing, supply.PROVIDED_S + 1.0)
+    cloud.orders.clear()
+    _end_rollout(known, phase)
+    _run(clock, placing, 5.0)
+    assert cloud.orders == []
+    for place in range(4):
+        known.fleet.put(
+            builders.entry(
+                f"{unused}{place}",
+                version="v2" if unused == "new" else "v1",
+                leaving=True,
+            ),
+            clock.seconds(),
+        )
+    _run(clock, placing, 5.0)
+    assert not any(order.count < 2 for order in cloud.orders)
+
+
+def test_endpoints_of_a_version_that_never_go_hold_orders_up_for_a_while_only(
+    known,
+):
+    _end_rollout(known, versions.Phase.UNDONE)
+    assert not known.versions.is_settled("s", list(known.fleet), 0.0)
+    late_s = 15.0 + versions.UNUSED_GO_WITHIN_S
+    assert known.versions.is_settled("s", list(known.fleet), late_s)
