Divide the desk, the connections and the exchange by their ideas

LoadBook holds the loads of endpoints, pools.py the connections that are kept, Relay says why a head is no answer to its request. Nothing is decided differently; the tests reach the moved parts under their new names, their assertions are as before.

--- a/packages/core/src/fireflypulley/core/gateway/desk.py
+++ b/packages/core/src/fireflypulley/core/gateway/desk.py
@@ -9,12 +9,11 @@
 from fireflypulley.core.gateway import eligible
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import limits
-from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import load_book
 from fireflypulley.core.gateway import paces
 from fireflypulley.core.gateway import placing
 from fireflypulley.core.gateway import repeating
 from fireflypulley.core.gateway import runs
-from fireflypulley.core.gateway import supply
 from fireflypulley.core.gateway import suspects
 from fireflypulley.core.gateway import versions
 from fireflypulley.core.gateway import workspace_limits
@@ -40,6 +39,7 @@
         self.document: document.Document | None = None
         self.in_force_s = 0.0
         self.fleet = fleet.Fleet(shared_bounds.serves_on_s)
+        self.loads = load_book.LoadBook(self.fleet)
         self.limits = workspace_limits.WorkspaceLimits(
             shared_bounds.limit_overshoot, shared_bounds.limit_tolerance
         )
@@ -61,8 +61,6 @@
         self.outcomes: collections.Counter[calls.Outcome]
         self.outcomes = collections.Counter()
         self.repeats = repeating.Repeats(self.retries)
-        self._loads: dict[tuple[str, int], loads.Load] = {}
-        self._peer_endpoints: dict[str, frozenset[str]] = {}
         self._engine_placing = placing.create(True)
         self._plain_placing = placing.create(False)
 
@@ -91,62 +89,17 @@
         share = self.nodes_alive / max(self.nodes_known, 1)
         self.limits.put_in_force(self.document.workspaces, share, now_s)
 
-    def load_of(self, member: fleet.Member) -> loads.Load:
-        """Return the load of one start of an endpoint."""
-        key = member.registration.key
-        if key not in self._loads:
-            self._loads[key] = loads.Load()
-        return self._loads[key]
-
     def forget_absent(self) -> None:
         """Forget the loads of endpoints that are gone, and old proofs."""
-        present = {member.registration.key for member in self.fleet}
-        for key, load in list(self._loads.items()):
-            if key not in present and not load.running:
-                del self._loads[key]
+        self.loads.forget_absent()
         self.suspects.forget_old()
 
-    def own_loads(self, now_s: float) -> dict[str, loads.Shared]:
-        """Return this node's load by endpoint, for its peers."""
-        found = {
-            member.endpoint_id: self.load_of(member).shared(now_s)
-            for member in self.fleet
-        }
-        return {key: one for key, one in found.items() if one != loads.NONE}
-
-    def take_peer_loads(
-        self, node_id: str, told: dict[str, loads.Shared], now_s: float
-    ) -> None:
-        """Take in another node's load by endpoint."""
-        before = self._peer_endpoints.get(node_id, frozenset())
-        self._peer_endpoints[node_id] = frozenset(told)
-        for endpoint_id in before | told.keys():
-            member = self.fleet.get(endpoint_id)
-            if member is None:
-                continue
-            shared = told.get(endpoint_id)
-            load = self.load_of(member)
-            if shared is not None:
-                load.take_peer(node_id, shared, now_s)
-            else:
-                load.peers.pop(node_id, None)
-
-    def demand(self, service: str, now_s: float) -> supply.Demand:
-        """Return what all nodes have at a service's endpoints."""
-        loads_there = [
-            self.load_of(member) for member in self.fleet.of_service(service)
-        ]
-        return supply.Demand(
-            sum(load.total_running(now_s) for load in loads_there),
-            sum(load.total_waiting_tokens(now_s) for load in loads_there),
-        )
-
     def old_running(self) -> dict[str, int]:
         """Return own requests on old versions, by service moving away."""
         found: dict[str, int] = {}
         for rollout in self.versions:
             found[rollout.service] = sum(
-                self.load_of(member).running
+                self.loads.of(member).running
                 for member in self.fleet.of_service(rollout.service)
                 if member.registration.version != rollout.target
             )
@@ -225,7 +178,7 @@
     def _candidate(
         self, member: fleet.Member, now_s: float
     ) -> placing.Candidate:
-        load = self.load_of(member)
+        load = self.loads.of(member)
         return placing.Candidate(
             member,
             load.total_running(now_s),
@@ -237,7 +190,7 @@
     def _has_room(
         self, one: placing.Candidate, rate_per_s: float, now_s: float
     ) -> bool:
-        if self.load_of(one.member).full_until_s > now_s:
+        if self.loads.of(one.member).full_until_s > now_s:
             return False
         if rate_per_s and one.member.is_cold(now_s):
             nodes = max(self.nodes_alive, 1)
@@ -312,7 +265,7 @@
         choice: runs.Choice,
         now_s: float,
     ) -> runs.Run:
-        load = self.load_of(member)
+        load = self.loads.of(member)
         tokens = request.facts.prompt_tokens or 0
         load.begin(tokens, now_s)
         rate_per_s = request.service.cold_rate_per_s
--- /dev/null
+++ b/packages/core/src/fireflypulley/core/gateway/load_book.py
@@ -0,0 +1,63 @@
+"""The loads of all endpoints, by own sends and peers' reports."""
+
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import supply
+
+
+class LoadBook:
+    """One load for each start of an endpoint."""
+
+    def __init__(self, known: fleet.Fleet) -> None:
+        self._fleet = known
+        self._loads: dict[tuple[str, int], loads.Load] = {}
+        self._peer_endpoints: dict[str, frozenset[str]] = {}
+
+    def of(self, member: fleet.Member) -> loads.Load:
+        """Return the load of one start of an endpoint."""
+        key = member.registration.key
+        if key not in self._loads:
+            self._loads[key] = loads.Load()
+        return self._loads[key]
+
+    def forget_absent(self) -> None:
+        """Forget the loads of endpoints that are gone."""
+        present = {member.registration.key for member in self._fleet}
+        for key, load in list(self._loads.items()):
+            if key not in present and not load.running:
+                del self._loads[key]
+
+    def own(self, now_s: float) -> dict[str, loads.Shared]:
+        """Return this node's load by endpoint, for its peers."""
+        found = {
+            member.endpoint_id: self.of(member).shared(now_s)
+            for member in self._fleet
+        }
+        return {key: one for key, one in found.items() if one != loads.NONE}
+
+    def take_peer(
+        self, node_id: str, told: dict[str, loads.Shared], now_s: float
+    ) -> None:
+        """Take in another node's load by endpoint."""
+        before = self._peer_endpoints.get(node_id, frozenset())
+        self._peer_endpoints[node_id] = frozenset(told)
+        for endpoint_id in before | told.keys():
+            member = self._fleet.get(endpoint_id)
+            if member is None:
+                continue
+            shared = told.get(endpoint_id)
+            load = self.of(member)
+            if shared is not None:
+                load.take_peer(node_id, shared, now_s)
+            else:
+                load.peers.pop(node_id, None)
+
+    def demand(self, service: str, now_s: float) -> supply.Demand:
+        """Return what all nodes have at a service's endpoints."""
+        loads_there = [
+            self.of(member) for member in self._fleet.of_service(service)
+        ]
+        return supply.Demand(
+            sum(load.total_running(now_s) for load in loads_there),
+            sum(load.total_waiting_tokens(now_s) for load in loads_there),
+        )
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -15,6 +15,7 @@
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import outbound
+from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import record
 from fireflypulley.gateway import relay
@@ -32,7 +33,7 @@
     reactor: interfaces.IReactorTime
     desk: desk.Desk
     dialect: dialect.Dialect
-    connections: outbound.Connections
+    connections: pools.Connections
     count_usage: collections.abc.Callable[[str], None]
     metrics: metrics.GatewayMetrics
     prober: prober.Prober
@@ -118,7 +119,7 @@
         )
         self._attempt_over(calls.Outcome.CUT, "internal error")
 
-    def _pool(self, run: runs.Run) -> outbound.EndpointPool:
+    def _pool(self, run: runs.Run) -> pools.EndpointPool:
         return self._tools.connections.pool(run.member, run.load)
 
     async def _connect(self, run: runs.Run) -> None:
@@ -196,7 +197,7 @@
             self._let_go()
             self._attempt_over(outcome, f"status {status}")
             return
-        problem = self._problem(status, found)
+        problem = self._relay.problem(status, found, self._record.request_id)
         if problem:
             self._drop_connection()
             self._attempt_over(calls.Outcome.GARBAGE, problem)
@@ -207,17 +208,6 @@
             return
         self._relay.take_head(status, headers)
 
-    def _problem(self, status: int, found: dialect.AnswerFacts) -> str:
-        if found.request_id != self._record.request_id:
-            return f"answer to another request {found.request_id!r}"
-        if status < 300 and not found.sealed:
-            return "answer without a seal"
-        if found.encoded:
-            return "encoded body"
-        if self._relay.head_sent and status != self._relay.status:
-            return f"status {status} when resuming"
-        return ""
-
     def _count_run(self) -> None:
         request = self._record.request
         if request is None or request.workspace is None or self._counted:
--- a/packages/gateway/src/fireflypulley/gateway/gossip.py
+++ b/packages/gateway/src/fireflypulley/gateway/gossip.py
@@ -224,7 +224,7 @@
             self._sequence,
             {
                 endpoint_id: (one.running, one.waiting_tokens, one.doubted)
-                for endpoint_id, one in self._desk.own_loads(now_s).items()
+                for endpoint_id, one in self._desk.loads.own(now_s).items()
             },
             self._desk.limits.limiter.own_totals,
             self._usage.own,
@@ -307,7 +307,7 @@
             return
         node_id, incarnation = state.node_id, state.incarnation
         self._book.heard(node_id, now_s)
-        self._desk.take_peer_loads(node_id, self._loads_of(node_id), now_s)
+        self._desk.loads.take_peer(node_id, self._loads_of(node_id), now_s)
         self._desk.take_old_running(node_id, state.old_running, now_s)
         self._desk.limits.limiter.take_peer(
             node_id, incarnation, state.spent, now_s
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -97,7 +97,7 @@
         self._nodes.set({}, node_desk.nodes_alive)
         self._duty.set({}, int(holds_duty))
         for member in node_desk.fleet:
-            running = node_desk.load_of(member).running
+            running = node_desk.loads.of(member).running
             self._running.set({"endpoint": member.endpoint_id}, running)
 
     def render(self) -> bytes:
--- a/packages/gateway/src/fireflypulley/gateway/orders.py
+++ b/packages/gateway/src/fireflypulley/gateway/orders.py
@@ -54,7 +54,7 @@
 
     def _follow(self, service: document.Service, now_s: float) -> None:
         plan = self._plan(service.name)
-        plan.note_demand(self._desk.demand(service.name, now_s), now_s)
+        plan.note_demand(self._desk.loads.demand(service.name, now_s), now_s)
         plan.note_ready(sum(self._ready(service.name).values()), now_s)
 
     def _ready(self, service: str) -> collections.Counter[supply.Place]:
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -1,11 +1,9 @@
 """Connections to endpoints: one request at a time, read strictly."""
 
 import abc
-import collections
 import collections.abc
 
 import h11
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -13,16 +11,12 @@
 from zope import interface
 
 from fireflypulley.core.gateway import calls
-from fireflypulley.core.gateway import fleet
-from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import dialect
 from fireflypulley.transport import sockets
 
-CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 65536
-MAX_IDLE_PER_ENDPOINT = 24
 MAX_DISCARDED_BYTES = 65536
 DISCARD_S = 1.0
 """For so long the rest of a useless answer is read to keep a connection."""
@@ -48,6 +42,32 @@
         """The answer will not become whole."""
 
 
+class ConnectionOwner(abc.ABC):
+    """Keeps the connections to one endpoint."""
+
+    @abc.abstractmethod
+    def call_later(
+        self, delay_s: float, call: collections.abc.Callable[[], None]
+    ) -> interfaces.IDelayedCall:
+        """Call something later."""
+
+    @abc.abstractmethod
+    def heard(self) -> None:
+        """The endpoint has sent something."""
+
+    @abc.abstractmethod
+    def count_unasked(self) -> None:
+        """Bytes have come that answer no request."""
+
+    @abc.abstractmethod
+    def give_back(self, connection: "EndpointConnection") -> None:
+        """A connection may take the next request."""
+
+    @abc.abstractmethod
+    def lost(self, connection: "EndpointConnection") -> None:
+        """A connection is closed."""
+
+
 class _Discard(AnswerListener):
     """Takes the rest of an answer that is of no use."""
 
@@ -95,8 +115,8 @@
 class EndpointConnection(protocol.Protocol):
     """A connection that carries one request after the other."""
 
-    def __init__(self, pool: "EndpointPool") -> None:
-        self._pool = pool
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self._owner = owner
         self._wire = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -152,8 +172,8 @@
     def call_later(
         self, delay_s: float, call: collections.abc.Callable[[], None]
     ) -> interfaces.IDelayedCall:
-        """Call something later, on this connection's clock."""
-        return self._pool.reactor.callLater(delay_s, call)
+        """Call something later."""
+        return self._owner.call_later(delay_s, call)
 
     def discard_answer(self) -> None:
         """Read the rest of the answer for nobody, then keep or close."""
@@ -174,10 +194,10 @@
             return
         if self._listener is None:
             # Bytes that no request asked for belong to nobody.
-            self._pool.count_unasked()
+            self._owner.count_unasked()
             self.abort()
             return
-        self._pool.heard(self)
+        self._owner.heard()
         self._wire.receive_data(data)
         self._read()
 
@@ -220,7 +240,7 @@
         self.answered += 1
         extra = bool(self._wire.trailing_data[0])
         if extra:
-            self._pool.count_unasked()
+            self._owner.count_unasked()
         reusable = (
             self._is_open
             and not extra
@@ -234,7 +254,7 @@
             self.abort()
         listener.answer_end()
         if reusable:
-            self._pool.give_back(self)
+            self._owner.give_back(self)
 
     def _fail(self, outcome: calls.Outcome, detail: str) -> None:
         listener, self._listener = self._listener, None
@@ -253,7 +273,7 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         self._is_open = False
-        self._pool.lost(self)
+        self._owner.lost(self)
         if self._listener is None:
             return
         if reason.check(error.ConnectionDone):
@@ -278,134 +298,3 @@
             self._fail(calls.Outcome.CUT, str(problem))
         if self._listener is not None:
             self._fail(calls.Outcome.CUT, "closed within an answer")
-
-
-class _ConnectionFactory(protocol.Factory):
-    noisy = False
-
-    def __init__(self, pool: "EndpointPool") -> None:
-        self._pool = pool
-
-    def buildProtocol(self, addr: interfaces.IAddress) -> EndpointConnection:
-        return EndpointConnection(self._pool)
-
-
-class EndpointPool:
-    """The connections to one start of one endpoint."""
-
-    def __init__(
-        self,
-        reactor: interfaces.IReactorTime,
-        address: str,
-        heard: collections.abc.Callable[[], None],
-    ) -> None:
-        self.reactor = reactor
-        host, port = address.rsplit(":", 1)
-        self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
-        )
-        self._on_heard = heard
-        self._idle: collections.deque[EndpointConnection]
-        self._idle = collections.deque()
-        self._open: set[EndpointConnection] = set()
-        self.opened = 0
-        self.unasked = 0
-
-    @property
-    def open_count(self) -> int:
-        """Return the connections that are open."""
-        return len(self._open)
-
-    async def connection(self, fresh: bool) -> EndpointConnection:
-        """Return a connection; a kept one unless ``fresh``.
-
-        Raises what the connecting raises; nothing was sent then.
-        """
-        if not fresh:
-            kept = self._kept()
-            if kept is not None:
-                return kept
-        self.opened += 1
-        connection = await self._endpoint.connect(_ConnectionFactory(self))
-        self._open.add(connection)
-        return connection
-
-    def _kept(self) -> EndpointConnection | None:
-        now_s = self.reactor.seconds()
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_usable:
-                continue
-            if connection.is_stale(now_s):
-                connection.abort()
-                continue
-            return connection
-        return None
-
-    def heard(self, connection: EndpointConnection) -> None:
-        """Record that the endpoint has sent something."""
-        self._on_heard()
-
-    def count_unasked(self) -> None:
-        """Count bytes that answer no request."""
-        self.unasked += 1
-
-    def give_back(self, connection: EndpointConnection) -> None:
-        """Keep a connection for the next request."""
-        connection.idle_since_s = self.reactor.seconds()
-        if len(self._idle) >= MAX_IDLE_PER_ENDPOINT:
-            self._idle.popleft().abort()
-        self._idle.append(connection)
-
-    def lost(self, connection: EndpointConnection) -> None:
-        """Forget a closed connection."""
-        self._open.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
-
-    def drop_stale(self) -> None:
-        """Close the connections that have been idle for long."""
-        now_s = self.reactor.seconds()
-        for connection in list(self._idle):
-            if connection.is_stale(now_s):
-                connection.abort()
-
-    def close_idle(self) -> None:
-        """Close the connections without a request."""
-        for connection in list(self._idle):
-            connection.abort()
-
-
-class Connections:
-    """The pools by start of endpoint."""
-
-    def __init__(self, reactor: interfaces.IReactorTime) -> None:
-        self._reactor = reactor
-        self._pools: dict[tuple[str, int, str], EndpointPool] = {}
-
-    def pool(self, member: fleet.Member, load: loads.Load) -> EndpointPool:
-        """Return the pool of an endpoint's start at its address."""
-        spec = member.registration
-        place = (*spec.key, spec.address)
-        if place not in self._pools:
-            self._pools[place] = EndpointPool(
-                self._reactor,
-                spec.address,
-                lambda: load.heard(self._reactor.seconds()),
-            )
-        return self._pools[place]
-
-    def tick(self, present: set[tuple[str, int]]) -> None:
-        """Close idle connections, all of them where none is present."""
-        for place, pool in list(self._pools.items()):
-            pool.drop_stale()
-            if place[:2] in present:
-                continue
-            pool.close_idle()
-            if not pool.open_count:
-                del self._pools[place]
-
-    @property
-    def opened(self) -> int:
-        """Return the connections opened to endpoints in use."""
-        return sum(pool.opened for pool in self._pools.values())
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -0,0 +1,154 @@
+"""The connections that are kept to endpoints."""
+
+import collections
+import collections.abc
+
+from twisted.internet import endpoints
+from twisted.internet import interfaces
+from twisted.internet import protocol
+
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import loads
+from fireflypulley.gateway import outbound
+
+CONNECT_TIMEOUT_S = 0.35
+MAX_IDLE_PER_ENDPOINT = 24
+
+
+class _ConnectionFactory(protocol.Factory):
+    noisy = False
+
+    def __init__(self, pool: "EndpointPool") -> None:
+        self._pool = pool
+
+    def buildProtocol(
+        self, addr: interfaces.IAddress
+    ) -> outbound.EndpointConnection:
+        return outbound.EndpointConnection(self._pool)
+
+
+class EndpointPool(outbound.ConnectionOwner):
+    """The connections to one start of one endpoint."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        address: str,
+        heard: collections.abc.Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        host, port = address.rsplit(":", 1)
+        self._endpoint = endpoints.TCP4ClientEndpoint(
+            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        self._on_heard = heard
+        self._idle: collections.deque[outbound.EndpointConnection]
+        self._idle = collections.deque()
+        self._open: set[outbound.EndpointConnection] = set()
+        self.opened = 0
+        self.unasked = 0
+
+    @property
+    def open_count(self) -> int:
+        """Return the connections that are open."""
+        return len(self._open)
+
+    async def connection(self, fresh: bool) -> outbound.EndpointConnection:
+        """Return a connection; a kept one unless ``fresh``.
+
+        Raises what the connecting raises; nothing was sent then.
+        """
+        if not fresh:
+            kept = self._kept()
+            if kept is not None:
+                return kept
+        self.opened += 1
+        connection = await self._endpoint.connect(_ConnectionFactory(self))
+        self._open.add(connection)
+        return connection
+
+    def _kept(self) -> outbound.EndpointConnection | None:
+        now_s = self._reactor.seconds()
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_usable:
+                continue
+            if connection.is_stale(now_s):
+                connection.abort()
+                continue
+            return connection
+        return None
+
+    def call_later(
+        self, delay_s: float, call: collections.abc.Callable[[], None]
+    ) -> interfaces.IDelayedCall:
+        """Call something later."""
+        return self._reactor.callLater(delay_s, call)
+
+    def heard(self) -> None:
+        """Record that the endpoint has sent something."""
+        self._on_heard()
+
+    def count_unasked(self) -> None:
+        """Count bytes that answer no request."""
+        self.unasked += 1
+
+    def give_back(self, connection: outbound.EndpointConnection) -> None:
+        """Keep a connection for the next request."""
+        connection.idle_since_s = self._reactor.seconds()
+        if len(self._idle) >= MAX_IDLE_PER_ENDPOINT:
+            self._idle.popleft().abort()
+        self._idle.append(connection)
+
+    def lost(self, connection: outbound.EndpointConnection) -> None:
+        """Forget a closed connection."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def drop_stale(self) -> None:
+        """Close the connections that have been idle for long."""
+        now_s = self._reactor.seconds()
+        for connection in list(self._idle):
+            if connection.is_stale(now_s):
+                connection.abort()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+        for connection in list(self._idle):
+            connection.abort()
+
+
+class Connections:
+    """The pools by start of endpoint."""
+
+    def __init__(self, reactor: interfaces.IReactorTime) -> None:
+        self._reactor = reactor
+        self._pools: dict[tuple[str, int, str], EndpointPool] = {}
+
+    def pool(self, member: fleet.Member, load: loads.Load) -> EndpointPool:
+        """Return the pool of an endpoint's start at its address."""
+        spec = member.registration
+        place = (*spec.key, spec.address)
+        if place not in self._pools:
+            self._pools[place] = EndpointPool(
+                self._reactor,
+                spec.address,
+                lambda: load.heard(self._reactor.seconds()),
+            )
+        return self._pools[place]
+
+    def tick(self, present: set[tuple[str, int]]) -> None:
+        """Close idle connections, all of them where none is present."""
+        for place, pool in list(self._pools.items()):
+            pool.drop_stale()
+            if place[:2] in present:
+                continue
+            pool.close_idle()
+            if not pool.open_count:
+                del self._pools[place]
+
+    @property
+    def opened(self) -> int:
+        """Return the connections opened to endpoints in use."""
+        return sum(pool.opened for pool in self._pools.values())
--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -11,7 +11,7 @@
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
-from fireflypulley.gateway import outbound
+from fireflypulley.gateway import pools
 
 CRASH_CHECK_S = 0.4
 
@@ -27,7 +27,7 @@
         self,
         reactor: interfaces.IReactorTime,
         node_desk: desk.Desk,
-        connections: outbound.Connections,
+        connections: pools.Connections,
         tell: collections.abc.Callable[[facts.Fact], None],
     ) -> None:
         self._reactor = reactor
@@ -43,7 +43,7 @@
             key = member.registration.key
             if member.leaving or key in self._probing:
                 continue
-            if not self._desk.load_of(member).wants_probe(now_s):
+            if not self._desk.loads.of(member).wants_probe(now_s):
                 continue
             self._probing.add(key)
             background.start(
@@ -53,7 +53,7 @@
             )
 
     async def _reaches(self, member: fleet.Member) -> bool:
-        load = self._desk.load_of(member)
+        load = self._desk.loads.of(member)
         pool = self._connections.pool(member, load)
         try:
             pool.give_back(await pool.connection(fresh=True))
@@ -63,7 +63,7 @@
 
     async def _probe(self, member: fleet.Member) -> None:
         reached = await self._reaches(member)
-        load = self._desk.load_of(member)
+        load = self._desk.loads.of(member)
         load.probed(reached, self._reactor.seconds())
         decision_log.note(
             "probe", endpoint=member.endpoint_id, reached=reached
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -48,6 +48,20 @@
         if not self.head_sent:
             self.status = 0
 
+    def problem(
+        self, status: int, found: dialect.AnswerFacts, request_id: str
+    ) -> str:
+        """Return why a head is not this request's answer; "" if it is."""
+        if found.request_id != request_id:
+            return f"answer to another request {found.request_id!r}"
+        if status < 300 and not found.sealed:
+            return "answer without a seal"
+        if found.encoded:
+            return "encoded body"
+        if self.head_sent and status != self.status:
+            return f"status {status} when resuming"
+        return ""
+
     def take_head(self, status: int, headers: dialect.Headers) -> None:
         """Take in a head; the first endpoint's stays in force."""
         self.status = status
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -27,7 +27,7 @@
 from fireflypulley.gateway import membership
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import orders
-from fireflypulley.gateway import outbound
+from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import settings
 from fireflypulley.gateway import status
@@ -86,7 +86,7 @@
             config.node.node_id,
         )
         self._metrics = metrics.GatewayMetrics()
-        self._connections = outbound.Connections(reactor)
+        self._connections = pools.Connections(reactor)
         self._prober = prober.Prober(
             reactor, self._desk, self._connections, self._tell
         )
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -82,7 +82,7 @@
     found = []
     for member in sorted(node_desk.fleet, key=lambda one: one.endpoint_id):
         spec = member.registration
-        load = node_desk.load_of(member)
+        load = node_desk.loads.of(member)
         found.append(
             {
                 "endpoint": spec.endpoint_id,
@@ -101,7 +101,7 @@
 def _no_work(node_desk: desk.Desk, member: fleet.Member, now_s: float) -> str:
     """Return why an endpoint gets no or little work; "" if it does."""
     spec = member.registration
-    load = node_desk.load_of(member)
+    load = node_desk.loads.of(member)
     if member.removed_s is not None:
         return "removed"
     if member.leaving:
--- a/tests/core/gateway/test_desk.py
+++ b/tests/core/gateway/test_desk.py
@@ -6,6 +6,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import desk
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import runs
 
 from . import builders
@@ -236,8 +237,8 @@
 
 def test_loads_of_peers_count():
     found = builders.a_desk(None, builders.entry("e1"), builders.entry("e2"))
-    told = {"e1": desk.loads.Shared(5, 0)}
-    found.take_peer_loads("n2", told, 0.0)
+    told = {"e1": loads.Shared(5, 0)}
+    found.loads.take_peer("n2", told, 0.0)
     run = found.choose(builders.admitted(found), frozenset(), 0.0)
     assert run.member.endpoint_id == "e2"
-    assert found.demand("s", 0.0).running == 6
+    assert found.loads.demand("s", 0.0).running == 6
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -92,7 +92,7 @@
     first = world.begin()
     first.listener.answer_head(200, list(exchanges.SEALED))
     first.listener.answer_data(_event(1))
-    world.desk.load_of(world.desk.fleet.get(first.endpoint_id)).heard(0.0)
+    world.desk.loads.of(world.desk.fleet.get(first.endpoint_id)).heard(0.0)
     world.clock.advance(silence.STREAM_AFTER_S + 0.01)
     assert first.aborted
     second = world.sent[-1]
@@ -107,7 +107,7 @@
 def test_a_resumable_stream_stays_while_its_endpoint_answers_others():
     world = exchanges.World(exchanges.STREAM, resumable=True)
     first = world.begin()
-    load = world.desk.load_of(world.desk.fleet.get(first.endpoint_id))
+    load = world.desk.loads.of(world.desk.fleet.get(first.endpoint_id))
     for _ in range(20):
         world.clock.advance(0.2)
         load.heard(world.clock.seconds())
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -95,7 +95,7 @@
 def test_load_of_all_nodes_is_known_while_it_lasts(network):
     node = _one(network)
     held = {"e": loads.Shared(3, 70)}
-    node.desk.own_loads = lambda now_s: held
+    node.desk.loads.own = lambda now_s: held
     network.run(5.0)
     for other in network.nodes.values():
         if other is not node:
@@ -250,7 +250,7 @@
     network.start()
     for node in network.nodes.values():
         held = {"i-0123456789": loads.Shared(1, 900)}
-        node.desk.own_loads = lambda now_s, held=held: held
+        node.desk.loads.own = lambda now_s, held=held: held
     network.run(3.0)
     relay = network.nodes[_relays(network)[0]]
     before = relay.hub.bytes_sent, relay.hub.messages_sent
--- a/tests/gateway/test_outbound.py
+++ b/tests/gateway/test_outbound.py
@@ -7,6 +7,7 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import outbound
+from fireflypulley.gateway import pools
 
 from . import test_inbound
 
@@ -42,9 +43,7 @@
     def __init__(self):
         self.clock = task.Clock()
         self.heard = 0
-        self.pool = outbound.EndpointPool(
-            self.clock, "10.0.0.1:80", self._hear
-        )
+        self.pool = pools.EndpointPool(self.clock, "10.0.0.1:80", self._hear)
         self.connection = outbound.EndpointConnection(self.pool)
         self.transport = test_inbound.Transport()
         self.connection.makeConnection(self.transport)
