Keep state next to the endpoint in the lines of endpoints

Ruled out: load (one test alone failed the same way). Change: the order of the fields; the check stays. tests/processes/test_gateway.py, test_trace.py and test_load.py: 33 passed.

--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -215,9 +215,9 @@
         decision_log.note(
             "endpoint",
             endpoint=row.key,
+            state=state,
             service=service,
             version=spec.version if spec else "",
-            state=state,
             row_version=row.version,
             store_doubted=self.store_doubted,
             in_outage=self.in_outage,
