Log the limits that endpoints name in their answers

Now the field is decoded, what was last said is kept by start of an endpoint, and a change is logged with its rate, revision and source. Values that are no positive number are logged as invalid. Nothing is decided by it yet; what a node sends is unchanged.

--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -39,7 +39,8 @@
     """One attempt in progress at an endpoint.
 
     ``removed_before_s`` is how long before sending the endpoint's entry
-    had been removed, None if it was present.
+    had been removed, None if it was present.  ``sent_s`` is when the
+    request was sent, None before.
     """
 
     request: calls.AdmittedRequest
@@ -48,6 +49,7 @@
     tokens: int
     began_s: float
     choice: Choice
+    sent_s: float | None = None
     removed_before_s: float | None = None
     first_event_s: float | None = None
     first_event_id: int | None = None
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -8,6 +8,7 @@
 from fireflypulley.core.gateway import crash_tracker
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import endpoint_filter
+from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import latency_tracker
 from fireflypulley.core.gateway import limits
@@ -56,6 +57,7 @@
             self.fleet, self.rollouts
         )
         self.crash_tracker = crash_tracker.CrashTracker(self.shared)
+        self.endpoint_limits = endpoint_limits.EndpointLimits()
         self.nodes_alive = 1
         self.nodes_known = 1
         self.refused: collections.Counter[calls.RefusalReason]
@@ -92,8 +94,11 @@
         self.limits.apply(self.document.workspaces, share, now_s)
 
     def forget_absent(self) -> None:
-        """Drop loads of endpoints that are gone and expired crash data."""
+        """Drop what is known of endpoints that are gone, and old crashes."""
         self.loads.forget_absent()
+        self.endpoint_limits.forget_absent(
+            {member.registration.key for member in self.fleet}
+        )
         self.crash_tracker.forget_old()
 
     def old_running(self) -> dict[str, int]:
@@ -309,6 +314,7 @@
 
     def note_sent(self, run: runs.Run, now_s: float) -> None:
         """Record that a request is being sent to its endpoint."""
+        run.sent_s = now_s
         current = self.fleet.get(run.member.endpoint_id)
         if current is not None and current.removed_s is not None:
             run.removed_before_s = now_s - current.removed_s
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -13,6 +13,7 @@
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import pools
@@ -37,6 +38,7 @@
     count_usage: collections.abc.Callable[[str], None]
     metrics: metrics.GatewayMetrics
     prober: prober.Prober
+    limit_reader: limit_reader.LimitReader
     done: collections.abc.Callable[["Exchange"], None]
 
 
@@ -203,6 +205,10 @@
         # A refusal of an earlier request can arrive late on the same
         # connection; its request id shows that it is not for this one.
         is_ours = response.request_id in ("", self._record.request_id)
+        if is_ours and not response.misdirected and self._run is not None:
+            self._dependencies.limit_reader.read(
+                self._run, response, self._now_s()
+            )
         if is_ours and (response.misdirected or response.not_run):
             outcome = calls.Outcome.NOT_RUN
             if response.misdirected:
--- a/packages/gateway/src/fireflypulley/gateway/header_codec.py
+++ b/packages/gateway/src/fireflypulley/gateway/header_codec.py
@@ -47,7 +47,9 @@
 
     ``not_run`` is set if the endpoint states that it did not execute the
     request, and ``misdirected`` if the request reached an endpoint other
-    than the expected one.
+    than the expected one.  ``limit_per_s`` is the rate that the endpoint
+    takes from all nodes together, None if it names no valid one;
+    ``invalid_limit`` is a value that is no positive number.
     """
 
     request_id: str
@@ -55,6 +57,8 @@
     not_run: bool = False
     misdirected: bool = False
     encoded: bool = False
+    limit_per_s: float | None = None
+    invalid_limit: str = ""
 
 
 class HeaderCodec(abc.ABC):
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/limit_reader.py
@@ -0,0 +1,64 @@
+"""Reads the limits that endpoints name in their answers, and logs them."""
+
+from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import runs
+from fireflypulley.gateway import decision_log
+from fireflypulley.gateway import header_codec
+
+
+class LimitReader:
+    """Records what the answers to this node's requests say."""
+
+    def __init__(self, limits: endpoint_limits.EndpointLimits) -> None:
+        self._limits = limits
+
+    def read(
+        self,
+        run: runs.Run,
+        response: header_codec.ResponseMetadata,
+        now_s: float,
+    ) -> endpoint_limits.EndpointLimit | None:
+        """Record the answer to a run; return the limit if it changed.
+
+        Only an answer of the endpoint itself to this request ends a
+        limit: a refusal does not have to name the limit again.
+        """
+        key = run.member.registration.key
+        if response.invalid_limit:
+            self._note_invalid(key, response.invalid_limit)
+        changed = None
+        if response.limit_per_s is not None:
+            changed = self._limits.note_named(key, response.limit_per_s, now_s)
+        elif run.sent_s is not None and _is_full_answer(response):
+            changed = self._limits.note_unnamed(key, run.sent_s)
+        if changed is not None:
+            log(changed, "answer", run.request.metadata.request_id)
+        return changed
+
+    def _note_invalid(self, key: endpoint_limits.Key, text: str) -> None:
+        if self._limits.note_invalid(key, text):
+            decision_log.note(
+                "endpoint_limit",
+                endpoint=key[0],
+                state="invalid",
+                value=text,
+            )
+
+
+def _is_full_answer(response: header_codec.ResponseMetadata) -> bool:
+    return response.sealed and not response.not_run
+
+
+def log(
+    limit: endpoint_limits.EndpointLimit, source: str, request_id: str = ""
+) -> None:
+    """Log a limit that was named, changed or ended, and who said so."""
+    decision_log.note(
+        "endpoint_limit",
+        id=request_id,
+        endpoint=limit.endpoint_id,
+        state="ended" if limit.rate_per_s is None else "named",
+        rate_per_s=limit.rate_per_s,
+        revision=limit.revision,
+        source=source,
+    )
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -22,6 +22,7 @@
 from fireflypulley.gateway import follower
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import membership
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import peer_sync
@@ -127,6 +128,7 @@
             self._usage.count_now,
             self._metrics,
             self._prober,
+            limit_reader.LimitReader(self._scheduler.endpoint_limits),
             self._request_done,
         )
         self._open_requests: set[exchange.Exchange] = set()
--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -2,7 +2,10 @@
 
 It writes raw bytes so that responses can be truncated, duplicated, sent
 with another attempt's id or left without a length.  ``POST /faults`` sets
-``mode`` and ``times``; ``GET /runs`` lists the requests that were run.
+``mode`` and ``times``; ``POST /limit`` sets the ``value`` that answers
+name as their limit, null for none; ``GET /runs`` lists the requests that
+were run, and ``GET /arrivals`` the times at which requests arrived, on the
+monotonic clock that all processes of a machine share.
 """
 
 import dataclasses
@@ -61,6 +64,8 @@
         self.identity = identity
         self.faults = Faults()
         self.runs: list[web.Json] = []
+        self.arrivals_s: list[float] = []
+        self.limit: str | None = None
         self.state = "ready"
         self._started_ms = int(time.time() * 1000)
         self._sequence = 0
@@ -150,6 +155,12 @@
         elif target == "/state":
             self._replica.state = json.loads(self._body)["state"]
             self._write(200, {}, b"{}")
+        elif target == "/limit":
+            self._replica.limit = json.loads(self._body)["value"]
+            self._write(200, {}, b"{}")
+        elif target == "/arrivals":
+            arrivals = json.dumps(self._replica.arrivals_s).encode()
+            self._write(200, {}, arrivals)
         elif target == "/runs":
             self._write(200, {}, json.dumps(self._replica.runs).encode())
         else:
@@ -161,9 +172,10 @@
         if expected != identity.replica_id:
             self._write(421, {"Instance-Id": identity.replica_id}, b"")
             return
+        self._replica.arrivals_s.append(time.monotonic())
         fault = self._replica.faults.next_mode()
         if fault == "shed":
-            self._write(503, {"Not-Executed": "1"}, b"")
+            self._write(503, {"Not-Executed": "1"} | self._limit_fields(), b"")
             return
         self._record_run(target, fields)
         if fault == "reset":
@@ -172,7 +184,7 @@
             identity_fields = {
                 "Attempt-Id": fields.get("attempt-id", ""),
                 "Response-Seal": f"seal-{identity.replica_id}",
-            }
+            } | self._limit_fields()
             respond = self._respond
             if target.startswith(STREAM_PREFIXES):
                 respond = self._start_stream
@@ -180,6 +192,10 @@
                 PROCESSING_TIME_S, respond, fault, identity_fields, fields
             )
 
+    def _limit_fields(self) -> _Fields:
+        limit = self._replica.limit
+        return {} if limit is None else {"Server-Limit": limit}
+
     def _record_run(self, target: str, fields: _Fields) -> None:
         assert self._request is not None
         self._replica.runs.append(
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -7,6 +7,7 @@
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import prober
 
@@ -122,6 +123,7 @@
             prober.Prober(
                 self.clock, self.scheduler, self, self.published.append
             ),
+            limit_reader.LimitReader(self.scheduler.endpoint_limits),
             self.done.append,
         )
         request = inbound.IncomingRequest(
--- a/tests/gateway/header_codecs.py
+++ b/tests/gateway/header_codecs.py
@@ -32,12 +32,16 @@
 
     def decode_response(self, status, headers):
         fields = dict(headers)
+        limit = fields.get(b"x-limit")
+        is_invalid = limit == b"nan"
         return header_codec.ResponseMetadata(
             fields.get(b"x-request-id", b"").decode(),
             b"x-seal" in fields,
             b"x-not-run" in fields,
             status == 421,
             b"content-encoding" in fields,
+            None if limit is None or is_invalid else float(limit),
+            "nan" if is_invalid else "",
         )
 
     def caller_headers(self, headers, status_unchanged):
--- a/tests/platform_adapter/test_fields.py
+++ b/tests/platform_adapter/test_fields.py
@@ -142,3 +142,42 @@
         (b"retry-after", b"0.25"),
     ]
     assert encode("", None) == []
+
+
+@pytest.mark.parametrize(
+    ("text", "rate_per_s"),
+    [(b"1", 1.0), (b"0.25", 0.25), (b"12.", 12.0), (b"5e-05", 0.00005)],
+)
+def test_a_limit_is_read(text, rate_per_s):
+    response = fields.PlatformHeaderCodec().decode_response(
+        200, [(b"server-limit", text)]
+    )
+    assert response.limit_per_s == rate_per_s
+    assert response.invalid_limit == ""
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        [b"nan"],
+        [b"-1"],
+        [b""],
+        [b"0"],
+        [b"inf"],
+        [b"1e999"],
+        [b"1e-400"],
+        [b"9" * 5000],
+        [b"1_0"],
+        [b"two"],
+        [b"\xb2"],
+        [b"1, 2"],
+        [b"1", b"2"],
+    ],
+)
+def test_a_limit_that_is_no_positive_number_limits_nothing(values):
+    response = fields.PlatformHeaderCodec().decode_response(
+        200, [(b"server-limit", value) for value in values]
+    )
+    assert response.limit_per_s is None
+    assert response.invalid_limit
+    assert len(response.invalid_limit) < 100
