Send limited endpoints what their limit allows over all nodes

Cause: no module read the limit, so nothing bounded what all nodes send one endpoint together. Ruled out by the new log lines: limits kept by each node alone, and nodes that learn late.

Change: nodes tell each other which endpoint names which limit; a request to a limited endpoint needs a permit of the node that holds the duty, so there is one issuer at a time whatever nodes believe of each other. Without a holder each node uses an equal part, paced and without a burst. A refused permit closes the endpoint for this node until the time that was told, so others of its service take the work; where all are limited the caller is refused at once with the time of its turn. Nothing counts against the endpoint's health. Messages of this kind go only to nodes that can read them.

ColdRateLimiter is NodeShareLimiter now, as both use it.

--- a/packages/core/src/fireflypulley/core/gateway/calls.py
+++ b/packages/core/src/fireflypulley/core/gateway/calls.py
@@ -78,7 +78,8 @@
 
     NOT_RUN: the endpoint reported that it did not run the request.
     MISDIRECTED: another endpoint has the address; nothing was run.
-    UNREACHED: no byte was sent.  FAILED: the endpoint reported a failure.
+    UNREACHED: no byte was sent.  WITHHELD: nothing was sent, since the
+    endpoint's limit had no room.  FAILED: the endpoint reported a failure.
     CUT: the connection broke.  GARBAGE: the bytes are no valid answer.
     SILENT: nothing arrived in time.  SLOW: the attempt was given up
     while another endpoint could still answer in time.
@@ -88,6 +89,7 @@
     NOT_RUN = "not_run"
     MISDIRECTED = "misdirected"
     UNREACHED = "unreached"
+    WITHHELD = "withheld"
     FAILED = "failed"
     CUT = "cut"
     GARBAGE = "garbage"
@@ -101,7 +103,12 @@
 
 
 _CERTAINLY_NOT_RUN = frozenset(
-    {Outcome.NOT_RUN, Outcome.MISDIRECTED, Outcome.UNREACHED}
+    {
+        Outcome.NOT_RUN,
+        Outcome.MISDIRECTED,
+        Outcome.UNREACHED,
+        Outcome.WITHHELD,
+    }
 )
 
 
@@ -118,6 +125,7 @@
     OVER_LIMIT = "over_limit"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
+    ENDPOINTS_LIMITED = "endpoints_limited"
     NO_TIME_LEFT = "no_time_left"
     QUARANTINED = "quarantined"
     RETRY_BUDGET_EMPTY = "retry_budget_empty"
@@ -136,6 +144,7 @@
     RefusalReason.OVER_LIMIT: 429,
     RefusalReason.NO_ENDPOINT: 503,
     RefusalReason.ENDPOINTS_FULL: 503,
+    RefusalReason.ENDPOINTS_LIMITED: 503,
     RefusalReason.NO_TIME_LEFT: 503,
     RefusalReason.QUARANTINED: 502,
     RefusalReason.RETRY_BUDGET_EMPTY: 503,
--- a/packages/core/src/fireflypulley/core/gateway/endpoint_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_limits.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 Key = tuple[str, int]
 """One start of an endpoint: its id and start time."""
@@ -30,6 +31,12 @@
         """Return the key of the endpoint's start."""
         return self.endpoint_id, self.started_ms
 
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the rate, if any, is a positive number."""
+        rate_per_s = self.rate_per_s
+        return rate_per_s is None or 0.0 < rate_per_s < math.inf
+
     @property
     def rank(self) -> tuple[int, bool, float]:
         """Return the precedence among reports on the same start."""
@@ -90,6 +97,17 @@
             return None
         return self._replace(key, known, None)
 
+    def merge(self, limit: EndpointLimit, now_s: float) -> bool:
+        """Apply a report of another node; return whether it is news."""
+        known = self._limits.get(limit.key)
+        if known is not None and known.rank >= limit.rank:
+            return False
+        if not limit.is_valid:
+            return False
+        self._limits[limit.key] = limit
+        self._named_s[limit.key] = now_s
+        return True
+
     def _replace(
         self,
         key: Key,
--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -12,6 +12,9 @@
 from fireflypulley.core import ownership
 
 TURN_TTL_S = 1.0
+MIN_RATE_PER_S = 0.1
+"""An endpoint is sent a request at least this often by all nodes, since
+only its answers show that its limit has ended."""
 INITIAL_FRACTION = 0.25
 """Initial level as a fraction of the burst; a starting node does not know
 what was spent before."""
@@ -30,12 +33,15 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Bucket:
+class Bucket:
+    """A token bucket; ``level`` is as of ``filled_s``."""
+
     limit: Limit
     level: float
     filled_s: float
 
     def fill(self, now_s: float) -> None:
+        """Add what the rate has given since the last call."""
         passed_s = max(0.0, now_s - self.filled_s)
         self.filled_s = now_s
         self.level += passed_s * self.limit.rate_per_s
@@ -50,7 +56,7 @@
     """
 
     def __init__(self) -> None:
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, Bucket] = {}
         self._own: dict[str, float] = {}
         self._unreported = 0.0
         self._peer_totals: dict[tuple[str, int], dict[str, float]] = {}
@@ -64,7 +70,7 @@
             bucket = self._buckets.get(name)
             if bucket is None:
                 level = limit.burst * INITIAL_FRACTION
-                self._buckets[name] = _Bucket(limit, level, now_s)
+                self._buckets[name] = Bucket(limit, level, now_s)
                 continue
             bucket.fill(now_s)
             bucket.limit = limit
@@ -185,8 +191,8 @@
         return True
 
 
-class ColdRateLimiter:
-    """Limits requests to cold endpoints to the node's part of the rate.
+class NodeShareLimiter:
+    """Limits requests to an endpoint to the node's part of a rate.
 
     A node whose part is less than one request per second starts with a
     delay derived from its id, and loses a turn that it does not use.
@@ -201,19 +207,25 @@
         self, endpoint_id: str, rate_per_s: float, nodes: int, now_s: float
     ) -> bool:
         """Return whether this node may send one request there now."""
+        return self.wait_s(endpoint_id, rate_per_s, nodes, now_s) <= 0.0
+
+    def wait_s(
+        self, endpoint_id: str, rate_per_s: float, nodes: int, now_s: float
+    ) -> float:
+        """Return how long this node has to wait for its turn."""
         pause_s = self._pause_s(rate_per_s, nodes)
         next_s = self._next_s.get(endpoint_id, float("-inf"))
         if pause_s > TURN_TTL_S and now_s > next_s + TURN_TTL_S:
             point = ownership.fraction(f"{self._node_id}/{endpoint_id}")
             next_s = self._next_s[endpoint_id] = now_s + point * pause_s
-        return now_s >= next_s
+        return max(0.0, next_s - now_s)
 
     def note_sent(
         self, endpoint_id: str, rate_per_s: float, nodes: int, now_s: float
     ) -> None:
-        """Count a request to a cold endpoint."""
+        """Count a request to an endpoint."""
         pause_s = self._pause_s(rate_per_s, nodes)
         self._next_s[endpoint_id] = now_s + pause_s
 
     def _pause_s(self, rate_per_s: float, nodes: int) -> float:
-        return nodes / max(rate_per_s, 0.1)
+        return nodes / max(rate_per_s, MIN_RATE_PER_S)
--- a/packages/core/src/fireflypulley/core/gateway/retry_policy.py
+++ b/packages/core/src/fireflypulley/core/gateway/retry_policy.py
@@ -31,8 +31,12 @@
         """Return None if the request may be retried, and count the retry.
 
         A request that may have run is retried only if its route allows
-        it.
+        it.  One that was withheld from a limited endpoint is no retry.
         """
+        if outcome is calls.Outcome.WITHHELD:
+            if counts.withheld < MAX_CHOICES:
+                return None
+            return self._exhausted(counts)
         route = request.route
         if not outcome.certainly_not_run and not route.repeatable:
             return runs.Refusal(calls.RefusalReason.OUTCOME_UNKNOWN)
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -5,6 +5,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import permit_gate
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +41,7 @@
 
     ``removed_before_s`` is how long before sending the endpoint's entry
     had been removed, None if it was present.  ``sent_s`` is when the
-    request was sent, None before.
+    request was sent, None before; ``permit`` is the permit it needed.
     """
 
     request: calls.AdmittedRequest
@@ -50,6 +51,7 @@
     began_s: float
     choice: Choice
     sent_s: float | None = None
+    permit: permit_gate.Permit | None = None
     removed_before_s: float | None = None
     first_event_s: float | None = None
     first_event_id: int | None = None
@@ -68,9 +70,11 @@
     """Counts of a request's attempts.
 
     ``choices`` counts the endpoints chosen, ``arrivals`` those that
-    received bytes of it, ``runs`` those that may have run it.
+    received bytes of it, ``runs`` those that may have run it and
+    ``withheld`` those that it was not sent to for want of a permit.
     """
 
     choices: int = 0
     arrivals: int = 0
     runs: int = 0
+    withheld: int = 0
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -8,9 +8,9 @@
 from fireflypulley.core.gateway import crash_tracker
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import endpoint_filter
-from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import latency_tracker
+from fireflypulley.core.gateway import limited_endpoints
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
 from fireflypulley.core.gateway import placement
@@ -26,6 +26,11 @@
 ANSWER_MARGIN_S = 0.06
 """The final answer is sent this long before the route's timeout."""
 
+_NO_VERDICT = frozenset(
+    {calls.Outcome.FAILED, calls.Outcome.SLOW, calls.Outcome.WITHHELD}
+)
+"""Outcomes that say nothing about the endpoint's health."""
+
 
 class RequestScheduler:
     """Admission, placement and retries of the requests of one node."""
@@ -49,7 +54,7 @@
             shared_bounds.retry_slack,
             shared_bounds.retry_window_s,
         )
-        self.cold_limiter = limits.ColdRateLimiter(node_id)
+        self.cold_limiter = limits.NodeShareLimiter(node_id)
         self.shared = facts.SharedState()
         self.rollouts = versions.RolloutTracker(node_id, self.shared)
         self._latencies = latency_tracker.LatencyTracker(self.rollouts)
@@ -57,7 +62,7 @@
             self.fleet, self.rollouts
         )
         self.crash_tracker = crash_tracker.CrashTracker(self.shared)
-        self.endpoint_limits = endpoint_limits.EndpointLimits()
+        self.limited = limited_endpoints.LimitedEndpoints()
         self.nodes_alive = 1
         self.nodes_known = 1
         self.refused: collections.Counter[calls.RefusalReason]
@@ -86,17 +91,21 @@
         self.nodes_known = known
         self._set_limits(now_s)
 
+    @property
+    def reached_share(self) -> float:
+        """Return the fraction of the nodes that are reachable."""
+        return self.nodes_alive / max(self.nodes_known, 1)
+
     def _set_limits(self, now_s: float) -> None:
         """Scale the limits to the fraction of nodes that are reachable."""
         if self.document is None:
             return
-        share = self.nodes_alive / max(self.nodes_known, 1)
-        self.limits.apply(self.document.workspaces, share, now_s)
+        self.limits.apply(self.document.workspaces, self.reached_share, now_s)
 
     def forget_absent(self) -> None:
         """Drop what is known of endpoints that are gone, and old crashes."""
         self.loads.forget_absent()
-        self.endpoint_limits.forget_absent(
+        self.limited.forget_absent(
             {member.registration.key for member in self.fleet}
         )
         self.crash_tracker.forget_old()
@@ -205,8 +214,14 @@
         )
 
     def _has_room(
-        self, candidate: placement.Candidate, rate_per_s: float, now_s: float
+        self,
+        candidate: placement.Candidate,
+        rate_per_s: float,
+        withheld: int,
+        now_s: float,
     ) -> bool:
+        if not self.limited.may_ask(candidate.member, withheld, now_s):
+            return False
         if self.loads.of(candidate.member).full_until_s > now_s:
             return False
         if rate_per_s and candidate.member.is_cold(now_s):
@@ -221,15 +236,20 @@
         request: calls.AdmittedRequest,
         avoid: frozenset[tuple[str, int]],
         now_s: float,
+        withheld: int = 0,
     ) -> runs.Run | runs.Refusal:
-        """Begin an attempt at an endpoint, or return why there is none."""
+        """Begin an attempt at an endpoint, or return why there is none.
+
+        ``withheld`` is how many limited endpoints had no permit for it.
+        """
         members = self.endpoint_filter.in_use(request, now_s)
         fresh = [
             member
             for member in members
             if member.registration.key not in avoid
+            and self.limited.may_ask(member, withheld, now_s)
         ]
-        chosen = self._choose_from(request, fresh or members, now_s)
+        chosen = self._choose_from(request, fresh or members, withheld, now_s)
         if chosen is not None:
             return self._begin(request, *chosen, now_s)
         leaving = [
@@ -237,7 +257,9 @@
             for member in self.endpoint_filter.last_resort(request, now_s)
             if member.registration.key not in avoid
         ]
-        chosen = self._choose_from(request, leaving, now_s, last_resort=True)
+        chosen = self._choose_from(
+            request, leaving, withheld, now_s, last_resort=True
+        )
         if chosen is not None:
             return self._begin(request, *chosen, now_s)
         if not members:
@@ -246,12 +268,15 @@
                 RETRY_SOON_S,
                 "no endpoint in use",
             )
-        return runs.Refusal(calls.RefusalReason.ENDPOINTS_FULL, RETRY_SOON_S)
+        return self.limited.refusal(
+            request, members, self.nodes_known, now_s
+        ) or runs.Refusal(calls.RefusalReason.ENDPOINTS_FULL, RETRY_SOON_S)
 
     def _choose_from(
         self,
         request: calls.AdmittedRequest,
         members: list[fleet.Member],
+        withheld: int,
         now_s: float,
         last_resort: bool = False,
     ) -> tuple[fleet.Member, runs.Choice] | None:
@@ -262,7 +287,7 @@
             for candidate in (
                 self._candidate(member, now_s) for member in members
             )
-            if self._has_room(candidate, rate_per_s, now_s)
+            if self._has_room(candidate, rate_per_s, withheld, now_s)
         ]
         healthy = [
             candidate for candidate in with_room if not candidate.suspected
@@ -385,7 +410,7 @@
             self.crash_tracker.answered(request.fingerprint)
         elif outcome is calls.Outcome.NOT_RUN:
             run.load.full_until_s = now_s + FULL_BACKOFF_S
-        elif outcome in (calls.Outcome.FAILED, calls.Outcome.SLOW):
+        elif outcome in _NO_VERDICT:
             pass
         elif not run.member.leaving:
             lost = outcome is not calls.Outcome.GARBAGE
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -16,6 +16,7 @@
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import outbound
+from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import record
@@ -39,6 +40,7 @@
     metrics: metrics.GatewayMetrics
     prober: prober.Prober
     limit_reader: limit_reader.LimitReader
+    permits: permit_broker.PermitSource
     done: collections.abc.Callable[["Exchange"], None]
 
 
@@ -108,13 +110,15 @@
             self._timed_out()
             return
         run = self._dependencies.scheduler.choose(
-            request, self._excluded, now_s
+            request,
+            self._excluded,
+            now_s,
+            self._record.attempt_counts.withheld,
         )
         if isinstance(run, runs.Refusal):
             self._give_up(run)
             return
         self._run = self._record.last_run = run
-        self._record.attempt_counts.choices += 1
         self._was_sent = False
         defer.ensureDeferred(self._connect(run)).addErrback(
             self._handle_internal_error
@@ -138,15 +142,40 @@
             if run is self._run and not run.is_over:
                 self._end_attempt(calls.Outcome.UNREACHED, str(problem))
             return
+        await self._get_permit(run)
         if self._relay.is_finished or run is not self._run or run.is_over:
             pool.release(connection)
             return
-        if not self._dependencies.scheduler.still_allowed(run, self._now_s()):
+        obstacle = self._find_obstacle(run, connection)
+        if obstacle is not None:
             pool.release(connection)
-            self._end_attempt(calls.Outcome.UNREACHED, "endpoint has left")
+            self._end_attempt(*obstacle)
             return
         self._send(run, connection)
 
+    async def _get_permit(self, run: runs.Run) -> None:
+        """Ask for a permit if the endpoint names a limit."""
+        limited = self._dependencies.scheduler.limited
+        limit = limited.limit_of(run.member)
+        if limit is None:
+            return
+        permit = await self._dependencies.permits.request(limit)
+        limited.note_permit(run, permit, self._now_s())
+
+    def _find_obstacle(
+        self, run: runs.Run, connection: outbound.EndpointConnection
+    ) -> tuple[calls.Outcome, str] | None:
+        """Return how an attempt ends that must not be sent."""
+        permit = run.permit
+        if permit is not None and not permit.is_given:
+            detail = f"limit: {permit.reason}, {permit.wait_s:.2f} s to wait"
+            return calls.Outcome.WITHHELD, detail
+        if not self._dependencies.scheduler.still_allowed(run, self._now_s()):
+            return calls.Outcome.UNREACHED, "endpoint has left"
+        if not connection.is_usable:
+            return calls.Outcome.WITHHELD, "connection closed meanwhile"
+        return None
+
     def _send(
         self, run: runs.Run, connection: outbound.EndpointConnection
     ) -> None:
@@ -302,6 +331,10 @@
         run, self._run = self._run, None
         if run is None:
             return
+        if outcome is calls.Outcome.WITHHELD:
+            self._record.attempt_counts.withheld += 1
+        else:
+            self._record.attempt_counts.choices += 1
         if self._was_sent and not outcome.certainly_not_run:
             self._record.attempt_counts.runs += 1
         self._dependencies.scheduler.note_ended(run, outcome, self._now_s())
--- a/packages/gateway/src/fireflypulley/gateway/limit_reader.py
+++ b/packages/gateway/src/fireflypulley/gateway/limit_reader.py
@@ -1,5 +1,7 @@
 """Reads the limits that endpoints name in their answers, and logs them."""
 
+import collections.abc
+
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import decision_log
@@ -9,16 +11,23 @@
 class LimitReader:
     """Records what the answers to this node's requests say."""
 
-    def __init__(self, limits: endpoint_limits.EndpointLimits) -> None:
+    def __init__(
+        self,
+        limits: endpoint_limits.EndpointLimits,
+        on_change: collections.abc.Callable[
+            [endpoint_limits.EndpointLimit], None
+        ],
+    ) -> None:
         self._limits = limits
+        self._on_change = on_change
 
     def read(
         self,
         run: runs.Run,
         response: header_codec.ResponseMetadata,
         now_s: float,
-    ) -> endpoint_limits.EndpointLimit | None:
-        """Record the answer to a run; return the limit if it changed.
+    ) -> None:
+        """Record what the answer to a run says.
 
         Only an answer of the endpoint itself to this request ends a
         limit: a refusal does not have to name the limit again.
@@ -33,7 +42,7 @@
             changed = self._limits.note_unnamed(key, run.sent_s)
         if changed is not None:
             log(changed, "answer", run.request.metadata.request_id)
-        return changed
+            self._on_change(changed)
 
     def _note_invalid(self, key: endpoint_limits.Key, text: str) -> None:
         if self._limits.note_invalid(key, text):
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -14,6 +14,8 @@
 from fireflypulley.core import topology
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import follower
+from fireflypulley.gateway import limit_replication
+from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import row_replication
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
@@ -26,7 +28,7 @@
 DIAL_TEMPLATE = "tcp:{host}:{port}"
 
 
-class PeerSync(hub.HubListener):
+class PeerSync(hub.HubListener, permit_broker.PermitLinks):
     """Sends this node's state, and forwards states, facts and rows."""
 
     def __init__(
@@ -38,6 +40,7 @@
         counts: usage.UsageCounts,
         store_follower: follower.Follower,
         holds_duty: collections.abc.Callable[[], bool],
+        permits: permit_broker.PermitBroker,
     ) -> None:
         self._reactor = reactor
         self._peer_registry = registry
@@ -45,6 +48,8 @@
         self._usage = counts
         self._follower = store_follower
         self._holds_duty = holds_duty
+        self._permits = permits
+        self._duty_holder: str | None = None
         this = registry.this
         self._states = node_states.StateRegistry(
             this.node_id, usage.KEPT_WINDOWS
@@ -65,11 +70,16 @@
             DIAL_TEMPLATE,
             self,
             self._resolve,
+            (permit_broker.FEATURE,),
         )
         self._replicator = row_replication.RowReplicator(
             store_follower.cache, self.hub, self._states
         )
+        self.limits = limit_replication.LimitReplicator(
+            node_scheduler.limited.limits, self.hub, permit_broker.FEATURE
+        )
         store_follower.on_update = self._send_rows
+        permits.attach(self)
 
     def _resolve(self, node_id: str) -> topology.Node | None:
         entry = self._peer_registry.get(node_id)
@@ -258,6 +268,33 @@
             self._follower.store_failed,
         )
 
+    # permit_broker.PermitLinks
+
+    @property
+    def node_id(self) -> str:
+        return self._peer_registry.this.node_id
+
+    @property
+    def issuer(self) -> str | None:
+        now_s = self._reactor.seconds()
+        if self._duty_holder in self._peer_registry.alive(now_s):
+            return self._duty_holder
+        return None
+
+    @property
+    def issuer_claimed_s(self) -> float:
+        return self.duty_claimed_s
+
+    def next_hops(self, node_id: str) -> list[str]:
+        peers = self.hub.peers_with(permit_broker.FEATURE)
+        if node_id in peers:
+            return [node_id]
+        relays = [peer for peer in peers if peer in self._overlay.relays]
+        return relays if self._overlay.is_relay else relays[:1]
+
+    def send_one(self, node_id: str, message: messages.Message) -> None:
+        self.hub.send_to([node_id], message)
+
     # hub.HubListener
 
     def peer_up(self, node_id: str, incarnation: int) -> None:
@@ -278,6 +315,7 @@
         known_facts = self._scheduler.shared.snapshot()
         if known_facts:
             self.hub.send(node_id, messages.Facts(known_facts))
+        self.limits.send_all(node_id)
 
     def peer_down(self, node_id: str) -> None:
         self._stream_last_seen_s.pop(node_id, None)
@@ -300,6 +338,12 @@
             self._receive_facts(node_id, message.facts, now_s)
         elif isinstance(message, messages.Introduction):
             self._receive_nodes(node_id, message.nodes, now_s)
+        elif isinstance(message, messages.LimitReports):
+            self.limits.receive(node_id, message.limits, now_s)
+        elif isinstance(message, messages.PermitRequest):
+            self._permits.receive_request(message)
+        elif isinstance(message, messages.PermitResponse):
+            self._permits.receive_response(message)
 
     def _receive_facts(
         self,
@@ -347,6 +391,9 @@
             self._follower.note_peer_failure()
         if state.holds_duty:
             self.duty_claimed_s = now_s
+            self._duty_holder = node_id
+        elif self._duty_holder == node_id:
+            self._duty_holder = None
 
     def _reported_loads(self, node_id: str) -> dict[str, loads.ReportedLoad]:
         state = self._states.get(node_id)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -11,6 +11,7 @@
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import scheduler
@@ -26,6 +27,7 @@
 from fireflypulley.gateway import membership
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import peer_sync
+from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import replica_scaler
@@ -116,6 +118,9 @@
         self._membership = membership.Membership(
             reactor, self._peer_registry, adapters.store
         )
+        self._permits = permit_broker.PermitBroker(
+            reactor, self._scheduler, self._issuing_term
+        )
         self._sources = status.Sources(
             self._scheduler, self._peer_registry, self._follower, self._duties
         )
@@ -128,7 +133,10 @@
             self._usage.count_now,
             self._metrics,
             self._prober,
-            limit_reader.LimitReader(self._scheduler.endpoint_limits),
+            limit_reader.LimitReader(
+                self._scheduler.limited.limits, self._limit_changed
+            ),
+            self._permits,
             self._request_done,
         )
         self._open_requests: set[exchange.Exchange] = set()
@@ -198,6 +206,7 @@
         present = {member.registration.key for member in self._scheduler.fleet}
         self._connections.tick(present)
         self._prober.tick()
+        self._permits.tick()
         if self._peer_sync is not None:
             self._peer_sync.send_state()
         if not self._is_stopping:
@@ -239,7 +248,8 @@
             self._scheduler,
             self._usage,
             self._follower,
-            lambda: self._duties.holds and not self._is_stopping,
+            lambda: self._issuing_term() is not None,
+            self._permits,
         )
         self._listen(self._config.nodes, sync.hub.server_factory())
         self._peer_sync = sync
@@ -250,6 +260,16 @@
             sync.nodes_changed, lambda: sync.is_mesh
         )
 
+    def _issuing_term(self) -> int | None:
+        """Return the fencing number while this node may act alone."""
+        if not self._duties.holds or self._is_stopping:
+            return None
+        return self._duties.fence.fencing
+
+    def _limit_changed(self, limit: endpoint_limits.EndpointLimit) -> None:
+        if self._peer_sync is not None:
+            self._peer_sync.limits.publish(limit)
+
     # HTTP pages
 
     def _readiness(self) -> tuple[int, bytes]:
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -52,6 +52,9 @@
         messages.States,
         messages.Rows,
         messages.Introduction,
+        messages.LimitReports,
+        messages.PermitRequest,
+        messages.PermitResponse,
     )
 }
 
--- a/packages/nodes/src/fireflypulley/nodes/hub.py
+++ b/packages/nodes/src/fireflypulley/nodes/hub.py
@@ -70,6 +70,7 @@
         dial_template: str,
         listener: HubListener,
         resolve: _Resolver,
+        features: tuple[str, ...] = (),
     ) -> None:
         self._reactor = reactor
         self._local_node = local_node
@@ -78,6 +79,7 @@
         self._dial_template = dial_template
         self._listener = listener
         self._resolve = resolve
+        self._features = features
         self._streams: dict[str, list[streams.NodeStream]]
         self._streams = collections.defaultdict(list)
         self._pending: dict[str, list[bytes]] = {}
@@ -139,6 +141,14 @@
             if any(stream.purpose is _PEER for stream in node_streams)
         ]
 
+    def peers_with(self, feature: str) -> list[str]:
+        """Return the nodes with a stream that can read a kind of message."""
+        return [
+            node_id
+            for node_id, node_streams in self._streams.items()
+            if node_streams and feature in node_streams[0].features
+        ]
+
     def close_unwanted(self) -> None:
         """Close the peer streams this node dialed to nodes not wanted now."""
         for node_id, node_streams in list(self._streams.items()):
@@ -233,6 +243,10 @@
             streams.nonce(),
         )
 
+    @property
+    def features(self) -> tuple[str, ...]:
+        return self._features
+
     def stream_up(self, stream: streams.NodeStream) -> None:
         node_streams = self._streams[stream.node_id]
         first = not any(s.purpose is _PEER for s in node_streams)
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -7,6 +7,7 @@
 import enum
 
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import rows
@@ -42,9 +43,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Proof(Message):
-    """Signatures over both ``Hello`` messages, one per key of the sender."""
+    """Signatures over both ``Hello`` messages, one per key of the sender.
+
+    ``features`` names kinds of messages that older nodes can't read and
+    that the sender can.
+    """
 
     signatures: tuple[bytes, ...]
+    features: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,3 +194,36 @@
     """Lists the addresses of the sender and of the nodes it knows."""
 
     nodes: tuple[peer_registry.NodeEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitReports(Message):
+    """Limits of endpoints that the receiver may not know yet."""
+
+    limits: tuple[endpoint_limits.EndpointLimit, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest(Message):
+    """Requests a permit for one request to a limited endpoint.
+
+    ``path`` are the nodes that it came through, the first is the one
+    that asks.
+    """
+
+    number: int
+    limit: endpoint_limits.EndpointLimit
+    path: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitResponse(Message):
+    """Issues a permit if ``wait_s`` is 0, else tells the time to wait.
+
+    ``path`` are the nodes that it has still to go through.
+    """
+
+    number: int
+    wait_s: float
+    issuer: str
+    path: tuple[str, ...]
--- a/packages/nodes/src/fireflypulley/nodes/streams.py
+++ b/packages/nodes/src/fireflypulley/nodes/streams.py
@@ -23,6 +23,11 @@
     def hello(self, purpose: messages.Purpose) -> messages.Hello:
         """Return the first handshake message of this node."""
 
+    @property
+    @abc.abstractmethod
+    def features(self) -> tuple[str, ...]:
+        """Return the kinds of messages that older nodes can't read."""
+
     @abc.abstractmethod
     def stream_up(self, stream: "NodeStream") -> None:
         """Handle a stream that has completed the handshake."""
@@ -58,6 +63,7 @@
         self.dialed = dialed
         self.node_id = ""
         self.incarnation = 0
+        self.features: tuple[str, ...] = ()
 
     def connectionMade(self) -> None:
         sockets.set_tcp_options(self.transport)
@@ -87,7 +93,8 @@
         if messages.Purpose.CALL in (hello.purpose, self.purpose):
             self.purpose = messages.Purpose.CALL
         text = _signed_text(self._own_hello, hello)
-        self._write(messages.Proof(self._ring.sign(text)))
+        signatures = self._ring.sign(text)
+        self._write(messages.Proof(signatures, self._owner.features))
 
     def _handle_proof(self, proof: messages.Proof) -> None:
         assert self._peer_hello is not None
@@ -99,6 +106,7 @@
         self.ready = True
         self.node_id = self._peer_hello.node_id
         self.incarnation = self._peer_hello.incarnation
+        self.features = proof.features
         self._reader = codec.Reader(codec.MAX_MESSAGE_BYTES)
         self._owner.stream_up(self)
 
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -118,7 +118,7 @@
 
 def test_cold_endpoints_get_the_rate_from_all_nodes_together():
     """Ten nodes send for ten seconds as fast as allowed."""
-    pacers = [limits.ColdRateLimiter() for _ in range(10)]
+    pacers = [limits.NodeShareLimiter() for _ in range(10)]
     sent = 0
     for tick in range(1000):
         now_s = tick * 0.01
@@ -134,7 +134,7 @@
 def test_many_nodes_do_not_flood_a_cold_endpoint_at_first(nodes, quiet_s):
     """All nodes have a first request at once, also if cold again later."""
     rate_per_s = 9.1
-    pacers = [limits.ColdRateLimiter(f"n{number}") for number in range(nodes)]
+    pacers = [limits.NodeShareLimiter(f"n{number}") for number in range(nodes)]
     if quiet_s:
         for pacer in pacers:
             pacer.note_sent("e", rate_per_s, nodes, -quiet_s)
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -54,6 +54,7 @@
         self.listener = None
         self.aborted = False
         self.discarded = False
+        self.is_usable = True
 
     def send(self, method, target, headers, body, listener):
         self.method, self.target, self.body = method, target, body
@@ -112,6 +113,9 @@
         self.done = []
         self.usage = []
         self.published = []
+        self.limit_reports = []
+        self.permits = []
+        self.permit_requests = []
         self.sink = Sink()
         dependencies = exchange.Dependencies(
             self.clock,
@@ -123,7 +127,10 @@
             prober.Prober(
                 self.clock, self.scheduler, self, self.published.append
             ),
-            limit_reader.LimitReader(self.scheduler.endpoint_limits),
+            limit_reader.LimitReader(
+                self.scheduler.limited.limits, self.limit_reports.append
+            ),
+            self,
             self.done.append,
         )
         request = inbound.IncomingRequest(
@@ -140,6 +147,14 @@
         key = member.registration.key
         return self.pools.setdefault(key, Pool(self, key[0]))
 
+    def request(self, limit):
+        """Return the next of ``permits``, as a PermitSource does."""
+        self.permit_requests.append(limit.endpoint_id)
+        permit = self.permits.pop(0)
+        if isinstance(permit, defer.Deferred):
+            return permit
+        return defer.succeed(permit)
+
     def begin(self):
         """Start the request; return the connection it was sent on, if any."""
         self.exchange.start()
--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -12,6 +12,7 @@
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import follower
 from fireflypulley.gateway import peer_sync
+from fireflypulley.gateway import permit_broker
 from fireflypulley.nodes import codec
 from fireflypulley.nodes import messages
 
@@ -45,6 +46,9 @@
     def peers(self):
         return sorted(self.open)
 
+    def peers_with(self, feature):
+        return self.peers
+
     def set_wanted_peers(self, node_ids):
         self._wanted = node_ids
         self.dial_missing()
@@ -128,6 +132,9 @@
         self.applied_rows = []
         self.follower._apply = self.applied_rows.append
         self.holds = False
+        self.permits = permit_broker.PermitBroker(
+            network.clock, self.scheduler, lambda: 1 if self.holds else None
+        )
         self.peer_sync = peer_sync.PeerSync(
             network.clock,
             self.peer_registry,
@@ -136,9 +143,11 @@
             self.usage,
             self.follower,
             lambda: self.holds,
+            self.permits,
         )
         self.hub = Hub(network, node_id, self.peer_sync)
         self.peer_sync.hub = self.peer_sync._replicator._hub = self.hub
+        self.peer_sync.limits._hub = self.hub
         self.ticking = task.LoopingCall(self._tick)
         self.ticking.clock = network.clock
 
--- a/tests/gateway/test_limit_reader.py
+++ b/tests/gateway/test_limit_reader.py
@@ -26,7 +26,7 @@
 def _rates(world):
     return {
         limit.endpoint_id: limit.rate_per_s
-        for limit in world.scheduler.endpoint_limits.in_force()
+        for limit in world.scheduler.limited.limits.in_force()
     }
 
 
@@ -82,7 +82,7 @@
     world.clock.advance(1.0)
     connection = world.begin()
     key = (connection.endpoint_id, 1)
-    world.scheduler.endpoint_limits.note_named(key, 2.5, 0.5)
+    world.scheduler.limited.limits.note_named(key, 2.5, 0.5)
     exchanges.answer(connection, status, b"", headers)
     assert (connection.endpoint_id not in _rates(world)) is ends
 
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -7,6 +7,7 @@
 
 from fireflypulley.core import configuration
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import rows
@@ -45,9 +46,11 @@
     versions.PhaseReached("s/v2/7", versions.Phase.MOVING, 9.0),
 )
 JOB = job_rows.Job("j", "w", "r", "m", "f", 1.0, 2.0)
+LIMIT = endpoint_limits.EndpointLimit("e", 5, 7, 1.5)
 MESSAGES = (
     messages.Hello("n", 1, messages.Purpose.PEER, b"\xff" * 32),
     messages.Proof((b"\x00\xff",)),
+    messages.Proof((b"\x00\xff",), ("a feature",)),
     messages.Heartbeat(),
     messages.Facts(FACTS),
     messages.SlotAsk("e", 1.0, False),
@@ -68,6 +71,11 @@
         JOB,
     ),
     messages.HandoverTaken("r"),
+    messages.LimitReports(
+        (LIMIT, endpoint_limits.EndpointLimit("e", 5, 8, None))
+    ),
+    messages.PermitRequest(3, LIMIT, ("n", "m")),
+    messages.PermitResponse(3, 0.25, "m", ("n",)),
     messages.States(
         (
             node_states.NodeState(
@@ -154,3 +162,17 @@
             reader.feed(msgpack.packb(packed))
         except codec.BadMessage:
             pass
+
+
+def test_a_proof_of_an_older_node_names_no_features():
+    (proof,) = codec.Reader(4096).feed(
+        msgpack.packb(["Proof", {"signatures": [b"s"]}])
+    )
+    assert proof == messages.Proof((b"s",))
+
+
+def test_fields_that_this_version_does_not_know_are_ignored():
+    (proof,) = codec.Reader(4096).feed(
+        msgpack.packb(["Proof", {"signatures": [b"s"], "later": 1}])
+    )
+    assert proof == messages.Proof((b"s",))
