Order endpoints beside those that name a limit

With all endpoints of a service limited callers are refused, so little runs, and the plan saw enough endpoints for that: none was ordered. Limited ones counted as free. Now each stands in its place in the counts that are ordered (an order for fewer would take endpoints away), and as many more are wanted beside the load and the floor. Ruled out: leaving them out of the ready ones, which orders fewer than there are of their kind.

test_endpoints_are_ordered_beside_limited_ones failed before, passes now.

--- a/packages/core/src/fireflypulley/core/gateway/capacity_plan.py
+++ b/packages/core/src/fireflypulley/core/gateway/capacity_plan.py
@@ -48,6 +48,7 @@
         self._peak = 0.0
         self._peak_s = float("-inf")
         self._provided = 0
+        self._limited = 0
         self._began_s: float | None = None
         self._refused: dict[str, float] = {}
         self._ordered: dict[Pool, tuple[int, float]] = {}
@@ -72,6 +73,14 @@
         if self._is_learning(now_s):
             self._provided = max(self._provided, total)
 
+    def note_limited(self, count: int) -> None:
+        """Record how many of the endpoints name a limit.
+
+        They are there and keep their place in the counts that are
+        ordered, but the load needs others beside them.
+        """
+        self._limited = count
+
     def _is_learning(self, now_s: float) -> bool:
         return (
             self._began_s is None
@@ -99,7 +108,7 @@
         surviving = max(1, domains - 1)
         count = max(
             MIN_PER_DOMAIN,
-            math.ceil(self._needed() / surviving),
+            math.ceil((self._needed() + self._limited) / surviving),
             math.ceil(self._provided / max(1, domains)),
         )
         return max(scaling.min_count, min(scaling.max_count, count))
@@ -135,6 +144,7 @@
         count = self._reclaimable_count(scaling, len(domains))
         counts = {Pool(domain, True): count for domain in domains}
         needed = max(self._needed(), math.ceil(count * len(domains) / 2))
+        needed += self._limited
         ready_count = sum(ready[pool] for pool in counts)
         expected = sum(
             self._expected(pool, scaling, ready, now_s) for pool in counts
--- a/packages/gateway/src/fireflypulley/gateway/replica_scaler.py
+++ b/packages/gateway/src/fireflypulley/gateway/replica_scaler.py
@@ -60,6 +60,12 @@
             self._scheduler.loads.demand(service.name, now_s), now_s
         )
         plan.note_ready(sum(self._count_ready(service.name).values()), now_s)
+        limited = [
+            member
+            for member in self._scheduler.fleet.in_use(service.name, now_s)
+            if self._scheduler.limited.limit_of(member) is not None
+        ]
+        plan.note_limited(len(limited))
 
     def _count_ready(
         self, service: str
--- a/tests/gateway/test_replica_scaler.py
+++ b/tests/gateway/test_replica_scaler.py
@@ -127,3 +127,34 @@
     assert node_scheduler.rollouts.is_settled(
         "s", list(node_scheduler.fleet), late_s
     )
+
+
+def _limit(node_scheduler, *endpoint_ids):
+    for endpoint_id in endpoint_ids:
+        node_scheduler.limited.limits.note_named((endpoint_id, 1), 1.0, 0.0)
+
+
+# Guards against limited endpoints that count as free: with all of them
+# limited nothing else was ordered, since little ran on them.
+def test_endpoints_are_ordered_beside_limited_ones(clock, node_scheduler):
+    cloud = Cloud()
+    scaler = replica_scaler.ReplicaScaler(clock, node_scheduler, cloud)
+    _run(clock, scaler, capacity_plan.REGISTRATION_TIME_S + 1.0)
+    assert not any(order.count for order in cloud.orders)
+    _limit(node_scheduler, "e0", "e1", "e2", "e3")
+    before = len(cloud.orders)
+    _run(clock, scaler, 4 * replica_scaler.ORDER_INTERVAL_S)
+    assert any(order.count for order in cloud.orders[before:])
+
+
+# Guards against limited endpoints that count as dead: an order for fewer
+# than there are would take endpoints away.
+def test_limited_endpoints_keep_their_place_in_orders(clock, node_scheduler):
+    cloud = Cloud(has_reclaimable=True)
+    scaler = replica_scaler.ReplicaScaler(clock, node_scheduler, cloud)
+    _run(clock, scaler, capacity_plan.REGISTRATION_TIME_S + 1.0)
+    _limit(node_scheduler, "e0", "e1")
+    before = len(cloud.orders)
+    _run(clock, scaler, 20.0)
+    for order in cloud.orders[before:]:
+        assert not order.reclaimable or order.count >= 2
