--- a/packages/cli/src/fireflypulley/cli/gateways.py
+++ b/packages/cli/src/fireflypulley/cli/gateways.py
@@ -28,6 +28,7 @@
     EVACUATIONS = "evacuations"
     ROLLOUTS = "rollouts"
     LIMITS = "limits"
+    ENDPOINT_LIMITS = "endpoint-limits"
     REFUSALS = "refusals"
 
 
@@ -90,6 +91,11 @@
     return [{"reason": name, "count": counts[name]} for name in sorted(counts)]
 
 
+def _endpoint_limit_rows(body: Json) -> list[Json]:
+    # Nodes of older versions do not keep these limits.
+    return list(body.get("endpoint_limits", ()))
+
+
 _ROWS: dict[Subject, collections.abc.Callable[[Json], list[Json]]] = {
     Subject.NODES: _node_rows,
     Subject.CONFIGURATION: lambda body: [body["configuration"]],
@@ -97,6 +103,7 @@
     Subject.EVACUATIONS: _evacuation_rows,
     Subject.ROLLOUTS: lambda body: list(body["rollouts"]),
     Subject.LIMITS: lambda body: list(body["limits"]),
+    Subject.ENDPOINT_LIMITS: _endpoint_limit_rows,
     Subject.REFUSALS: _refusal_rows,
 }
 
--- a/packages/core/src/fireflypulley/core/gateway/limited_endpoints.py
+++ b/packages/core/src/fireflypulley/core/gateway/limited_endpoints.py
@@ -50,8 +50,12 @@
         self, run: runs.Run, permit: permit_gate.Permit, now_s: float
     ) -> None:
         """Record the permit that a run got, or was refused."""
+        key = run.member.registration.key
+        limit = self.limits.of(key)
         run.permit = permit
-        self._gate.note(run.member.registration.key, permit, now_s)
+        run.limit_per_s = limit.rate_per_s if limit is not None else None
+        run.limit_age_s = self.limits.age_s(key, now_s)
+        self._gate.note(key, permit, now_s)
 
     def refusal(
         self,
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -41,7 +41,9 @@
 
     ``removed_before_s`` is how long before sending the endpoint's entry
     had been removed, None if it was present.  ``sent_s`` is when the
-    request was sent, None before; ``permit`` is the permit it needed.
+    request was sent, None before.  A run at a limited endpoint has the
+    ``permit`` that it got or was refused, the limit and how long ago the
+    limit was last named.
     """
 
     request: calls.AdmittedRequest
@@ -52,6 +54,8 @@
     choice: Choice
     sent_s: float | None = None
     permit: permit_gate.Permit | None = None
+    limit_per_s: float | None = None
+    limit_age_s: float = 0.0
     removed_before_s: float | None = None
     first_event_s: float | None = None
     first_event_id: int | None = None
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -1,8 +1,11 @@
 """Prometheus metrics of a node; counts are copied when collected."""
 
+import collections
+
 import aioprometheus
 from aioprometheus import formats
 
+from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
 
@@ -32,6 +35,12 @@
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
+        self._permits = self._counter(
+            "permits", "Permits for limited endpoints, by answer."
+        )
+        self._limits = self._gauge(
+            "endpoint_limit_per_s", "Limits that endpoints name, 0 if ended."
+        )
         self._duty = self._gauge("duty_held", "1 while this node acts.")
         self._requests = self._histogram(
             "request_seconds",
@@ -82,8 +91,14 @@
         open_requests: int,
         unreadable: int,
         holds_duty: bool,
+        permits: collections.Counter[permit_gate.PermitReason],
     ) -> None:
         """Set the metrics to the node's current counts."""
+        for answer, count in permits.items():
+            self._permits.set({"answer": answer.value}, count)
+        for limit in node_scheduler.limited.limits.known():
+            endpoint = {"endpoint": limit.endpoint_id}
+            self._limits.set(endpoint, limit.rate_per_s or 0.0)
         for reason, count in node_scheduler.refused.items():
             self._refused.set({"reason": reason.value}, count)
         for outcome, count in node_scheduler.outcomes.items():
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -43,6 +43,7 @@
             detail=detail,
             after_ms=_ms(now_s - run.began_s),
             next="stop" if refusal else "again",
+            **_limit_fields(run),
         )
 
     def log_end(
@@ -90,7 +91,21 @@
             fields["removed_before_ms"] = _ms(run.removed_before_s)
         if run.first_event_s is not None:
             fields["first_event_ms"] = _ms(run.first_event_s - run.began_s)
-        return fields
+        return fields | _limit_fields(run)
+
+
+def _limit_fields(run: runs.Run) -> dict[str, object]:
+    """Return the log fields that explain a run at a limited endpoint."""
+    permit = run.permit
+    if permit is None:
+        return {}
+    return {
+        "limit_per_s": run.limit_per_s,
+        "limit_age_ms": _ms(run.limit_age_s),
+        "permit": permit.reason.value,
+        "permit_wait_ms": _ms(permit.wait_s),
+        "issuer": permit.issuer,
+    }
 
 
 def _ms(seconds: float) -> int:
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -290,6 +290,7 @@
             len(self._open_requests),
             self._follower.unreadable,
             self._duties.holds,
+            self._permits.counts,
         )
         return 200, self._metrics.render()
 
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -37,6 +37,7 @@
         ),
         "rollouts": _rollouts(sources.scheduler, now_s),
         "limits": _limits(sources.scheduler, now_s),
+        "endpoint_limits": _endpoint_limits(sources.scheduler, now_s),
         "refused": _counts(sources.scheduler.refused),
         "outcomes": _counts(sources.scheduler.outcomes),
     }
@@ -130,6 +131,8 @@
         return "doubted"
     if load.full_until_s > now_s:
         return "full"
+    if node_scheduler.limited.limit_of(member) is not None:
+        return "limited"
     if member.is_cold(now_s):
         return "cold"
     return ""
@@ -166,3 +169,18 @@
         }
         for name, left, limit in node_scheduler.limits.limiter.levels(now_s)
     ]
+
+
+def _endpoint_limits(
+    node_scheduler: scheduler.RequestScheduler, now_s: float
+) -> list[Json]:
+    limits = node_scheduler.limited.limits
+    return [
+        {
+            "endpoint": limit.endpoint_id,
+            "rate_per_s": limit.rate_per_s,
+            "named_before_s": round(limits.age_s(limit.key, now_s), 1),
+            "revision": limit.revision,
+        }
+        for limit in limits.in_force()
+    ]
