--- a/tests/processes/test_endpoint_limits.py
+++ b/tests/processes/test_endpoint_limits.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import random
+import signal
 import time
 
 import pytest
@@ -142,3 +143,105 @@
     # It is used up to its rate, and the other endpoint takes the rest.
     assert used >= 0.5 * float(rate) * 2 * WINDOW_S
     assert statuses == {200}
+
+
+def _refused(answers):
+    return [one for one in answers if one[1] == 503]
+
+
+def test_where_all_are_limited_callers_are_refused_at_once_with_a_turn(
+    tmp_path,
+):
+    with _running(tmp_path, "registry", nodes=3, endpoints=2) as system:
+        for process in system.replicas.values():
+            _set_limit(process, "2")
+        callers = Callers(system.nodes, KINDS["registry"], 4)
+        with callers.calling():
+            time.sleep(BINDS_AFTER_S)
+            began_s = time.monotonic()
+            time.sleep(2 * WINDOW_S)
+        most = {
+            name: _most_in_a_window(_arrivals(process), began_s)
+            for name, process in system.replicas.items()
+        }
+    answers = [one for one in callers.answers if one[0] >= began_s]
+    refused = _refused(answers)
+    served = [one for one in answers if one[1] == 200]
+    assert max(most.values()) <= _allowed(2.0)
+    assert len(served) >= 0.5 * 2 * 2.0 * 2 * WINDOW_S
+    assert len(refused) + len(served) == len(answers)
+    assert all(float(one[2]) > 0 for one in refused)
+    assert sorted(one[3] for one in refused)[len(refused) // 2] < 0.1
+    # Many callers share 4 requests a second: few are told to return soon.
+    soon = sum(float(one[2]) < 0.5 for one in refused)
+    assert soon <= 0.2 * len(refused)
+
+
+# Guards against a limit that outlives its naming at nodes which send the
+# endpoint nothing.
+def test_a_limit_that_ends_is_forgotten_by_all_nodes(tmp_path):
+    with _running(tmp_path, "registry", nodes=6, endpoints=2) as system:
+        limited = system.replicas["e1"]
+        callers = Callers(system.nodes, KINDS["registry"], 5)
+        with callers.calling():
+            _set_limit(limited, "1")
+            time.sleep(BINDS_AFTER_S)
+            _set_limit(limited, "1e3")
+            time.sleep(BINDS_AFTER_S)
+            _set_limit(limited, "nan")
+            ended_s = time.monotonic()
+            time.sleep(BINDS_AFTER_S + 2.0)
+        late_s = ended_s + BINDS_AFTER_S
+        late = sum(one >= late_s for one in _arrivals(limited))
+        others = sum(one >= late_s for one in _arrivals(system.replicas["e2"]))
+        logs = [node.log.read_text() for node in system.nodes]
+    assert late >= 0.3 * (late + others)
+    assert all('"state":"ended"' in log for log in logs)
+    assert any('"state":"invalid"' in log for log in logs)
+    assert {status for _, status, _, _ in callers.answers} == {200}
+
+
+def _holder(system):
+    """Return the node that took the duty last."""
+    taken = []
+    for node in system.nodes:
+        for line in node.log.read_text().splitlines():
+            if '"message_type":"duty"' in line and '"taken"' in line:
+                taken.append((json.loads(line)["timestamp"], node.name))
+    name = max(taken)[1]
+    return next(node for node in system.nodes if node.name == name)
+
+
+# Guards against two issuers, and against nodes that start with a burst.
+@pytest.mark.parametrize("seed", [11, 12])
+def test_a_limit_is_kept_while_nodes_are_killed_frozen_and_restarted(
+    tmp_path, seed
+):
+    chance = random.Random(seed)
+    rate = chance.choice([1.0, 2.0, 5.0])
+    with _running(tmp_path, "registry", nodes=6, endpoints=2) as system:
+        limited = system.replicas["e1"]
+        _set_limit(limited, str(rate))
+        callers = Callers(system.nodes, KINDS["registry"], seed)
+        with callers.calling():
+            time.sleep(BINDS_AFTER_S)
+            began_s = time.monotonic()
+            holder = _holder(system)
+            others = [node for node in system.nodes if node is not holder]
+            frozen, stopped = chance.sample(others, 2)
+            frozen.signal(signal.SIGSTOP)
+            time.sleep(chance.uniform(0.5, 3.0))
+            holder.popen.kill()
+            holder.popen.wait()
+            frozen.signal(signal.SIGCONT)
+            time.sleep(chance.uniform(0.5, 2.0))
+            system.restart_node(holder)
+            stopped.signal(signal.SIGTERM)
+            time.sleep(chance.uniform(5.0, 7.0))
+            _holder(system).signal(signal.SIGSTOP)
+            time.sleep(chance.uniform(1.0, 5.0))
+            _holder(system).signal(signal.SIGCONT)
+            time.sleep(WINDOW_S)
+        arrivals = _arrivals(limited)
+    assert _most_in_a_window(arrivals, began_s) <= _allowed(rate)
+    assert sum(one >= began_s for one in arrivals) >= 5
