Divide a cold endpoint's rate by all known nodes

A node divided a cold endpoint's rate by the nodes it reaches, so two halves of a partition, each with a path to the endpoint, gave it the rate twice: 42 requests in a second of 35 allowed (rate 20, six nodes). Now it divides by the nodes that were seen within 20 s, as other shared limits do. test_two_halves_together_keep_a_cold_endpoint_s_rate failed before and passes now. Ruled out by reading: the retry budget, which has done so; quotas, which are scaled by the reached part.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -225,7 +225,7 @@
         if self.loads.of(candidate.member).full_until_s > now_s:
             return False
         if rate_per_s and candidate.member.is_cold(now_s):
-            nodes = max(self.nodes_alive, 1)
+            nodes = max(self.nodes_known, 1)
             return self.cold_limiter.may_send(
                 candidate.endpoint_id, rate_per_s, nodes, now_s
             )
@@ -322,7 +322,7 @@
         load.begin(tokens, now_s)
         rate_per_s = request.service.cold_rate_per_s
         if rate_per_s and member.is_cold(now_s):
-            nodes = max(self.nodes_alive, 1)
+            nodes = max(self.nodes_known, 1)
             self.cold_limiter.note_sent(
                 member.endpoint_id, rate_per_s, nodes, now_s
             )
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -278,3 +278,32 @@
     )
     assert run.member.endpoint_id == "e2"
     assert node_scheduler.loads.demand("s", 0.0).running == 6
+
+
+# Guards against nodes that divide a rate by those they reach: each half of
+# a partition gave a cold endpoint its whole rate.
+def test_two_halves_together_keep_a_cold_endpoint_s_rate():
+    rate_per_s, nodes = 20.0, 6
+    schedulers = []
+    for _ in range(nodes):
+        node_scheduler = builders.a_scheduler(
+            builders.a_document(cold_rate_per_s=rate_per_s),
+            builders.entry("e1", cold_s=60.0),
+        )
+        node_scheduler.set_node_counts(nodes // 2, nodes, 0.0)
+        schedulers.append(node_scheduler)
+    sent_s = []
+    for step in range(500):
+        now_s = 1.0 + step * 0.01
+        for number, node_scheduler in enumerate(schedulers):
+            request = builders.admitted(
+                node_scheduler, f"q{step}-{number}", now_s
+            )
+            run = node_scheduler.choose(request, frozenset(), now_s)
+            if isinstance(run, runs.Run):
+                sent_s.append(now_s)
+                node_scheduler.note_abandoned(run)
+    most = max(
+        sum(first <= one < first + 1.0 for one in sent_s) for first in sent_s
+    )
+    assert most <= 1.5 * rate_per_s + 5
