Use parts of a limit as soon as its issuer is out of touch

An issuer that is only out of touch divides the limit by the nodes it reaches, so parts may begin when it counts as lost; the sum is then above the limit for the second before both notice.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -14,17 +14,13 @@
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
 from fireflypulley.core.gateway import placement
+from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import retry_policy
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import versions
 from fireflypulley.core.gateway import workspace_limits
 
-DEFAULT_TIMEOUT_S = 10.0
-MIN_TIME_LEFT_S = 0.01
-RETRY_SOON_S = 0.3
 FULL_BACKOFF_S = 0.15
-ANSWER_MARGIN_S = 0.06
-"""The final answer is sent this long before the route's timeout."""
 
 _NO_VERDICT = frozenset(
     {calls.Outcome.FAILED, calls.Outcome.SLOW, calls.Outcome.WITHHELD}
@@ -69,6 +65,9 @@
         self.refused = collections.Counter()
         self.outcomes: collections.Counter[calls.Outcome]
         self.outcomes = collections.Counter()
+        self._admission = request_admission.RequestAdmission(
+            self.limits, self.retry_budget, self.crash_tracker
+        )
         self.retry_policy = retry_policy.RetryPolicy(self.retry_budget)
         self._engine_policy = placement.create(True)
         self._plain_policy = placement.create(False)
@@ -138,66 +137,9 @@
         now_s: float,
     ) -> calls.AdmittedRequest | runs.Refusal:
         """Return the admitted request, or why it is refused."""
-        config = self.document
-        if config is None:
-            return runs.Refusal(
-                calls.RefusalReason.NO_CONFIGURATION,
-                RETRY_SOON_S,
-                "configuration not loaded",
-            )
-        route = config.route(host, path)
-        if route is None:
-            return runs.Refusal(
-                calls.RefusalReason.NO_ROUTE,
-                None,
-                f"no route for {host}{path}",
-            )
-        workspace = None
-        if config.workspaces and not route.anonymous:
-            workspace = config.workspace_of_key(call.api_key or "")
-            if workspace is None:
-                return runs.Refusal(
-                    calls.RefusalReason.NO_KEY, None, "unknown key"
-                )
-        service = config.service(route.service_for(call.request_id))
-        if service is None:
-            return runs.Refusal(
-                calls.RefusalReason.NO_ENDPOINT,
-                RETRY_SOON_S,
-                "unknown service",
-            )
-        timeout_s = call.timeout_s
-        if timeout_s is None:
-            timeout_s = DEFAULT_TIMEOUT_S
-        timeout_s = min(timeout_s, route.timeout_s - ANSWER_MARGIN_S)
-        request = calls.AdmittedRequest(
-            call,
-            route,
-            service,
-            workspace,
-            fingerprint,
-            now_s,
-            now_s + timeout_s,
+        return self._admission.admit(
+            self.document, call, host, path, fingerprint, now_s
         )
-        return self._check(request, now_s) or request
-
-    def _check(
-        self, request: calls.AdmittedRequest, now_s: float
-    ) -> runs.Refusal | None:
-        if request.deadline_s - now_s < MIN_TIME_LEFT_S:
-            return runs.Refusal(calls.RefusalReason.NO_TIME_LEFT)
-        if self.crash_tracker.is_quarantined(request.fingerprint, now_s):
-            return runs.Refusal(
-                calls.RefusalReason.QUARANTINED,
-                None,
-                "request crashed endpoints",
-            )
-        wait_s = self.limits.charge(request, now_s)
-        if wait_s:
-            detail = self.limits.explain(request)
-            return runs.Refusal(calls.RefusalReason.OVER_LIMIT, wait_s, detail)
-        self.retry_budget.note_request(request.service.name, now_s)
-        return None
 
     # Placement
 
@@ -265,12 +207,14 @@
         if not members:
             return runs.Refusal(
                 calls.RefusalReason.NO_ENDPOINT,
-                RETRY_SOON_S,
+                request_admission.RETRY_SOON_S,
                 "no endpoint in use",
             )
         return self.limited.refusal(
             request, members, self.nodes_known, now_s
-        ) or runs.Refusal(calls.RefusalReason.ENDPOINTS_FULL, RETRY_SOON_S)
+        ) or runs.Refusal(
+            calls.RefusalReason.ENDPOINTS_FULL, request_admission.RETRY_SOON_S
+        )
 
     def _choose_from(
         self,
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/connector.py
@@ -0,0 +1,88 @@
+"""Gets the connection, and the permit, that an attempt needs."""
+
+import dataclasses
+
+from twisted.internet import error
+from twisted.internet import interfaces
+
+from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import runs
+from fireflypulley.core.gateway import scheduler
+from fireflypulley.gateway import outbound
+from fireflypulley.gateway import permit_broker
+from fireflypulley.gateway import pools
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Obstacle:
+    """Why an attempt can't be sent, and how it ends."""
+
+    outcome: calls.Outcome
+    detail: str
+
+
+class Connector:
+    """Prepares attempts up to the moment of sending."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        node_scheduler: scheduler.RequestScheduler,
+        connections: pools.ConnectionPools,
+        permits: permit_broker.PermitSource,
+    ) -> None:
+        self._reactor = reactor
+        self._scheduler = node_scheduler
+        self._connections = connections
+        self._permits = permits
+
+    def _pool(self, run: runs.Run) -> pools.EndpointPool:
+        return self._connections.pool(run.member, run.load)
+
+    async def connect(
+        self, run: runs.Run
+    ) -> outbound.EndpointConnection | Obstacle:
+        """Return a connection that the attempt may be sent on at once.
+
+        The permit is asked for last, so that the request arrives soon
+        after it was issued.
+        """
+        try:
+            connection = await self._pool(run).acquire(fresh=False)
+        except (error.ConnectError, error.ConnectionClosed) as problem:
+            return Obstacle(calls.Outcome.UNREACHED, str(problem))
+        await self._get_permit(run)
+        obstacle = self._find_obstacle(run, connection)
+        if obstacle is None:
+            return connection
+        self.release(run, connection)
+        return obstacle
+
+    def release(
+        self, run: runs.Run, connection: outbound.EndpointConnection
+    ) -> None:
+        """Return a connection that nothing was sent on."""
+        self._pool(run).release(connection)
+
+    async def _get_permit(self, run: runs.Run) -> None:
+        """Ask for a permit if the endpoint names a limit."""
+        limit = self._scheduler.limited.limit_of(run.member)
+        if limit is None:
+            return
+        permit = await self._permits.request(limit)
+        now_s = self._reactor.seconds()
+        self._scheduler.limited.note_permit(run, permit, now_s)
+
+    def _find_obstacle(
+        self, run: runs.Run, connection: outbound.EndpointConnection
+    ) -> Obstacle | None:
+        permit = run.permit
+        if permit is not None and not permit.is_given:
+            detail = f"limit: {permit.reason}, {permit.wait_s:.2f} s to wait"
+            return Obstacle(calls.Outcome.WITHHELD, detail)
+        if not self._scheduler.still_allowed(run, self._reactor.seconds()):
+            return Obstacle(calls.Outcome.UNREACHED, "endpoint has left")
+        if not connection.is_usable:
+            detail = "connection closed meanwhile"
+            return Obstacle(calls.Outcome.WITHHELD, detail)
+        return None
--- a/packages/gateway/src/fireflypulley/gateway/duties.py
+++ b/packages/gateway/src/fireflypulley/gateway/duties.py
@@ -116,7 +116,7 @@
         claim_delay_s = CLAIM_DELAY_S + CLAIM_DELAY_PER_RANK_S * rank
         if self._lease.known_holder is None:
             claim_delay_s = CLAIM_DELAY_PER_RANK_S * rank
-        return now_s - peers.duty_claimed_s >= claim_delay_s
+        return now_s - peers.duty_claims.claimed_s >= claim_delay_s
 
     async def _read_lease(self) -> None:
         now_s = boottime_s()
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -4,20 +4,18 @@
 import dataclasses
 
 from twisted.internet import defer
-from twisted.internet import error
 from twisted.internet import interfaces
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.gateway import connector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import outbound
-from fireflypulley.gateway import permit_broker
-from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import record
 from fireflypulley.gateway import relay
@@ -35,12 +33,11 @@
     reactor: interfaces.IReactorTime
     scheduler: scheduler.RequestScheduler
     header_codec: header_codec.HeaderCodec
-    connections: pools.ConnectionPools
+    connector: connector.Connector
     count_usage: collections.abc.Callable[[str], None]
     metrics: metrics.GatewayMetrics
     prober: prober.Prober
     limit_reader: limit_reader.LimitReader
-    permits: permit_broker.PermitSource
     done: collections.abc.Callable[["Exchange"], None]
 
 
@@ -131,51 +128,18 @@
         )
         self._end_attempt(calls.Outcome.CUT, "internal error")
 
-    def _pool(self, run: runs.Run) -> pools.EndpointPool:
-        return self._dependencies.connections.pool(run.member, run.load)
-
     async def _connect(self, run: runs.Run) -> None:
-        pool = self._pool(run)
-        try:
-            connection = await pool.acquire(fresh=False)
-        except (error.ConnectError, error.ConnectionClosed) as problem:
-            if run is self._run and not run.is_over:
-                self._end_attempt(calls.Outcome.UNREACHED, str(problem))
-            return
-        await self._get_permit(run)
+        source = self._dependencies.connector
+        connection = await source.connect(run)
         if self._relay.is_finished or run is not self._run or run.is_over:
-            pool.release(connection)
+            if not isinstance(connection, connector.Obstacle):
+                source.release(run, connection)
             return
-        obstacle = self._find_obstacle(run, connection)
-        if obstacle is not None:
-            pool.release(connection)
-            self._end_attempt(*obstacle)
+        if isinstance(connection, connector.Obstacle):
+            self._end_attempt(connection.outcome, connection.detail)
             return
         self._send(run, connection)
 
-    async def _get_permit(self, run: runs.Run) -> None:
-        """Ask for a permit if the endpoint names a limit."""
-        limited = self._dependencies.scheduler.limited
-        limit = limited.limit_of(run.member)
-        if limit is None:
-            return
-        permit = await self._dependencies.permits.request(limit)
-        limited.note_permit(run, permit, self._now_s())
-
-    def _find_obstacle(
-        self, run: runs.Run, connection: outbound.EndpointConnection
-    ) -> tuple[calls.Outcome, str] | None:
-        """Return how an attempt ends that must not be sent."""
-        permit = run.permit
-        if permit is not None and not permit.is_given:
-            detail = f"limit: {permit.reason}, {permit.wait_s:.2f} s to wait"
-            return calls.Outcome.WITHHELD, detail
-        if not self._dependencies.scheduler.still_allowed(run, self._now_s()):
-            return calls.Outcome.UNREACHED, "endpoint has left"
-        if not connection.is_usable:
-            return calls.Outcome.WITHHELD, "connection closed meanwhile"
-        return None
-
     def _send(
         self, run: runs.Run, connection: outbound.EndpointConnection
     ) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -5,6 +5,7 @@
 from twisted.internet import interfaces
 
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import duty_claims
 from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import overlay
@@ -16,6 +17,7 @@
 from fireflypulley.gateway import follower
 from fireflypulley.gateway import limit_replication
 from fireflypulley.gateway import permit_broker
+from fireflypulley.gateway import permit_streams
 from fireflypulley.gateway import row_replication
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
@@ -28,7 +30,7 @@
 DIAL_TEMPLATE = "tcp:{host}:{port}"
 
 
-class PeerSync(hub.HubListener, permit_broker.PermitLinks):
+class PeerSync(hub.HubListener):
     """Sends this node's state, and forwards states, facts and rows."""
 
     def __init__(
@@ -49,7 +51,6 @@
         self._follower = store_follower
         self._holds_duty = holds_duty
         self._permits = permits
-        self._duty_holder: str | None = None
         this = registry.this
         self._states = node_states.StateRegistry(
             this.node_id, usage.KEPT_WINDOWS
@@ -59,7 +60,7 @@
         self._wanted: tuple[str, ...] = ()
         self._sequence = 0
         self._stream_last_seen_s: dict[str, float] = {}
-        self.duty_claimed_s = reactor.seconds()
+        self.duty_claims = duty_claims.DutyClaims(reactor.seconds())
         self._state_sent_s = float("-inf")
         node = topology.Node(this.node_id, this.address, this.failure_domain)
         self.hub = hub.Hub(
@@ -79,7 +80,15 @@
             node_scheduler.limited.limits, self.hub, permit_broker.FEATURE
         )
         store_follower.on_update = self._send_rows
-        permits.attach(self)
+        permits.attach(
+            permit_streams.PermitStreams(
+                reactor,
+                registry,
+                self.duty_claims,
+                self.hub,
+                lambda: self._overlay,
+            )
+        )
 
     def _resolve(self, node_id: str) -> topology.Node | None:
         entry = self._peer_registry.get(node_id)
@@ -200,8 +209,9 @@
         self._scheduler.set_node_counts(
             alive, self._peer_registry.node_count(now_s), now_s
         )
-        if self._holds_duty():
-            self.duty_claimed_s = now_s
+        self.duty_claims.note(
+            self._peer_registry.this.node_id, self._holds_duty(), now_s
+        )
         self._states.update_own(self._state(now_s))
         self._scheduler.limits.limiter.mark_reported()
         self._forward_states()
@@ -268,33 +278,6 @@
             self._follower.store_failed,
         )
 
-    # permit_broker.PermitLinks
-
-    @property
-    def node_id(self) -> str:
-        return self._peer_registry.this.node_id
-
-    @property
-    def issuer(self) -> str | None:
-        now_s = self._reactor.seconds()
-        if self._duty_holder in self._peer_registry.alive(now_s):
-            return self._duty_holder
-        return None
-
-    @property
-    def issuer_claimed_s(self) -> float:
-        return self.duty_claimed_s
-
-    def next_hops(self, node_id: str) -> list[str]:
-        peers = self.hub.peers_with(permit_broker.FEATURE)
-        if node_id in peers:
-            return [node_id]
-        relays = [peer for peer in peers if peer in self._overlay.relays]
-        return relays if self._overlay.is_relay else relays[:1]
-
-    def send_one(self, node_id: str, message: messages.Message) -> None:
-        self.hub.send_to([node_id], message)
-
     # hub.HubListener
 
     def peer_up(self, node_id: str, incarnation: int) -> None:
@@ -389,11 +372,7 @@
         self._usage.update_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
             self._follower.note_peer_failure()
-        if state.holds_duty:
-            self.duty_claimed_s = now_s
-            self._duty_holder = node_id
-        elif self._duty_holder == node_id:
-            self._duty_holder = None
+        self.duty_claims.note(node_id, state.holds_duty, now_s)
 
     def _reported_loads(self, node_id: str) -> dict[str, loads.ReportedLoad]:
         state = self._states.get(node_id)
--- a/packages/gateway/src/fireflypulley/gateway/permit_broker.py
+++ b/packages/gateway/src/fireflypulley/gateway/permit_broker.py
@@ -23,9 +23,6 @@
 FEATURE = "permits"
 ASK_TIMEOUT_S = 0.15
 UNANSWERED_WAIT_S = 0.25
-PART_AFTER_S = 3.0
-"""Nodes use their parts when no node has claimed to issue for this long:
-a silent issuer may still issue until then."""
 MAX_PATH_NODES = 3
 REMEMBERED_REQUESTS = 1000
 UNANSWERED = permit_gate.Permit(
@@ -56,11 +53,6 @@
     def issuer(self) -> str | None:
         """Return the live node that claims the duty, None if there is none."""
 
-    @property
-    @abc.abstractmethod
-    def issuer_claimed_s(self) -> float:
-        """Return when a node last claimed the duty."""
-
     @abc.abstractmethod
     def next_hops(self, node_id: str) -> list[str]:
         """Return the nodes to send a message for a node to."""
@@ -123,7 +115,7 @@
             return self._answer_now(_permit(wait_s, links.node_id))
         issuer = links.issuer
         if issuer is None:
-            return self._answer_now(self._use_part(limit, links))
+            return self._answer_now(self._use_part(limit))
         return self._ask(limit, issuer, links)
 
     def _answer_now(
@@ -133,15 +125,15 @@
         return defer.succeed(permit)
 
     def _use_part(
-        self, limit: endpoint_limits.EndpointLimit, links: PermitLinks
+        self, limit: endpoint_limits.EndpointLimit
     ) -> permit_gate.Permit:
+        """Use this node's part.
+
+        An issuer that is only out of touch divides the limit by the nodes
+        it reaches, so the sum exceeds it by what is issued in the second
+        before both notice.
+        """
         now_s = self._reactor.seconds()
-        unclaimed_s = now_s - links.issuer_claimed_s
-        if unclaimed_s < PART_AFTER_S:
-            return permit_gate.Permit(
-                PART_AFTER_S - unclaimed_s,
-                permit_gate.PermitReason.UNANSWERED,
-            )
         assert self._part is not None
         target = (
             limit.endpoint_id,
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -17,6 +17,7 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
+from fireflypulley.gateway import connector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import duties
 from fireflypulley.gateway import exchange
@@ -129,14 +130,15 @@
             reactor,
             self._scheduler,
             adapters.header_codec,
-            self._connections,
+            connector.Connector(
+                reactor, self._scheduler, self._connections, self._permits
+            ),
             self._usage.count_now,
             self._metrics,
             self._prober,
             limit_reader.LimitReader(
                 self._scheduler.limited.limits, self._limit_changed
             ),
-            self._permits,
             self._request_done,
         )
         self._open_requests: set[exchange.Exchange] = set()
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -6,6 +6,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
 
@@ -46,7 +47,7 @@
 def test_the_deadline_is_the_earlier_of_caller_and_route():
     node_scheduler = builders.a_scheduler()
     long = builders.admitted(node_scheduler, timeout_s=60.0)
-    assert long.deadline_s == 10.0 - scheduler.ANSWER_MARGIN_S
+    assert long.deadline_s == 10.0 - request_admission.ANSWER_MARGIN_S
     short = builders.admitted(node_scheduler, timeout_s=1.5)
     assert short.deadline_s == 1.5
 
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 
 from fireflypulley.core.gateway import document
+from fireflypulley.gateway import connector
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
@@ -121,7 +122,7 @@
             self.clock,
             self.scheduler,
             header_codecs.PlainHeaderCodec(),
-            self,
+            connector.Connector(self.clock, self.scheduler, self, self),
             self.usage.append,
             metrics.GatewayMetrics(),
             prober.Prober(
@@ -130,7 +131,6 @@
             limit_reader.LimitReader(
                 self.scheduler.limited.limits, self.limit_reports.append
             ),
-            self,
             self.done.append,
         )
         request = inbound.IncomingRequest(
--- a/tests/gateway/test_peer_sync.py
+++ b/tests/gateway/test_peer_sync.py
@@ -212,7 +212,7 @@
     network.run(3.0)
     now_s = network.clock.seconds()
     for other in network.nodes.values():
-        assert now_s - other.peer_sync.duty_claimed_s < 1.5
+        assert now_s - other.peer_sync.duty_claims.claimed_s < 1.5
 
 
 def test_much_spending_is_sent_before_the_next_interval():
--- a/tests/gateway/test_permit_broker.py
+++ b/tests/gateway/test_permit_broker.py
@@ -185,7 +185,7 @@
     broker = holder.permits
     broker._issuer.issue = lambda *words: issued.append(words) or 0.0
     other = network.nodes["n003"]
-    other.peer_sync.next_hops = lambda node_id: ["n001", "n002"]
+    other.permits._links.next_hops = lambda node_id: ["n001", "n002"]
     other.permits.request(load.limit)
     network.run(0.1)
     assert len(issued) == 1
