Let a starting node hear the others before it takes callers

It served before it had joined the others.

Now a node takes its first callers when another node has sent its state, which comes after its reports on limits, if there is any other; after 0.5 s at the latest, as without the store. Callers wait at the open port meanwhile. The nodes are counted when the node joins, not a quarter of a second later.

test_a_starting_node_takes_callers_after_it_heard_another_node fails without the condition.

--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -101,12 +101,19 @@
     def start(self) -> None:
         """Start to connect to the known nodes."""
         self.hub.start()
+        self._update_node_counts()
         self.nodes_changed()
 
     def stop(self) -> None:
         """Close all streams."""
         self.hub.stop()
 
+    @property
+    def has_heard_peers(self) -> bool:
+        """Return whether another node has sent its state, if there is any."""
+        alive = self._peer_registry.alive(self._reactor.seconds())
+        return len(alive) > 1 or not self._peer_registry.node_ids
+
     # Selection of streams
 
     @property
@@ -205,10 +212,7 @@
         self._state_sent_s = now_s
         forgotten = self._peer_registry.forget_gone(now_s)
         self._states.forget(forgotten)
-        alive = len(self._peer_registry.alive(now_s))
-        self._scheduler.set_node_counts(
-            alive, self._peer_registry.node_count(now_s), now_s
-        )
+        self._update_node_counts()
         self.duty_claims.note(
             self._peer_registry.this.node_id, self._holds_duty(), now_s
         )
@@ -218,6 +222,12 @@
         self.publish(self._scheduler.rollouts.updates(now_s))
         self.nodes_changed()
 
+    def _update_node_counts(self) -> None:
+        now_s = self._reactor.seconds()
+        alive = len(self._peer_registry.alive(now_s))
+        known = self._peer_registry.node_count(now_s)
+        self._scheduler.set_node_counts(alive, known, now_s)
+
     def _forward_states(self) -> None:
         for for_relay in (True, False):
             receivers = [
@@ -284,6 +294,8 @@
         now_s = self._reactor.seconds()
         self._stream_last_seen_s[node_id] = now_s
         self._replicator.reset_peer(node_id)
+        # Before the states, which a starting node takes callers after.
+        self.limits.send_all(node_id)
         decision_log.note("peer", peer=node_id, state="connected")
         known_nodes = [self._peer_registry.this]
         for other in self._peer_registry.node_ids:
@@ -298,7 +310,6 @@
         known_facts = self._scheduler.shared.snapshot()
         if known_facts:
             self.hub.send(node_id, messages.Facts(known_facts))
-        self.limits.send_all(node_id)
 
     def peer_down(self, node_id: str) -> None:
         self._stream_last_seen_s.pop(node_id, None)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -48,7 +48,7 @@
 START_CHECK_INTERVAL_S = 0.01
 START_READ_TIMEOUT_S = 0.5
 """A starting node accepts callers after this time, even without having
-read the store."""
+read the store or heard another node."""
 STOPPING_RETRY_AFTER_S = 0.05
 
 
@@ -167,11 +167,19 @@
         decision_log.note("node", state="started")
 
     def _listen_when_ready(self, deadline_s: float) -> None:
-        """Accept callers once a configuration and endpoints are known."""
+        """Accept callers once the node knows what the others know.
+
+        That is the configuration and the endpoints, and from another node
+        which endpoints name a limit.
+        """
         if self._is_stopping:
             return
-        is_ready = self._scheduler.document is not None and any(
-            self._scheduler.fleet
+        sync = self._peer_sync
+        is_ready = (
+            self._scheduler.document is not None
+            and any(self._scheduler.fleet)
+            and sync is not None
+            and sync.has_heard_peers
         )
         if is_ready or self._reactor.seconds() >= deadline_s:
             self._listen_for_callers()
--- a/tests/gateway/test_permit_broker.py
+++ b/tests/gateway/test_permit_broker.py
@@ -234,5 +234,8 @@
         joined.peer_registry.put(other.entry, network.clock.seconds())
     network.nodes["x-new"] = joined
     joined.start()
-    network.run(2.0)
+    assert joined.scheduler.nodes_known == count + 1
+    assert not joined.peer_sync.has_heard_peers
+    while not joined.peer_sync.has_heard_peers:
+        network.run(0.005, 0.001)
     assert joined.scheduler.limited.limits.known()
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -12,6 +12,7 @@
 from fireflypulley.gateway import service
 from fireflypulley.gateway import settings
 
+from ..core.gateway import builders
 from . import header_codecs
 
 GRACE_S = 8.0
@@ -135,10 +136,21 @@
         self.closed = True
 
 
+class Peers:
+    """The exchange of state with other nodes, none of them heard yet."""
+
+    has_heard_peers = False
+
+    def send_state(self):
+        pass
+
+
 def _make_ready(node):
     node._scheduler.document = object()
     registration = fleet.Registration("e1", "s", "h:1", "a", "v1", 4)
     node._scheduler.fleet.put(registration, 0.0)
+    node._peer_sync = Peers()
+    node._peer_sync.has_heard_peers = True
 
 
 def test_no_callers_are_accepted_before_endpoints_are_known():
@@ -248,3 +260,28 @@
     assert late.status == 503
     assert b"retry-after" in dict(late.headers)
     assert node._scheduler.refused[calls.RefusalReason.STOPPING] == 1
+
+
+# Guards against nodes that start with a burst on endpoints whose limits
+# the other nodes know.
+def test_a_starting_node_takes_callers_after_it_heard_another_node():
+    node = _start()
+    node._scheduler.apply_document(builders.a_document(), 0.0)
+    node._scheduler.fleet.put(builders.entry("e1"), 0.0)
+    _run_until(node, 0.2)
+    assert 80 not in node.reactor.ports
+    node._peer_sync = Peers()
+    _run_until(node, 0.3)
+    assert 80 not in node.reactor.ports
+    node._peer_sync.has_heard_peers = True
+    _run_until(node, 0.4)
+    assert 80 in node.reactor.ports
+
+
+def test_a_starting_node_does_not_wait_long_for_other_nodes():
+    node = _start()
+    node._scheduler.apply_document(builders.a_document(), 0.0)
+    node._scheduler.fleet.put(builders.entry("e1"), 0.0)
+    node._peer_sync = Peers()
+    _run_until(node, service.START_READ_TIMEOUT_S + 0.1)
+    assert 80 in node.reactor.ports
