Ask all nodes for a returning caller whose key has no known holder

A node that takes a stream over records it at the key's directory node as it sees it, which may be the node that leaves; the next directory node then knows no holder, and a new run began. Only a directory node that did not answer made the caller's node ask the others.

Now it asks them whenever nobody is known to hold the key and the caller returns with its last event. tests/daemon/test_key_directory.py: 3 of 6 cases fail without the change.

--- a/packages/daemon/src/fireflypulley/daemon/key_directory.py
+++ b/packages/daemon/src/fireflypulley/daemon/key_directory.py
@@ -1,8 +1,9 @@
 """Finds the node that holds the request of an idempotency key.
 
 Rendezvous hashing maps each key to a directory node, which records the
-key's holder.  If the directory node does not answer, the node of a
-reconnecting caller asks all nodes to which it has streams.
+key's holder.  If the directory node does not answer, or knows no holder,
+the node of a reconnecting caller asks all nodes to which it has streams:
+a handover may have been recorded elsewhere.
 """
 
 import collections.abc
@@ -68,7 +69,8 @@
         """
         directory_node = self._directory_node(key)
         if directory_node is None or directory_node == self._node_id:
-            on_holder(self._find_holder(key, self._node_id, claim=True))
+            holder = self._find_holder(key, self._node_id, claim=True)
+            self._finish(key, reconnecting, holder, on_holder)
             return
         question = self._add_question(key, reconnecting, on_holder)
         self._streams.send(
@@ -89,15 +91,27 @@
 
     def _on_timeout(self, question_id: int) -> None:
         question = self._questions.pop(question_id)
-        if not question.reconnecting:
-            question.on_holder(None)
+        self._finish(
+            question.key, question.reconnecting, None, question.on_holder
+        )
+
+    def _finish(
+        self,
+        key: str,
+        reconnecting: bool,
+        holder: str | None,
+        on_holder: _OnHolder,
+    ) -> None:
+        """Report the holder, or ask all nodes for a reconnecting caller."""
+        connected = list(self._members.connected)
+        if holder is not None or not reconnecting or not connected:
+            on_holder(holder)
             return
-        retry_id = self._add_question(question.key, False, question.on_holder)
-        for node_id in self._members.connected:
-            self._questions[retry_id].pending_peers += 1
+        question_id = self._add_question(key, False, on_holder)
+        self._questions[question_id].pending_peers = len(connected)
+        for node_id in connected:
             self._streams.send(
-                node_id,
-                messages.KeyQuestion(retry_id, question.key, claim=False),
+                node_id, messages.KeyQuestion(question_id, key, claim=False)
             )
 
     def _find_holder(
@@ -153,7 +167,12 @@
             return
         del self._questions[message.question_id]
         question.timer.cancel()
-        question.on_holder(message.node_id)
+        self._finish(
+            question.key,
+            question.reconnecting,
+            message.node_id,
+            question.on_holder,
+        )
 
     def expire(self) -> None:
         """Drop the records older than the retention time."""
--- /dev/null
+++ b/tests/daemon/test_key_directory.py
@@ -0,0 +1,90 @@
+"""Which node a returning caller is sent to for its answer."""
+
+import pytest
+from twisted.internet import task
+
+from fireflypulley.daemon import key_directory
+from fireflypulley.nodes import messages
+
+KEY = "w/s1"
+
+
+class Members:
+    """Nodes that are all alive; one of them is the directory node."""
+
+    def __init__(self, directory_node, connected):
+        self.directory_node = directory_node
+        self.connected = connected
+
+    def owner(self, key, now_s):
+        return self.directory_node
+
+    def is_down(self, node_id, now_s):
+        return False
+
+
+class System:
+    """Directories of three nodes whose messages arrive at once."""
+
+    def __init__(self, directory_node, holding=()):
+        self.clock = task.Clock()
+        self.lost = set()
+        self.directories = {}
+        for name in ("n1", "n2", "n3"):
+            others = [one for one in ("n1", "n2", "n3") if one != name]
+            self.directories[name] = key_directory.KeyDirectory(
+                self.clock,
+                name,
+                Members(directory_node, others),
+                Streams(self, name),
+                self.clock.seconds,
+                lambda key, name=name: name in holding,
+            )
+
+    def find(self, node, reconnecting):
+        found = []
+        self.directories[node].find(KEY, reconnecting, found.append)
+        self.clock.advance(key_directory.DIRECTORY_TIMEOUT_S)
+        self.clock.advance(key_directory.DIRECTORY_TIMEOUT_S)
+        (holder,) = found
+        return holder
+
+
+class Streams:
+    """The streams of one node."""
+
+    def __init__(self, system, node_id):
+        self.system = system
+        self.node_id = node_id
+
+    def send(self, node_id, message):
+        if node_id in self.system.lost:
+            return
+        directory = self.system.directories[node_id]
+        if isinstance(message, messages.KeyQuestion):
+            directory.receive_question(self.node_id, message)
+        else:
+            directory.receive_answer(message)
+
+
+# Guards against a second run of a handed-over stream: the receiver recorded
+# it at a node that was leaving, so the next directory node knew no holder.
+@pytest.mark.parametrize("directory_node", ["n2", "n1"])
+@pytest.mark.parametrize("lost", [set(), {"n1"}])
+def test_a_returning_caller_finds_a_holder_that_was_not_recorded(
+    directory_node, lost
+):
+    system = System(directory_node, holding={"n3"})
+    system.lost = lost
+    assert system.find("n2", reconnecting=True) == "n3"
+
+
+def test_a_new_request_asks_no_other_node():
+    system = System("n2", holding={"n3"})
+    assert system.find("n2", reconnecting=False) is None
+
+
+def test_a_returning_caller_whose_answer_nobody_has_starts_anew():
+    for directory_node in ("n1", "n2"):
+        system = System(directory_node)
+        assert system.find("n2", reconnecting=True) is None
