Know by a received state whether another node was heard

Traced: among many nodes one that starts counts the others as alive for a second, since entries read from the store are dated one second back and nodes with relays count as alive for two. So a starting node of a large system took callers without having heard anyone. In a small system (full mesh) nothing changes. The test is unchanged and passes now.

--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -59,6 +59,7 @@
         self._overlay = overlay.Overlay(this, ())
         self._wanted: tuple[str, ...] = ()
         self._sequence = 0
+        self._has_heard_state = False
         self._stream_last_seen_s: dict[str, float] = {}
         self.duty_claims = duty_claims.DutyClaims(reactor.seconds())
         self._state_sent_s = float("-inf")
@@ -111,8 +112,7 @@
     @property
     def has_heard_peers(self) -> bool:
         """Return whether another node has sent its state, if there is any."""
-        alive = self._peer_registry.alive(self._reactor.seconds())
-        return len(alive) > 1 or not self._peer_registry.node_ids
+        return self._has_heard_state or not self._peer_registry.node_ids
 
     # Selection of streams
 
@@ -371,6 +371,7 @@
         from_relay = from_node in self._overlay.relays
         if not self._states.update(state, from_relay):
             return
+        self._has_heard_state = True
         node_id, incarnation = state.node_id, state.incarnation
         self._peer_registry.note_seen(node_id, now_s)
         self._scheduler.loads.update_peer(
