Number a node's permit requests anew at each start

Found by reading: the issuer answers a request that comes on several ways once, told apart by the node's name and number. A node that restarts under its name counted from one again, so its first requests passed for ones of before and got no answer: limited endpoints were closed to it for as many requests as it had made before. Numbers now begin at a random point. test_a_node_that_restarts_under_its_name_gets_permits failed before (its asks were unanswered), passes now. PermitReason.ENDED, which nothing gave, is gone.

--- a/packages/core/src/fireflypulley/core/gateway/permit_gate.py
+++ b/packages/core/src/fireflypulley/core/gateway/permit_gate.py
@@ -13,7 +13,6 @@
     ISSUED, PACED: the issuer of all nodes gave it, or had none yet.
     PART, PART_USED: without an issuer, the node's own part of the limit
     allowed it or not.  UNANSWERED: the issuer did not answer in time.
-    ENDED: the endpoint no longer names a limit.
     """
 
     ISSUED = "issued"
@@ -21,7 +20,6 @@
     PART = "part"
     PART_USED = "part_used"
     UNANSWERED = "unanswered"
-    ENDED = "ended"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fireflypulley/gateway/permit_broker.py
+++ b/packages/gateway/src/fireflypulley/gateway/permit_broker.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import secrets
 
 from twisted.internet import defer
 from twisted.internet import interfaces
@@ -25,6 +26,7 @@
 UNANSWERED_WAIT_S = 0.25
 MAX_PATH_NODES = 3
 REMEMBERED_REQUESTS = 1000
+REQUEST_NUMBER_BITS = 48
 UNANSWERED = permit_gate.Permit(
     UNANSWERED_WAIT_S, permit_gate.PermitReason.UNANSWERED
 )
@@ -81,7 +83,8 @@
         self._issuer = permit_issuer.PermitIssuer()
         self._links: PermitLinks | None = None
         self._part: limits.NodeShareLimiter | None = None
-        self._request_number = 0
+        # Numbers of an earlier start of this node must not come again.
+        self._request_number = secrets.randbits(REQUEST_NUMBER_BITS)
         self._waiting: dict[int, defer.Deferred[permit_gate.Permit]] = {}
         self._answered: collections.deque[tuple[str, int]]
         self._answered = collections.deque(maxlen=REMEMBERED_REQUESTS)
--- a/tests/gateway/test_permit_broker.py
+++ b/tests/gateway/test_permit_broker.py
@@ -191,6 +191,24 @@
     assert len(issued) == 1
 
 
+# Guards against a restarted node whose requests pass for ones of before.
+def test_a_node_that_restarts_under_its_name_gets_permits():
+    network, _ = _started(FEW)
+    limit = endpoint_limits.EndpointLimit("e1", 1, 1, 50.0)
+    answers = []
+    for started_ms in (2, 3):
+        node = network.nodes["n003"]
+        for _ in range(3):
+            node.permits.request(limit).addCallback(answers.append)
+            network.run(0.3)
+        network.kill("n003")
+        network.add("n003", started_ms).start()
+        network.run(2.0)
+    reasons = [permit.reason.value for permit in answers]
+    assert "unanswered" not in reasons
+    assert reasons.count("issued") >= 4
+
+
 def test_a_silent_holder_costs_a_request_little_time():
     network, _ = _started(FEW)
     network.is_partitioned = lambda source, target: target == "n001"
