--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -92,4 +92,8 @@
             endpoint=run.member.endpoint_id,
             fingerprint=fact.fingerprint,
             crashes=fact.crashes,
+            began=run.first_event_s is not None,
+            parts=[
+                part.part_id for part in run.request.metadata.shared_parts
+            ],
         )
