--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -3,9 +3,11 @@
 It writes raw bytes so that responses can be truncated, duplicated, sent
 with another attempt's id or left without a length.  ``POST /faults`` sets
 ``mode`` and ``times``; ``POST /limit`` sets the ``value`` that answers
-name as their limit, null for none; ``GET /runs`` lists the requests that
-were run, and ``GET /arrivals`` the times at which requests arrived, on the
-monotonic clock that all processes of a machine share.
+name as their limit, null for none; ``POST /deadly`` sets the prompt
+``part`` on which the replica crashes when it begins to answer.  ``GET
+/runs`` lists the requests that were run, and ``GET /arrivals`` the times at
+which requests arrived, on the monotonic clock that all processes of a
+machine share.
 """
 
 import dataclasses
@@ -14,6 +16,7 @@
 import urllib.request
 
 import h11
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
@@ -25,6 +28,8 @@
 EVENT_S = 0.02
 PROCESSING_TIME_S = 0.01
 HEARTBEAT_S = 1.0
+DOWN_S = 0.8
+"""How long a crashed replica does not listen."""
 STREAM_PREFIXES = ("/stream/", "/resumed/")
 _Fields = dict[str, str]
 
@@ -66,15 +71,45 @@
         self.runs: list[web.Json] = []
         self.arrivals_s: list[float] = []
         self.limit: str | None = None
+        self.deadly_part = ""
+        self.crashes_s: list[float] = []
         self.state = "ready"
+        self._connections: set[ReplicaProtocol] = set()
+        self._port: interfaces.IListeningPort | None = None
         self._started_ms = int(time.time() * 1000)
         self._sequence = 0
         self._heartbeat_loop = task.LoopingCall(self._send_heartbeat)
 
     def start(self) -> None:
-        """Register and then send heartbeats."""
+        """Listen, register and then send heartbeats."""
+        host, port = self.identity.address.rsplit(":", 1)
+        self._port = reactor.listenTCP(
+            int(port), _Factory(self), interface=host
+        )
+        self._started_ms = int(time.time() * 1000)
+        self._sequence = 0
         self._heartbeat_loop.start(HEARTBEAT_S)
 
+    def opened(self, connection: "ReplicaProtocol") -> None:
+        """Record a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: "ReplicaProtocol") -> None:
+        """Forget a connection."""
+        self._connections.discard(connection)
+
+    def crash(self) -> None:
+        """Cut all connections and start anew after a while."""
+        if self._port is None:
+            return
+        self.crashes_s.append(time.monotonic())
+        self._port.stopListening()
+        self._port = None
+        self._heartbeat_loop.stop()
+        for connection in list(self._connections):
+            connection.transport.abortConnection()
+        reactor.callLater(DOWN_S, self.start)
+
     def _send_heartbeat(self) -> None:
         self._sequence += 1
         threads.deferToThread(self._register).addErrback(lambda _: None)
@@ -116,6 +151,9 @@
         self._body = b""
         self._stream: task.LoopingCall | None = None
 
+    def connectionMade(self) -> None:
+        self._replica.opened(self)
+
     def dataReceived(self, data: bytes) -> None:
         try:
             self._wire.receive_data(data)
@@ -138,6 +176,7 @@
                 return
 
     def connectionLost(self, reason: object = protocol.connectionDone) -> None:
+        self._replica.closed(self)
         if self._stream is not None and self._stream.running:
             self._stream.stop()
 
@@ -158,6 +197,12 @@
         elif target == "/limit":
             self._replica.limit = json.loads(self._body)["value"]
             self._write(200, {}, b"{}")
+        elif target == "/deadly":
+            self._replica.deadly_part = json.loads(self._body)["part"]
+            self._write(200, {}, b"{}")
+        elif target == "/crashes":
+            crashes = json.dumps(self._replica.crashes_s).encode()
+            self._write(200, {}, crashes)
         elif target == "/arrivals":
             arrivals = json.dumps(self._replica.arrivals_s).encode()
             self._write(200, {}, arrivals)
@@ -180,6 +225,8 @@
         self._record_run(target, fields)
         if fault == "reset":
             self.transport.abortConnection()
+        elif self._holds_deadly_part(fields):
+            reactor.callLater(PROCESSING_TIME_S, self._replica.crash)
         elif fault != "mute":
             identity_fields = {
                 "Attempt-Id": fields.get("attempt-id", ""),
@@ -192,6 +239,13 @@
                 PROCESSING_TIME_S, respond, fault, identity_fields, fields
             )
 
+    def _holds_deadly_part(self, fields: _Fields) -> bool:
+        part = self._replica.deadly_part
+        prefix = fields.get("prompt-prefix", "").split(",")
+        return bool(part) and any(
+            entry.partition(":")[0] == part for entry in prefix
+        )
+
     def _limit_fields(self) -> _Fields:
         limit = self._replica.limit
         return {} if limit is None else {"Server-Limit": limit}
@@ -207,6 +261,8 @@
                 "tenant": fields.get("tenant"),
                 "key": fields.get("key"),
                 "deadline-ms": fields.get("deadline-ms"),
+                "prefix": fields.get("prompt-prefix", ""),
+                "began_s": time.monotonic(),
             }
         )
 
@@ -315,8 +371,6 @@
 def serve(identity: Identity) -> None:
     """Listen, register and run until stopped."""
     replica = Replica(identity)
-    host, port = identity.address.rsplit(":", 1)
-    reactor.listenTCP(int(port), _Factory(replica), interface=host)
     reactor.callWhenRunning(replica.start)
     print(f"listening on {identity.address}", flush=True)
     reactor.run()
