Count crashes by prompt part and refuse what they have in common

Cause: crashes were counted by the bytes of a request, and no two were alike, so each count stayed at 1.

Now the parts of requests that an endpoint had not begun to answer when it crashed are evidence on all nodes; an answer after the crash clears its parts; a crash counts if the service outlived it. Three refuse requests that hold all that those had in common, and, if only one workspace crashed endpoints, come from it. Why this works: a deadly part is never answered, so it alone stays in every crash, while parts that sound requests hold are cleared within their next answer.

The replication of endpoints' limits became a base class for both kinds of report; the crash check of a node opens one connection for each endpoint instead of one for each request.

--- a/packages/cli/src/fireflypulley/cli/gateways.py
+++ b/packages/cli/src/fireflypulley/cli/gateways.py
@@ -29,6 +29,7 @@
     ROLLOUTS = "rollouts"
     LIMITS = "limits"
     ENDPOINT_LIMITS = "endpoint-limits"
+    REFUSED_PARTS = "refused-parts"
     REFUSALS = "refusals"
 
 
@@ -96,6 +97,11 @@
     return list(body.get("endpoint_limits", ()))
 
 
+def _refused_part_rows(body: Json) -> list[Json]:
+    # Nodes of older versions do not count crashes by prompt part.
+    return list(body.get("refused_parts", ()))
+
+
 _ROWS: dict[Subject, collections.abc.Callable[[Json], list[Json]]] = {
     Subject.NODES: _node_rows,
     Subject.CONFIGURATION: lambda body: [body["configuration"]],
@@ -104,6 +110,7 @@
     Subject.ROLLOUTS: lambda body: list(body["rollouts"]),
     Subject.LIMITS: lambda body: list(body["limits"]),
     Subject.ENDPOINT_LIMITS: _endpoint_limit_rows,
+    Subject.REFUSED_PARTS: _refused_part_rows,
     Subject.REFUSALS: _refusal_rows,
 }
 
--- a/packages/cli/src/fireflypulley/cli/request_traces.py
+++ b/packages/cli/src/fireflypulley/cli/request_traces.py
@@ -19,6 +19,7 @@
     "endpoints_full": "every endpoint that was tried turned it away",
     "no_time_left": "its time was over before any endpoint had it",
     "quarantined": "the request had crashed endpoints before",
+    "part_quarantined": "requests with one of its parts crashed endpoints",
     "timeout": "no whole answer came before its deadline",
     "outcome_unknown": "an endpoint may have run it and it may not repeat",
     "cut": "the answer was broken off after its first bytes",
--- a/packages/core/src/fireflypulley/core/gateway/calls.py
+++ b/packages/core/src/fireflypulley/core/gateway/calls.py
@@ -57,6 +57,16 @@
     arrived_s: float
     deadline_s: float
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of the workspace, "" if there is none."""
+        return self.workspace.name if self.workspace else ""
+
+    @property
+    def shared_part_ids(self) -> frozenset[str]:
+        """Return the ids of the prompt parts that others may share."""
+        return frozenset(part.part_id for part in self.metadata.shared_parts)
+
     @property
     def priority(self) -> int:
         """Return the workspace's priority if it has one, else the route's."""
@@ -128,6 +138,7 @@
     ENDPOINTS_LIMITED = "endpoints_limited"
     NO_TIME_LEFT = "no_time_left"
     QUARANTINED = "quarantined"
+    PART_QUARANTINED = "part_quarantined"
     RETRY_BUDGET_EMPTY = "retry_budget_empty"
     TIMEOUT = "timeout"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -147,6 +158,7 @@
     RefusalReason.ENDPOINTS_LIMITED: 503,
     RefusalReason.NO_TIME_LEFT: 503,
     RefusalReason.QUARANTINED: 502,
+    RefusalReason.PART_QUARANTINED: 503,
     RefusalReason.RETRY_BUDGET_EMPTY: 503,
     RefusalReason.TIMEOUT: 504,
     RefusalReason.OUTCOME_UNKNOWN: 502,
--- a/packages/core/src/fireflypulley/core/gateway/request_admission.py
+++ b/packages/core/src/fireflypulley/core/gateway/request_admission.py
@@ -4,6 +4,7 @@
 from fireflypulley.core.gateway import crash_tracker
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import workspace_limits
 
@@ -22,10 +23,12 @@
         shared_limits: workspace_limits.WorkspaceLimits,
         retry_budget: limits.RetryBudget,
         crashes: crash_tracker.CrashTracker,
+        crashes_by_part: prompt_crashes.PromptCrashes,
     ) -> None:
         self._limits = shared_limits
         self._retry_budget = retry_budget
         self._crash_tracker = crashes
+        self._prompt_crashes = crashes_by_part
 
     def admit(
         self,
@@ -90,6 +93,15 @@
                 None,
                 "request crashed endpoints",
             )
+        verdict = self._prompt_crashes.judge(
+            request.workspace_name, request.shared_part_ids, now_s
+        )
+        if verdict is not None:
+            return runs.Refusal(
+                calls.RefusalReason.PART_QUARANTINED,
+                verdict.wait_s,
+                str(verdict),
+            )
         wait_s = self._limits.charge(request, now_s)
         if wait_s:
             detail = self._limits.explain(request)
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -6,6 +6,7 @@
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import permit_gate
+from fireflypulley.core.gateway import prompt_crashes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +44,8 @@
     had been removed, None if it was present.  ``sent_s`` is when the
     request was sent, None before.  A run at a limited endpoint has the
     ``permit`` that it got or was refused, the limit and how long ago the
-    limit was last named.
+    limit was last named.  ``events`` counts the parts of a stream that
+    arrived with whole events, and ``ended_s`` is when the run was over.
     """
 
     request: calls.AdmittedRequest
@@ -62,6 +64,13 @@
     pause_measured: bool = False
     observed: bool = False
     is_over: bool = False
+    events: int = 0
+    ended_s: float = 0.0
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the endpoint certainly began to answer."""
+        return self.events >= prompt_crashes.PROVEN_EVENTS
 
     @property
     def address(self) -> str:
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -14,6 +14,7 @@
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
 from fireflypulley.core.gateway import placement
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import retry_policy
 from fireflypulley.core.gateway import runs
@@ -58,6 +59,7 @@
             self.fleet, self.rollouts
         )
         self.crash_tracker = crash_tracker.CrashTracker(self.shared)
+        self.prompt_crashes = prompt_crashes.PromptCrashes()
         self.limited = limited_endpoints.LimitedEndpoints()
         self.nodes_alive = 1
         self.nodes_known = 1
@@ -66,7 +68,10 @@
         self.outcomes: collections.Counter[calls.Outcome]
         self.outcomes = collections.Counter()
         self._admission = request_admission.RequestAdmission(
-            self.limits, self.retry_budget, self.crash_tracker
+            self.limits,
+            self.retry_budget,
+            self.crash_tracker,
+            self.prompt_crashes,
         )
         self.retry_policy = retry_policy.RetryPolicy(self.retry_budget)
         self._engine_policy = placement.create(True)
@@ -292,6 +297,7 @@
         self, run: runs.Run, event_id: int | None, now_s: float
     ) -> None:
         """Record the start of an answer, and each event of a stream."""
+        run.events += 1
         if run.first_event_s is None:
             run.first_event_s = now_s
             run.load.note_first_event(run.tokens)
@@ -322,6 +328,7 @@
         if run.is_over:
             return
         run.is_over = True
+        run.ended_s = now_s
         self.outcomes[outcome] += 1
         if run.first_event_s is None:
             run.load.note_first_event(run.tokens)
@@ -366,14 +373,27 @@
         outcome: calls.Outcome,
         counts: runs.AttemptCounts,
         now_s: float,
+        has_begun: bool = False,
     ) -> runs.Refusal | None:
-        """Return None if a request may go to another endpoint."""
+        """Return None if a request may go to another endpoint.
+
+        ``has_begun`` tells whether the last endpoint began to answer.
+        """
         if self.crash_tracker.is_quarantined(request.fingerprint, now_s):
             return runs.Refusal(
                 calls.RefusalReason.QUARANTINED,
                 None,
                 "request crashed endpoints, not retried",
             )
+        is_unbegun = outcome is calls.Outcome.CUT and not has_begun
+        if is_unbegun and self.prompt_crashes.is_suspect(
+            request.workspace_name, request.shared_part_ids
+        ):
+            return runs.Refusal(
+                calls.RefusalReason.PART_QUARANTINED,
+                None,
+                "like requests that crashed endpoints, not retried",
+            )
         return self.retry_policy.refusal(
             request, outcome, counts, self.nodes_known, now_s
         )
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -7,16 +7,17 @@
 from twisted.internet import interfaces
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.gateway import connector
+from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import outbound
-from fireflypulley.gateway import prober
 from fireflypulley.gateway import record
 from fireflypulley.gateway import relay
 from fireflypulley.gateway import response_watchdog
@@ -36,7 +37,7 @@
     connector: connector.Connector
     count_usage: collections.abc.Callable[[str], None]
     metrics: metrics.GatewayMetrics
-    prober: prober.Prober
+    crash_detector: crash_detector.CrashDetector
     limit_reader: limit_reader.LimitReader
     done: collections.abc.Callable[["Exchange"], None]
 
@@ -261,6 +262,8 @@
             self._dependencies.scheduler.note_event(
                 self._run, event_id, self._now_s()
             )
+            if self._run.events == prompt_crashes.PROVEN_EVENTS:
+                self._dependencies.crash_detector.note_answered(self._run)
 
     def response_end(self) -> None:
         if self._relay.is_finished:
@@ -304,6 +307,7 @@
         self._dependencies.scheduler.note_ended(run, outcome, self._now_s())
         if outcome is calls.Outcome.COMPLETE:
             self._dependencies.metrics.observe_attempt(run, self._now_s())
+            self._dependencies.crash_detector.note_answered(run)
 
     def _end_attempt(self, outcome: calls.Outcome, detail: str) -> None:
         run, request = self._run, self._record.request
@@ -313,9 +317,13 @@
         self._end_run(outcome)
         if outcome is calls.Outcome.CUT and self._was_sent:
             self._count_usage()
-            self._dependencies.prober.check_crash(run)
+            self._dependencies.crash_detector.note_cut(run)
         refusal = self._dependencies.scheduler.may_retry(
-            request, outcome, self._record.attempt_counts, self._now_s()
+            request,
+            outcome,
+            self._record.attempt_counts,
+            self._now_s(),
+            run.has_begun,
         )
         self._record.log_attempt(run, outcome, detail, refusal, self._now_s())
         if refusal is not None:
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -13,11 +13,12 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.core import topology
+from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import follower
-from fireflypulley.gateway import limit_replication
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import permit_streams
+from fireflypulley.gateway import report_replication
 from fireflypulley.gateway import row_replication
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
@@ -72,14 +73,17 @@
             DIAL_TEMPLATE,
             self,
             self._resolve,
-            (permit_broker.FEATURE,),
+            (permit_broker.FEATURE, crash_detector.FEATURE),
         )
         self._replicator = row_replication.RowReplicator(
             store_follower.cache, self.hub, self._states
         )
-        self.limits = limit_replication.LimitReplicator(
+        self.limits = report_replication.LimitReplicator(
             node_scheduler.limited.limits, self.hub, permit_broker.FEATURE
         )
+        self.crashes = report_replication.CrashReplicator(
+            node_scheduler.prompt_crashes, self.hub, crash_detector.FEATURE
+        )
         store_follower.on_update = self._send_rows
         permits.attach(
             permit_streams.PermitStreams(
@@ -295,7 +299,8 @@
         self._stream_last_seen_s[node_id] = now_s
         self._replicator.reset_peer(node_id)
         # Before the states, which a starting node takes callers after.
-        self.limits.send_all(node_id)
+        self.limits.send_all(node_id, now_s)
+        self.crashes.send_all(node_id, now_s)
         decision_log.note("peer", peer=node_id, state="connected")
         known_nodes = [self._peer_registry.this]
         for other in self._peer_registry.node_ids:
@@ -334,6 +339,8 @@
             self._receive_nodes(node_id, message.nodes, now_s)
         elif isinstance(message, messages.LimitReports):
             self.limits.receive(node_id, message.limits, now_s)
+        elif isinstance(message, messages.CrashReports):
+            self.crashes.receive(node_id, message.reports, now_s)
         elif isinstance(message, messages.PermitRequest):
             self._permits.receive_request(message)
         elif isinstance(message, messages.PermitResponse):
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/report_replication.py
@@ -0,0 +1,132 @@
+"""Passes reports of nodes on to all nodes that can read them."""
+
+import abc
+import collections.abc
+import typing
+
+from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import prompt_crashes
+from fireflypulley.gateway import crash_detector
+from fireflypulley.gateway import limit_reader
+from fireflypulley.nodes import hub
+from fireflypulley.nodes import messages
+
+Report = typing.TypeVar("Report")
+
+
+class ReportReplicator(abc.ABC, typing.Generic[Report]):
+    """Sends reports of one kind, and passes on those that are news."""
+
+    def __init__(self, node_hub: hub.Hub, feature: str) -> None:
+        self._hub = node_hub
+        self._feature = feature
+
+    @abc.abstractmethod
+    def _known(self, now_s: float) -> tuple[Report, ...]:
+        """Return all reports that this node has."""
+
+    @abc.abstractmethod
+    def _merge(self, report: Report, now_s: float) -> bool:
+        """Apply a report; return whether it is news."""
+
+    @abc.abstractmethod
+    def _message(self, reports: tuple[Report, ...]) -> messages.Message:
+        """Return the message that holds some reports."""
+
+    @abc.abstractmethod
+    def _log(self, report: Report, from_node: str) -> None:
+        """Log a report that is news."""
+
+    def publish(self, *reports: Report) -> None:
+        """Send reports to all nodes with a stream."""
+        self._send(reports, None)
+
+    def send_all(self, node_id: str, now_s: float) -> None:
+        """Send all reports to a node that has just connected."""
+        known = self._known(now_s)
+        if known and node_id in self._hub.peers_with(self._feature):
+            self._hub.send_to([node_id], self._message(known))
+
+    def receive(
+        self,
+        from_node: str,
+        reports: collections.abc.Sequence[Report],
+        now_s: float,
+    ) -> None:
+        """Apply reports; pass those that are news on to the other nodes."""
+        news = tuple(one for one in reports if self._merge(one, now_s))
+        for report in news:
+            self._log(report, from_node)
+        if news:
+            self._send(news, from_node)
+
+    def _send(
+        self, reports: tuple[Report, ...], except_node: str | None
+    ) -> None:
+        receivers = [
+            node_id
+            for node_id in self._hub.peers_with(self._feature)
+            if node_id != except_node
+        ]
+        if receivers:
+            self._hub.send_to(receivers, self._message(reports))
+
+
+class LimitReplicator(ReportReplicator[endpoint_limits.EndpointLimit]):
+    """Tells the other nodes which endpoints name a limit."""
+
+    def __init__(
+        self,
+        limits: endpoint_limits.EndpointLimits,
+        node_hub: hub.Hub,
+        feature: str,
+    ) -> None:
+        super().__init__(node_hub, feature)
+        self._limits = limits
+
+    def _known(
+        self, now_s: float
+    ) -> tuple[endpoint_limits.EndpointLimit, ...]:
+        return self._limits.known()
+
+    def _merge(
+        self, report: endpoint_limits.EndpointLimit, now_s: float
+    ) -> bool:
+        return self._limits.merge(report, now_s)
+
+    def _message(
+        self, reports: tuple[endpoint_limits.EndpointLimit, ...]
+    ) -> messages.Message:
+        return messages.LimitReports(reports)
+
+    def _log(
+        self, report: endpoint_limits.EndpointLimit, from_node: str
+    ) -> None:
+        limit_reader.log(report, from_node)
+
+
+class CrashReplicator(ReportReplicator[prompt_crashes.CrashReport]):
+    """Tells the other nodes which requests endpoints crashed under."""
+
+    def __init__(
+        self,
+        crashes: prompt_crashes.PromptCrashes,
+        node_hub: hub.Hub,
+        feature: str,
+    ) -> None:
+        super().__init__(node_hub, feature)
+        self._crashes = crashes
+
+    def _known(self, now_s: float) -> tuple[prompt_crashes.CrashReport, ...]:
+        return self._crashes.known(now_s)
+
+    def _merge(self, report: prompt_crashes.CrashReport, now_s: float) -> bool:
+        return self._crashes.merge(report, now_s)
+
+    def _message(
+        self, reports: tuple[prompt_crashes.CrashReport, ...]
+    ) -> messages.Message:
+        return messages.CrashReports(reports)
+
+    def _log(self, report: prompt_crashes.CrashReport, from_node: str) -> None:
+        crash_detector.log(report, from_node)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -14,10 +14,12 @@
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
 from fireflypulley.gateway import connector
+from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import duties
 from fireflypulley.gateway import exchange
@@ -93,7 +95,7 @@
         self._metrics = metrics.GatewayMetrics()
         self._connections = pools.ConnectionPools(reactor)
         self._prober = prober.Prober(
-            reactor, self._scheduler, self._connections, self._publish
+            reactor, self._scheduler, self._connections
         )
         self._usage = WallClockUsage(
             config.usage_window_s, config.node.started_ms
@@ -125,6 +127,9 @@
         self._sources = status.Sources(
             self._scheduler, self._peer_registry, self._follower, self._duties
         )
+        self._scheduler.prompt_crashes.may_try = lambda: (
+            self._issuing_term() is not None
+        )
         self._peer_sync: peer_sync.PeerSync | None = None
         self._exchange_dependencies = exchange.Dependencies(
             reactor,
@@ -135,7 +140,13 @@
             ),
             self._usage.count_now,
             self._metrics,
-            self._prober,
+            crash_detector.CrashDetector(
+                reactor,
+                self._scheduler,
+                self._prober,
+                self._publish,
+                self._publish_crashes,
+            ),
             limit_reader.LimitReader(
                 self._scheduler.limited.limits, self._limit_changed
             ),
@@ -213,6 +224,7 @@
             self._note_lapsed(member, now_s)
         self._scheduler.forget_absent()
         self._scheduler.shared.expire(now_s)
+        self._scheduler.prompt_crashes.forget_old(now_s)
         present = {member.registration.key for member in self._scheduler.fleet}
         self._connections.tick(present)
         self._prober.tick()
@@ -355,6 +367,12 @@
     def connection_closed(self, connection: inbound.CallerConnection) -> None:
         self._caller_connections.discard(connection)
 
+    def _publish_crashes(
+        self, reports: typing.Sequence[prompt_crashes.CrashReport]
+    ) -> None:
+        if self._peer_sync is not None:
+            self._peer_sync.crashes.publish(*reports)
+
     def _publish(self, fact: facts.Fact) -> None:
         if self._peer_sync is not None:
             self._peer_sync.publish([fact])
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -38,6 +38,7 @@
         "rollouts": _rollouts(sources.scheduler, now_s),
         "limits": _limits(sources.scheduler, now_s),
         "endpoint_limits": _endpoint_limits(sources.scheduler, now_s),
+        "refused_parts": _refused_parts(sources.scheduler, now_s),
         "refused": _counts(sources.scheduler.refused),
         "outcomes": _counts(sources.scheduler.outcomes),
     }
@@ -184,3 +185,18 @@
         }
         for limit in limits.in_force()
     ]
+
+
+def _refused_parts(
+    node_scheduler: scheduler.RequestScheduler, now_s: float
+) -> list[Json]:
+    return [
+        {
+            "parts": sorted(verdict.parts),
+            "workspace": verdict.workspace,
+            "endpoints": list(verdict.endpoints),
+            "last_crash_before_s": round(verdict.last_crash_before_s, 1),
+            "tried_in_s": round(verdict.wait_s, 1),
+        }
+        for verdict in node_scheduler.prompt_crashes.verdicts(now_s)
+    ]
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -53,6 +53,7 @@
         messages.Rows,
         messages.Introduction,
         messages.LimitReports,
+        messages.CrashReports,
         messages.PermitRequest,
         messages.PermitResponse,
     )
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import rows
 from fireflypulley.core import job_rows
 from fireflypulley.core import ledger_rows
@@ -203,6 +204,13 @@
     limits: tuple[endpoint_limits.EndpointLimit, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReports(Message):
+    """Crashes of endpoints that the receiver may not know all of yet."""
+
+    reports: tuple[prompt_crashes.CrashReport, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRequest(Message):
     """Requests a permit for one request to a limited endpoint.
--- a/tests/cli/test_gateways.py
+++ b/tests/cli/test_gateways.py
@@ -38,6 +38,7 @@
         ],
         "limits": [{"workspace": "w", "left": 5, "burst": 9}],
         "endpoint_limits": [{"endpoint": "e1", "rate_per_s": 2.0}],
+        "refused_parts": [{"parts": ["dd"], "endpoints": ["e1", "e2"]}],
         "refused": {"over_limit": 3, "no_key": 1},
     }
     return page | changes
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -6,6 +6,7 @@
 
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import connector
+from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
@@ -114,6 +115,7 @@
         self.done = []
         self.usage = []
         self.published = []
+        self.crash_reports = []
         self.limit_reports = []
         self.permits = []
         self.permit_requests = []
@@ -125,9 +127,7 @@
             connector.Connector(self.clock, self.scheduler, self, self),
             self.usage.append,
             metrics.GatewayMetrics(),
-            prober.Prober(
-                self.clock, self.scheduler, self, self.published.append
-            ),
+            self.crash_detector(self.scheduler),
             limit_reader.LimitReader(
                 self.scheduler.limited.limits, self.limit_reports.append
             ),
@@ -142,6 +142,16 @@
         )
         self.exchange = exchange.Exchange(dependencies, request, self.sink)
 
+    def crash_detector(self, node_scheduler):
+        """Return what checks this world's endpoints for crashes."""
+        return crash_detector.CrashDetector(
+            self.clock,
+            node_scheduler,
+            prober.Prober(self.clock, node_scheduler, self),
+            self.published.append,
+            self.crash_reports.extend,
+        )
+
     def pool(self, member, load):
         """Return an endpoint's pool, as ConnectionPools does."""
         key = member.registration.key
--- a/tests/gateway/header_codecs.py
+++ b/tests/gateway/header_codecs.py
@@ -13,9 +13,13 @@
             raise header_codec.InvalidHeaders("x-bad")
         timeout_s = fields.get(b"x-timeout-s")
         last = fields.get(b"last-event-id")
+        prefix = fields.get(b"x-prefix", b"").decode()
         return calls.RequestMetadata(
             fields.get(b"x-request-id", b"").decode(),
             timeout_s=None if timeout_s is None else float(timeout_s),
+            prefix=tuple(
+                calls.PromptPart(part, 1) for part in prefix.split(",")
+            ),
             last_event_id=None if last is None else int(last),
         )
 
--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -148,6 +148,7 @@
         self.hub = Hub(network, node_id, self.peer_sync)
         self.peer_sync.hub = self.peer_sync._replicator._hub = self.hub
         self.peer_sync.limits._hub = self.permits._links._hub = self.hub
+        self.peer_sync.crashes._hub = self.hub
         self.ticking = task.LoopingCall(self._tick)
         self.ticking.clock = network.clock
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -7,7 +7,7 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import versions
-from fireflypulley.gateway import prober
+from fireflypulley.gateway import crash_detector
 
 from ..core.gateway import builders
 from . import exchanges
@@ -225,18 +225,17 @@
     for _ in range(4):
         again = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
         again.scheduler = world.scheduler
+        again.published = world.published
         again.exchange._dependencies = dataclasses.replace(
             again.exchange._dependencies,
             scheduler=world.scheduler,
-            prober=prober.Prober(
-                again.clock, world.scheduler, again, world.published.append
-            ),
+            crash_detector=again.crash_detector(world.scheduler),
         )
         sent = again.begin()
         assert sent is not None
         sent.listener.response_failed(calls.Outcome.CUT, "test")
         again.unreachable = {"e1", "e2"}
-        again.clock.advance(prober.CRASH_CHECK_DELAY_S)
+        again.clock.advance(crash_detector.CRASH_CHECK_DELAY_S)
     assert [fact.crashes for fact in world.published] == [1, 2, 3, 4]
     other = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
     other.scheduler.shared.merge(world.published[-1], 0.0)
@@ -262,5 +261,5 @@
     world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
     sent = world.begin()
     sent.listener.response_failed(calls.Outcome.CUT, "test")
-    world.clock.advance(prober.CRASH_CHECK_DELAY_S)
+    world.clock.advance(crash_detector.CRASH_CHECK_DELAY_S)
     assert world.published == []
--- a/tests/gateway/test_peer_sync.py
+++ b/tests/gateway/test_peer_sync.py
@@ -5,6 +5,7 @@
 from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import overlay
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import prompt_crashes
 
 from . import networks
 
@@ -206,6 +207,49 @@
         assert other.scheduler.shared.get("suspicion", "f") == fact
 
 
+def _a_crash(number):
+    run = prompt_crashes.UnbegunRun("w", ("dd",))
+    return prompt_crashes.CrashReport(f"e{number}", 1, "s", (run,))
+
+
+def _is_refused(node):
+    now_s = node.clock.seconds()
+    crashes = node.scheduler.prompt_crashes
+    return crashes.judge("w", frozenset({"dd"}), now_s) is not None
+
+
+def _crash_three_times(network):
+    """Crash endpoints under requests of three nodes, a second apart."""
+    nodes = list(network.nodes.values())
+    for number, node in enumerate((nodes[-1], nodes[-2], nodes[0])):
+        report = _a_crash(number)
+        node.scheduler.prompt_crashes.merge(report, network.clock.seconds())
+        node.peer_sync.crashes.publish(report)
+        network.run(0.5)
+        now_s = network.clock.seconds()
+        witness = nodes[number + 1]
+        news = witness.scheduler.prompt_crashes.note_answered(
+            "s", {"zz"}, now_s
+        )
+        witness.peer_sync.crashes.publish(*news)
+        network.run(0.5)
+
+
+def test_a_verdict_on_a_prompt_part_holds_on_every_node(network):
+    _crash_three_times(network)
+    assert all(_is_refused(node) for node in network.nodes.values())
+
+
+# Guards against a starting node that crashes endpoints all over again.
+def test_a_starting_node_knows_the_verdict_before_a_state(network):
+    _crash_three_times(network)
+    starting = network.add("n999", started_ms=2)
+    starting.start()
+    while not starting.peer_sync._has_heard_state:
+        network.run(0.001, 0.001)
+    assert _is_refused(starting)
+
+
 def test_the_duty_claim_reaches_all_nodes(network):
     node = _non_relay_node(network)
     node.holds = True
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -7,6 +7,7 @@
 
 from fireflypulley.core.gateway import bounds
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import versions
 from fireflypulley.gateway import status
@@ -101,3 +102,20 @@
     assert rollout["left_s"] == 6.0
     assert rollout["answers"] == 0
     assert not rollout["is_bad"]
+
+
+def test_refused_prompt_parts_are_shown_with_their_evidence(
+    serving_scheduler,
+):
+    crashes = serving_scheduler.prompt_crashes
+    run = prompt_crashes.UnbegunRun("w", ("dd",))
+    for number in range(prompt_crashes.CRASHES_TO_REFUSE):
+        report = prompt_crashes.CrashReport(f"x{number}", 1, "s", (run,))
+        crashes.merge(report, float(number))
+        crashes.note_answered("s", {"zz"}, number + 0.1)
+    (entry,) = _page(serving_scheduler)["refused_parts"]
+    assert entry["parts"] == ["dd"]
+    assert entry["workspace"] == "w"
+    assert entry["endpoints"] == ["x0", "x1", "x2"]
+    assert entry["last_crash_before_s"] == 8.0
+    assert entry["tried_in_s"] > 100
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import versions
 from fireflypulley.core import job_rows
@@ -46,6 +47,15 @@
     versions.PhaseReached("s/v2/7", versions.Phase.MOVING, 9.0),
 )
 JOB = job_rows.Job("j", "w", "r", "m", "f", 1.0, 2.0)
+CRASH = prompt_crashes.CrashReport(
+    "e",
+    5,
+    "s",
+    (prompt_crashes.UnbegunRun("w", ("a", "b")),),
+    ("a",),
+    True,
+    1.5,
+)
 LIMIT = endpoint_limits.EndpointLimit("e", 5, 7, 1.5)
 MESSAGES = (
     messages.Hello("n", 1, messages.Purpose.PEER, b"\xff" * 32),
@@ -71,8 +81,9 @@
         JOB,
     ),
     messages.HandoverTaken("r"),
+    messages.CrashReports((CRASH,)),
     messages.LimitReports(
-        (LIMIT, endpoint_limits.EndpointLimit("e", 5, 8, None))
+        (LIMIT, endpoint_limits.EndpointLimit("e", 5, 8, None)),
     ),
     messages.PermitRequest(3, LIMIT, ("n", "m")),
     messages.PermitResponse(3, 0.25, "m", ("n",)),
