Take a stream that ends inside an event as broken off

Cause: the end of the connection was the end of the response, whatever the stream held by then.

Such a stream, and one without framing and without any event, is now cut for the caller, or resumed where the route allows. With chunks or a length, a stream without events stays complete. One that ends between two events without framing cannot be told from a complete one when the connection is closed in order; a reset is broken off as before.

--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -269,6 +269,10 @@
         if self._relay.is_finished:
             return
         self._connection = None
+        problem = self._relay.find_end_problem()
+        if problem:
+            self._end_attempt(calls.Outcome.CUT, problem)
+            return
         is_failure = self._relay.status >= MIN_FAILURE_STATUS
         self._end_run(
             calls.Outcome.FAILED if is_failure else calls.Outcome.COMPLETE
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -12,6 +12,7 @@
 BAD_GATEWAY = 502
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that the request did not run."""
+FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class InvalidStream(ValueError):
@@ -30,6 +31,8 @@
         self._held: list[bytes] = []
         self._held_bytes = 0
         self._splitter = events.EventSplitter()
+        self._has_events = False
+        self._is_framed = False
         self.is_stream = False
         self.status = 0
         self.head_sent = False
@@ -45,6 +48,7 @@
         self._held = []
         self._held_bytes = 0
         self._splitter = events.EventSplitter()
+        self._has_events = False
         if not self.head_sent:
             self.status = 0
 
@@ -68,6 +72,8 @@
     def set_head(self, status: int, headers: header_codec.Headers) -> None:
         """Set the head; once sent, its header fields don't change."""
         self.status = status
+        names = {name for name, _ in headers}
+        self._is_framed = not names.isdisjoint(FRAMING_FIELDS)
         if not self.head_sent:
             self._headers = list(headers)
 
@@ -91,9 +97,24 @@
         for event in complete:
             self._queue(event)
         if complete:
+            self._has_events = True
             self._flush()
         return bool(complete)
 
+    def find_end_problem(self) -> str:
+        """Return why a response that has ended was broken off, or "".
+
+        A stream that only the end of its connection delimits may have
+        been broken off before its first event.
+        """
+        if not self.is_stream or self.status >= 300:
+            return ""
+        if self._splitter.remainder.strip():
+            return "ended inside an event"
+        if not (self._has_events or self._is_framed):
+            return "ended before an event"
+        return ""
+
     def _queue(self, event: events.Event) -> None:
         last_id, new_id = self.last_event_id, event.event_id
         if new_id is not None:
--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -150,6 +150,7 @@
         self._request: h11.Request | None = None
         self._body = b""
         self._stream: task.LoopingCall | None = None
+        self._is_chunked = True
 
     def connectionMade(self) -> None:
         self._replica.opened(self)
@@ -296,21 +297,25 @@
         """Send the number of events given in the request's body."""
         total = int(self._body or b"5")
         last_event_id = int(fields.get("last-event-id", "0"))
+        self._is_chunked = not fault.startswith("unframed")
         self._write_head(identity_fields)
-        cut_after = total // 2 if fault == "cut" else None
+        cut_after = total // 2 if fault.endswith("cut") else None
         event_ids = iter(range(last_event_id + 1, total + 1))
 
         def send_next_event() -> None:
             event_id = next(event_ids, None)
             if event_id is None:
-                self.transport.write(b"0\r\n\r\n")
                 self._stop_stream()
-                self._read_next_request()
+                self._end_stream()
                 return
             event = b"id: %d\ndata: token-%d\n\n" % (event_id, event_id)
             if event_id == cut_after:
                 self._write_chunk(event[: len(event) // 2])
-                self.transport.abortConnection()
+                self._stop_stream()
+                if self._is_chunked:
+                    self.transport.abortConnection()
+                else:
+                    self.transport.loseConnection()
                 return
             self._write_chunk(event)
 
@@ -321,15 +326,23 @@
         if self._stream is not None:
             self._stream.stop()
 
+    def _end_stream(self) -> None:
+        if not self._is_chunked:
+            self.transport.loseConnection()
+            return
+        self.transport.write(b"0\r\n\r\n")
+        self._read_next_request()
+
     def _write_head(self, identity_fields: _Fields) -> None:
-        fields = identity_fields | {
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
+        fields = identity_fields | {"Content-Type": "text/event-stream"}
+        if self._is_chunked:
+            fields["Transfer-Encoding"] = "chunked"
         self.transport.write(_head(200, fields, None))
 
     def _write_chunk(self, data: bytes) -> None:
-        self.transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+        if self._is_chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self.transport.write(data)
 
     def _write(
         self, status: int, fields: _Fields, body: bytes, read_next: bool = True
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -116,3 +116,60 @@
         world.clock.advance(0.2)
         load.note_activity(world.clock.seconds())
     assert not first.aborted
+
+
+UNFRAMED = exchanges.SEALED
+CHUNKED = [*exchanges.SEALED, (b"transfer-encoding", b"chunked")]
+INSIDE_AN_EVENT = _event(1) + b"id: 2\nda"
+
+
+# Guards against a stream that broke off inside an event and looks complete.
+@pytest.mark.parametrize(
+    ("headers", "data"),
+    [
+        (UNFRAMED, INSIDE_AN_EVENT),
+        (CHUNKED, INSIDE_AN_EVENT),
+        (UNFRAMED, b"id: 1"),
+        (UNFRAMED, b""),
+    ],
+)
+def test_a_stream_that_ends_inside_an_event_is_broken_off(headers, data):
+    world = exchanges.World(exchanges.STREAM, max_attempts=1)
+    exchanges.answer(world.begin(), body=data, headers=headers)
+    assert (world.sink.state, world.sink.status) in {
+        ("cut", 200),
+        ("whole", 502),
+    }
+    assert b"da" not in world.sink.body[len(_event(1)) :]
+    assert world.finished()
+    assert world.scheduler.outcomes[calls.Outcome.CUT] == 1
+
+
+@pytest.mark.parametrize("data", [INSIDE_AN_EVENT, b"id: 1", b""])
+def test_a_resumable_stream_goes_on_after_it_ended_inside_an_event(data):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    exchanges.answer(first, body=data, headers=UNFRAMED)
+    second = world.sent[-1]
+    assert second is not first
+    listener = second.listener
+    listener.response_head(200, list(UNFRAMED))
+    for number in range(1 if data != INSIDE_AN_EVENT else 2, 4):
+        listener.response_data(_event(number))
+    listener.response_end()
+    assert world.sink.body == _event(1) + _event(2) + _event(3)
+    assert world.sink.state == "whole"
+
+
+@pytest.mark.parametrize("headers", [UNFRAMED, CHUNKED])
+def test_a_stream_that_ends_after_a_whole_event_is_complete(headers):
+    world = exchanges.World(exchanges.STREAM, max_attempts=1)
+    data = _event(1) + _event(2)
+    exchanges.answer(world.begin(), body=data, headers=headers)
+    assert (world.sink.body, world.sink.state) == (data, "whole")
+
+
+def test_a_framed_stream_without_events_is_complete():
+    world = exchanges.World(exchanges.STREAM, max_attempts=1)
+    exchanges.answer(world.begin(), body=b"", headers=CHUNKED)
+    assert (world.sink.status, world.sink.state) == (200, "whole")
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -141,6 +141,30 @@
     assert [one.status for one in answers] == [200] * 4
 
 
+def _set_speech_faults(system, **faults):
+    for name in ("speech-1", "speech-2"):
+        system.set_faults(system.replicas[name].address, **faults)
+
+
+# Guards against a stream without framing that broke off and looks complete.
+def test_a_stream_without_framing_is_complete_or_looks_cut(system):
+    node = system.nodes[0]
+    _set_speech_faults(system, mode="unframed", times=1)
+    whole = _call(node, "/stream/x", b"8")
+    assert whole.status == 200
+    assert whole.body.count(b"data: token-") == 8
+    _set_speech_faults(system, mode="unframed-cut", times=1)
+    assert _call(node, "/stream/x", b"8").status == 0
+    _set_speech_faults(system, mode="", times=0)
+    system.set_faults(
+        system.replicas["speech-1"].address, mode="unframed-cut", times=1
+    )
+    for _ in range(4):
+        resumed = _call(node, "/resumed/x", b"8")
+        assert resumed.status == 200
+        assert resumed.body.count(b"data: token-") == 8
+
+
 def test_resumable_stream_is_complete_after_a_cut(system):
     for name in ("speech-1", "speech-2"):
         system.set_faults(system.replicas[name].address, mode="cut", times=1)
