Blame rarer prompt parts first, and try a new verdict soon

Cause, from the log: nine endpoints crashed in four seconds, all five at last; the first part of all requests of the route was in each crash, no such request could be answered between them, so it was refused too, and then nothing could clear it: 490 requests refused. Ruled out: the deadly parts themselves were found right (their verdicts name five and four crashes).

Now a crash that a refused part explains does not count against a part that more of the crashed requests hold, and a verdict is tried after a second instead of two minutes; later trials wait two minutes and double.

--- a/packages/core/src/fireflypulley/core/gateway/prompt_crashes.py
+++ b/packages/core/src/fireflypulley/core/gateway/prompt_crashes.py
@@ -7,22 +7,30 @@
 
 - a request with the part was answered after the crash, or
 - nothing of the service was answered between the crash and the next one,
-  as when several endpoints fail for the same reason.
+  as when several endpoints fail for the same reason, or
+- a part that fewer such requests hold is to blame for it.
 """
 
 import collections
 import collections.abc
 import dataclasses
+import itertools
 
 CRASHES_TO_REFUSE = 3
 CRASHES_TO_SUSPECT = 2
 PROVEN_EVENTS = 2
 """A stream with so many events has begun to answer; an endpoint can crash
 right after the first one."""
+EARLY_TRIAL_AFTER_S = 1.0
+"""Time from the last crash until the first trial: a verdict that is wrong
+refuses what would prove it so."""
 FIRST_TRIAL_AFTER_S = 120.0
-"""Time from the last crash until a part is tried again; it doubles with each
-further crash, so that a deadly part causes few more."""
-TRIAL_INTERVAL_S = 10.0
+"""Time from the crash of the first trial to the second one; it doubles with
+each further one, so that a deadly part causes few more crashes."""
+TRIAL_INTERVAL_S = 2.0
+"""Time until a trial that reached no endpoint is repeated."""
+SETTLED_AFTER_S = 10.0
+"""A verdict that is older is not expected to end with its first trial."""
 KEPT_S = 86400.0
 MAX_RECORDS = 256
 MAX_RUNS_PER_RECORD = 512
@@ -134,11 +142,24 @@
             return False
         return self.common <= parts
 
+    @property
+    def _failed_trials(self) -> int:
+        """Return how many crashes came after the verdict had settled."""
+        times_s = [record.crashed_s for record in self.records]
+        return sum(
+            later_s - earlier_s >= EARLY_TRIAL_AFTER_S
+            for earlier_s, later_s in itertools.pairwise(
+                times_s[CRASHES_TO_REFUSE - 1 :]
+            )
+        )
+
     @property
     def due_s(self) -> float:
         """Return when such a request may be tried again."""
-        doublings = max(0, len(self.records) - CRASHES_TO_REFUSE)
-        wait_s: float = FIRST_TRIAL_AFTER_S * 2**doublings
+        wait_s = EARLY_TRIAL_AFTER_S
+        failed = self._failed_trials
+        if failed:
+            wait_s = FIRST_TRIAL_AFTER_S * 2.0 ** (failed - 1)
         return self.records[-1].crashed_s + wait_s
 
 
@@ -251,40 +272,34 @@
 
     def _build_cases(self) -> None:
         """Collect the crashes that count against each part."""
-        by_part: dict[str, list[tuple[_Record, UnbegunRun]]]
-        by_part = collections.defaultdict(list)
+        by_part: dict[str, list[_Entry]] = collections.defaultdict(list)
         for record in self._records.values():
             if not record.outlived:
                 continue
             for run in record.unbegun:
                 for part in set(run.parts) - record.cleared:
                     by_part[part].append((record, run))
-        self._cases = {}
-        for part, entries in by_part.items():
-            keys = {record.key for record, _ in entries}
-            if len(keys) >= CRASHES_TO_SUSPECT:
-                self._cases[part] = _case(entries)
+        self._cases = _cases(by_part)
         for part in list(self._tried_s):
             if part not in self._cases:
                 del self._tried_s[part]
 
-    def _find(
+    def _covering(
         self, workspace: str, parts: frozenset[str], crashes: int
-    ) -> str | None:
-        """Return a part with so many crashes that covers a request."""
-        for part in self._cases.keys() & parts:
-            case = self._cases[part]
-            if len(case.records) < crashes:
-                continue
-            if case.covers(workspace, parts):
-                return part
-        return None
+    ) -> list[str]:
+        """Return the parts with so many crashes whose case covers a request."""
+        return [
+            part
+            for part in self._cases.keys() & parts
+            if len(self._cases[part].records) >= crashes
+            and self._cases[part].covers(workspace, parts)
+        ]
 
     def is_suspect(self, workspace: str, parts: frozenset[str]) -> bool:
         """Return whether one more crash may lead to a verdict."""
         if not self._cases:
             return False
-        return self._find(workspace, parts, CRASHES_TO_SUSPECT) is not None
+        return bool(self._covering(workspace, parts, CRASHES_TO_SUSPECT))
 
     def judge(
         self, workspace: str, parts: frozenset[str], now_s: float
@@ -296,17 +311,25 @@
         """
         if not self._cases:
             return None
-        part = self._find(workspace, parts, CRASHES_TO_REFUSE)
-        if part is None:
+        covering = self._covering(workspace, parts, CRASHES_TO_REFUSE)
+        if not covering:
             return None
-        case = self._cases[part]
-        due_s = max(
-            case.due_s, self._tried_s.get(part, 0.0) + TRIAL_INTERVAL_S
-        )
+        last = max(covering, key=self._due_s)
+        due_s = self._due_s(last)
         if now_s >= due_s and self.may_try():
-            self._tried_s[part] = now_s
+            for part in covering:
+                self._tried_s[part] = now_s
             return None
-        return _verdict(case, max(due_s - now_s, TRIAL_INTERVAL_S), now_s)
+        case = self._cases[last]
+        wait_s = max(due_s - now_s, TRIAL_INTERVAL_S)
+        if now_s - case.records[-1].crashed_s > SETTLED_AFTER_S:
+            wait_s = max(wait_s, FIRST_TRIAL_AFTER_S)
+        return _verdict(case, wait_s, now_s)
+
+    def _due_s(self, part: str) -> float:
+        """Return when a request that a part's case covers may be tried."""
+        tried_s = self._tried_s.get(part, float("-inf"))
+        return max(self._cases[part].due_s, tried_s + TRIAL_INTERVAL_S)
 
     def verdicts(self, now_s: float) -> list[Verdict]:
         """Return the verdicts in force, for the status page."""
@@ -317,7 +340,32 @@
         ]
 
 
-def _case(entries: list[tuple[_Record, UnbegunRun]]) -> _Case:
+_Entry = tuple[_Record, UnbegunRun]
+"""A crash and one of the requests that may have caused it."""
+
+
+def _cases(by_part: dict[str, list[_Entry]]) -> dict[str, _Case]:
+    """Return the cases of the parts that several crashes count against.
+
+    Parts that few requests hold come first: what they explain does not
+    count against parts that many requests hold.
+    """
+    cases = {}
+    explained: set[Key] = set()
+    for part in sorted(by_part, key=lambda one: (len(by_part[one]), one)):
+        entries = [
+            entry for entry in by_part[part] if entry[0].key not in explained
+        ]
+        keys = {record.key for record, _ in entries}
+        if len(keys) < CRASHES_TO_SUSPECT:
+            continue
+        cases[part] = _case(entries)
+        if len(keys) >= CRASHES_TO_REFUSE:
+            explained |= keys
+    return cases
+
+
+def _case(entries: list[_Entry]) -> _Case:
     """Return what the requests that may have caused crashes share."""
     records = {record.key: record for record, _ in entries}
     workspaces = {run.workspace for _, run in entries}
