--- a/packages/core/src/fireflypulley/core/gateway/prompt_crashes.py
+++ b/packages/core/src/fireflypulley/core/gateway/prompt_crashes.py
@@ -287,7 +287,7 @@
     def _covering(
         self, workspace: str, parts: frozenset[str], crashes: int
     ) -> list[str]:
-        """Return the parts with so many crashes whose case covers a request."""
+        """Return the parts with so many crashes that cover a request."""
         return [
             part
             for part in self._cases.keys() & parts
