Log full reads of the store that are older than what is known

Replies of the platform now carry their header fields, where the era of the store stands. No change of what is applied.

--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -156,6 +156,13 @@
     def _apply_snapshot(self, table: str, snapshot: base.Snapshot) -> bool:
         """Apply a full read; return False if it is older than the cache."""
         if snapshot.version < self.cache.version(table):
+            decision_log.note(
+                "store",
+                state="stale-read",
+                table=table,
+                version=snapshot.version,
+                known=self.cache.version(table),
+            )
             return False
         self.apply_rows(table, snapshot.rows, snapshot.version, True)
         return True
--- a/packages/platform/src/fireflypulley/platform/http_client.py
+++ b/packages/platform/src/fireflypulley/platform/http_client.py
@@ -19,11 +19,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete HTTP response."""
+    """A complete HTTP response; names of header fields are lower-case."""
 
     code: int
     etag: str
     body: bytes
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class HttpClient:
@@ -105,8 +106,11 @@
 
 async def _read_body(response: client.Response) -> Reply:
     body = await client.readBody(response)
-    etag = response.headers.getRawHeaders("ETag", [""])[0]
-    return Reply(response.code, etag, body)
+    headers = {
+        name.decode("latin-1").lower(): values[0].decode("latin-1")
+        for name, values in response.headers.getAllRawHeaders()
+    }
+    return Reply(response.code, headers.get("etag", ""), body, headers)
 
 
 def _read(response: client.Response) -> defer.Deferred[Reply]:
