--- a/standins/fireflystandins/rowstore.py
+++ b/standins/fireflystandins/rowstore.py
@@ -2,8 +2,9 @@
 
 ``POST /faults`` with ``mode`` sets how calls fail: ``busy`` responds with
 503, ``silent`` does not respond, ``lost`` applies writes without a
-response, ``compacted`` drops the history once.  ``GET /seen`` returns the
-calls of the duties, ``POST /put`` writes rows as the operator.
+response, ``compacted`` drops the history once, ``restored`` returns once to
+the copy of ``age_s`` ago and begins an era.  ``GET /seen`` returns the calls
+of the duties, ``POST /put`` writes rows as the operator.
 """
 
 import base64
@@ -55,6 +56,8 @@
         self.version = 0
         self._rows: dict[_Key, StoredRow] = {}
         self._history: list[StoredRow] = []
+        self._written_s: list[float] = []
+        self.era = 1
         self._compacted_version = 0
 
     def get(self, key: _Key) -> StoredRow | None:
@@ -83,7 +86,9 @@
         row = StoredRow(*key, value, self.version)
         self._rows[key] = row
         self._history.append(row)
+        self._written_s.append(time.monotonic())
         del self._history[:-HISTORY_ROWS]
+        del self._written_s[:-HISTORY_ROWS]
 
     def table(self, table: str, part: str) -> list[StoredRow]:
         """Return the rows of a part of a table, sorted by key."""
@@ -100,9 +105,10 @@
     def changes(self, table: str, after: int) -> list[StoredRow] | None:
         """Return the rows changed after a version.
 
-        Returns None if the history does not go back that far.
+        Returns None if the history does not go back that far, or if the
+        version does not exist.
         """
-        if after < self._compacted_version:
+        if not self._compacted_version <= after <= self.version:
             return None
         newest: dict[_Key, StoredRow] = {}
         for row in self._history:
@@ -110,9 +116,22 @@
                 newest[(row.table, row.part, row.key)] = row
         return sorted(newest.values(), key=lambda row: row.version)
 
+    def restore(self, age_s: float) -> None:
+        """Return to the rows and the version of some time ago."""
+        until_s = time.monotonic() - age_s
+        kept = sum(at_s <= until_s for at_s in self._written_s)
+        self._history = self._history[:kept]
+        self._written_s = self._written_s[:kept]
+        self._rows = {
+            (row.table, row.part, row.key): row for row in self._history
+        }
+        self.version = max((row.version for row in self._history), default=0)
+        self.era += 1
+
     def compact(self) -> None:
         """Drop the history."""
         self._history.clear()
+        self._written_s.clear()
         self._compacted_version = self.version
 
 
@@ -144,15 +163,23 @@
             self._call(path, request)
 
     def _set_mode(self, request: web.JsonRequest) -> None:
-        self._mode = request.body().get("mode", "")
+        body = request.body()
+        self._mode = body.get("mode", "")
         if self._mode == "compacted":
             self._mode = ""
             self._rows.compact()
-            for waiting_request, _, _ in self._watches:
-                waiting_request.abort()
-            self._watches.clear()
+            self._abort_watches()
+        elif self._mode == "restored":
+            self._mode = ""
+            self._rows.restore(body["age_s"])
+            self._abort_watches()
         request.respond(200)
 
+    def _abort_watches(self) -> None:
+        for waiting_request, _, _ in self._watches:
+            waiting_request.abort()
+        self._watches.clear()
+
     def _call(self, path: str, request: web.JsonRequest) -> None:
         if path == "rows-tx":
             self._transact(request, request.body(), self._mode == "lost")
@@ -168,6 +195,7 @@
     def _respond(
         self, request: web.JsonRequest, code: int, **fields: web.Json
     ) -> None:
+        request.response_headers["Store-Era"] = str(self._rows.era)
         fields["row-version"] = self._rows.version
         fields["current-ms"] = int(time.monotonic() * 1000)
         request.respond(code, fields)
--- a/standins/fireflystandins/web.py
+++ b/standins/fireflystandins/web.py
@@ -17,6 +17,7 @@
 
     def __init__(self, request: http.Request) -> None:
         self.raw = request
+        self.response_headers: dict[str, str] = {}
         self.method = request.method.decode()
         self.parts = [part.decode() for part in request.postpath]
 
@@ -39,6 +40,8 @@
         if self.raw._disconnected:
             return
         self.raw.setResponseCode(code)
+        for name, value in self.response_headers.items():
+            self.raw.setHeader(name, value)
         if etag:
             self.raw.setHeader("ETag", etag)
         if body is not None:
