--- a/packages/core/src/fireflypulley/core/gateway/rows.py
+++ b/packages/core/src/fireflypulley/core/gateway/rows.py
@@ -1,7 +1,8 @@
 """Cache of the newest known rows of the tables that a node follows.
 
 Rows come from the store and from other nodes; a lower version never
-replaces a higher one, whatever its source.
+replaces a higher one, whatever its source.  Versions are those of
+``row_versions``.
 """
 
 import dataclasses
