Raise the duty's fencing number with the era of the store

What could happen (found by reading; no play showed it): after a return from an older copy the duty's row names a former holder, or is missing, and numbers that had been used before were given to another node; a former holder found its own name and went on.

Numbers of an era now begin above all of the eras before, and a holder whose claim was accepted in an earlier era claims a new number.

--- a/packages/core/src/fireflypulley/core/gateway/duty_lease.py
+++ b/packages/core/src/fireflypulley/core/gateway/duty_lease.py
@@ -5,11 +5,18 @@
 lease term, counted from the time of its request.  Other nodes may take
 the row over once they have seen it unchanged for longer than the term.
 Clocks of different nodes are never compared.
+
+After a return of the store from an older copy the row may name a former
+holder, or be missing.  Fencing numbers of an era are therefore higher than
+those of all eras before, and a holder claims the row anew.
 """
 
 import dataclasses
 import enum
 
+from fireflypulley.core.gateway import row_versions
+
+FENCING_NUMBERS_PER_ERA = 1 << 20
 VALID_FOR_S = 2.2
 RENEW_INTERVAL_S = 1.0
 READ_INTERVAL_S = 1.0
@@ -61,6 +68,8 @@
         self._read_s = float("-inf")
         self._claimed_s = float("-inf")
         self._valid_until_s = float("-inf")
+        self._era = 0
+        self._accepted_era = 0
 
     @property
     def fencing(self) -> int:
@@ -106,11 +115,18 @@
         """Return the write to make now."""
         self._claimed_s = now_s
         seen = self._seen
+        before = self._era * FENCING_NUMBERS_PER_ERA
         if seen is None:
-            return Claim(1, 0, 0)
-        if seen.holder == self._holder:
+            return Claim(before + 1, 0, 0)
+        is_renewal = self._era == self._accepted_era
+        if seen.holder == self._holder and is_renewal:
             return Claim(seen.fencing, seen.renewals + 1, seen.row_version)
-        return Claim(seen.fencing + 1, 0, seen.row_version)
+        fencing = max(seen.fencing, before) + 1
+        return Claim(fencing, 0, seen.row_version)
+
+    def note_era(self, era: int) -> None:
+        """Record the era of the store; it never goes down."""
+        self._era = max(self._era, era)
 
     def note_read_started(self, now_s: float) -> None:
         """Record that a read of the row has started."""
@@ -119,6 +135,7 @@
     def note_read(self, row: LeaseRow | None, now_s: float) -> None:
         """Record the row as read, None if there is none."""
         version = row.row_version if row else 0
+        self.note_era(row_versions.era(version))
         if version != self._seen_version:
             self._seen_version = version
             self._seen_s = now_s
@@ -134,6 +151,8 @@
             self._holder, claim.fencing, claim.renewals, row_version
         )
         self._seen_version = row_version
+        self.note_era(row_versions.era(row_version))
+        self._accepted_era = self._era
         self._seen_s = asked_s
         self._valid_until_s = asked_s + VALID_FOR_S
 
--- a/packages/gateway/src/fireflypulley/gateway/duties.py
+++ b/packages/gateway/src/fireflypulley/gateway/duties.py
@@ -13,6 +13,7 @@
 
 from fireflypulley.core.gateway import duty_lease
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import row_versions
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
@@ -127,6 +128,7 @@
             self._store_failed(str(problem))
             decision_log.note("duty", state="unread", detail=str(problem))
             return
+        self._lease.note_era(row_versions.era(snapshot.version))
         lease_row = None
         for row in snapshot.rows:
             if row.key == KEY:
--- a/tests/core/gateway/test_duty_lease.py
+++ b/tests/core/gateway/test_duty_lease.py
@@ -1,9 +1,13 @@
 """One holder at a time, with rising fencing numbers, despite failures."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from fireflypulley.core.gateway import duty_lease
+from fireflypulley.core.gateway import row_versions
 
 
 class Row:
@@ -11,20 +15,34 @@
 
     def __init__(self):
         self.holding = None
+        self.era = 0
 
     @property
     def version(self):
         return self.holding.row_version if self.holding else 0
 
+    def restore(self, copy):
+        """Return to an older row, or to none, in a new era."""
+        self.era += 1
+        self.holding = copy
+        if copy is not None:
+            number = row_versions.number(copy.row_version)
+            version = row_versions.join(self.era, number)
+            self.holding = dataclasses.replace(copy, row_version=version)
+
     def write(self, holder, claim):
         """Write a claim; return whether its condition held."""
         if claim.expected_version != self.version:
             return False
         self.holding = duty_lease.LeaseRow(
-            holder, claim.fencing, claim.renewals, self.version + 1
+            holder, claim.fencing, claim.renewals, self._next_version()
         )
         return True
 
+    def _next_version(self):
+        number = row_versions.number(self.version)
+        return row_versions.join(self.era, number + 1)
+
 
 class Node:
     """A node that completes each step at once unless a response is lost."""
@@ -39,6 +57,7 @@
         step = self.duty.step(now_s, True)
         if step is duty_lease.Step.READ:
             self.duty.note_read_started(now_s)
+            self.duty.note_era(self.row.era)
             self.duty.note_read(self.row.holding, now_s)
         elif step is duty_lease.Step.WRITE:
             claim = self.duty.claim(now_s)
@@ -116,6 +135,46 @@
     assert row.holding.fencing == 1
 
 
+def _takes_over(node, now_s):
+    """Tick a node until it may act; return the time."""
+    while not node.duty.may_act(now_s):
+        node.tick(now_s)
+        now_s += 0.25
+    return now_s
+
+
+# Guards against two holders with one fencing number after a return.
+@pytest.mark.parametrize("has_row", [True, False])
+def test_numbers_after_a_return_are_higher_than_all_before(has_row):
+    row = Row()
+    n1, n2, n3 = (Node(f"n{one}", row) for one in range(3))
+    now_s = _takes_over(n1, 0.0)
+    copy = row.holding if has_row else None
+    now_s = _takes_over(n2, now_s)
+    before = row.holding.fencing
+    row.restore(copy)
+    # The copy names a former holder, or nobody; neither may go on.
+    now_s = _takes_over(n3, now_s)
+    assert row.holding.fencing > before
+    assert not n1.duty.may_act(now_s)
+
+
+def test_a_former_holder_that_finds_its_own_name_gets_a_new_number():
+    row = Row()
+    n1, n2 = Node("n1", row), Node("n2", row)
+    now_s = _takes_over(n1, 0.0)
+    copy = row.holding
+    now_s = _takes_over(n2, now_s)
+    before = row.holding.fencing
+    row.restore(copy)
+    now_s = _takes_over(n1, now_s + duty_lease.TAKEOVER_AFTER_S)
+    assert row.holding.fencing > before
+    # Renewals within the era keep it.
+    kept = row.holding.fencing
+    _run([n1], now_s, now_s + 3.0)
+    assert row.holding.fencing == kept
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
