Keep what an older copy of the store lacks until it may be written again

Cause: a full read takes what is absent for removed. After a return it is not: it is written again within a moment. For 2.5 s after the first rows of a new era absent rows are kept and rows known as removed are not taken from the copy; then a full read decides. A row that the new era only numbers anew is no news, so a rollout is not ordered again.

--- a/packages/core/src/fireflypulley/core/gateway/rows.py
+++ b/packages/core/src/fireflypulley/core/gateway/rows.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from fireflypulley.core.gateway import row_versions
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowedRow:
@@ -62,13 +64,23 @@
         """Return a row, which may be a removed one."""
         return self._rows.get((table, key))
 
+    def is_removed(self, row: FollowedRow) -> bool:
+        """Return whether a row is known as removed."""
+        known = self._rows.get((row.table, row.key))
+        return known is not None and known.value is None
+
     def update(self, row: FollowedRow) -> bool:
-        """Apply a row; return whether it is newer."""
+        """Apply a row; return whether it is news.
+
+        A row that only a new era of the store numbered anew is not.
+        """
         known = self._rows.get((row.table, row.key))
         if known is not None and row.version <= known.version:
             return False
         self._rows[(row.table, row.key)] = row
-        return True
+        if known is None or known.value != row.value:
+            return True
+        return row_versions.era(known.version) == row_versions.era(row.version)
 
     def since(self, table: str, version: int) -> list[FollowedRow]:
         """Return the rows of a table that changed after a version."""
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -5,6 +5,7 @@
 from twisted.internet import interfaces
 from twisted.internet import task
 
+from fireflypulley.core.gateway import row_versions
 from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import versions
@@ -20,6 +21,9 @@
 STORE_DOUBTED_S = 3.5
 """After a failed call, the store counts as doubted for this time: missing
 entries may have lapsed without having been removed on purpose."""
+RETURN_GRACE_S = 2.5
+"""What an older copy of the store lacks is written again within this time
+after the store came back from it."""
 RECOVERY_WINDOW_S = 2.0
 """Time after an outage within which lapsed entries are registered again."""
 
@@ -49,6 +53,7 @@
         self._peer_failed_s = float("-inf")
         self._is_unreachable = False
         self._recovered_s = float("-inf")
+        self._returned_s: dict[str, float] = {}
         self._is_running = False
 
     @property
@@ -119,10 +124,10 @@
                 await self._pause(FEED_CHECK_INTERVAL_S)
                 continue
             try:
-                if is_current:
+                if is_current and not self._has_settled(table):
                     after = self.cache.version(table)
                     result = await self._store.watch(
-                        table, after, WATCH_TIMEOUT_S
+                        table, after, self._watch_time_s(table)
                     )
                     self.apply_rows(table, result.rows, result.version, False)
                 else:
@@ -138,6 +143,43 @@
                 self._note_unreachable(str(problem))
                 await self._pause(RETRY_DELAY_S)
 
+    def _in_grace(self, table: str) -> bool:
+        """Return whether a table just came back from an older copy."""
+        returned_s = self._returned_s.get(table, float("-inf"))
+        return self._reactor.seconds() - returned_s < RETURN_GRACE_S
+
+    def _watch_time_s(self, table: str) -> float:
+        """Return how long to watch before the next full read is due."""
+        if table not in self._returned_s:
+            return WATCH_TIMEOUT_S
+        passed_s = self._reactor.seconds() - self._returned_s[table]
+        return min(WATCH_TIMEOUT_S, max(0.0, RETURN_GRACE_S - passed_s))
+
+    def _has_settled(self, table: str) -> bool:
+        """Return once whether the grace after a return has ended.
+
+        What the store lacks then was removed, which a full read shows.
+        """
+        if table not in self._returned_s or self._in_grace(table):
+            return False
+        del self._returned_s[table]
+        return True
+
+    def _note_return(self, table: str, version: int) -> None:
+        """Record the first rows of a new era of the store."""
+        known = self.cache.version(table)
+        if not known or row_versions.era(version) <= row_versions.era(known):
+            return
+        self._returned_s[table] = self._reactor.seconds()
+        decision_log.note(
+            "store",
+            state="returned",
+            table=table,
+            era=row_versions.era(version),
+            version=row_versions.number(version),
+            known=row_versions.number(known),
+        )
+
     async def _pause(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds)
 
@@ -177,13 +219,19 @@
         """Apply rows of the store that this node or another node read."""
         if table not in self.tables:
             return
+        self._note_return(table, version)
         removed: list[rows.FollowedRow] = []
         if is_whole:
             if version < self.cache.version(table):
                 return
-            listed = {row.key for row in changed}
-            removed = self.cache.removals(table, listed, version)
             self.cache.note_baseline(table, version)
+            if self._in_grace(table):
+                changed = tuple(
+                    row for row in changed if not self.cache.is_removed(row)
+                )
+            else:
+                listed = {row.key for row in changed}
+                removed = self.cache.removals(table, listed, version)
         before = self.cache.version(table)
         for row in sorted([*changed, *removed], key=lambda r: r.version):
             if self.cache.update(row):
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -4,6 +4,8 @@
 from twisted.internet import task
 
 from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import row_versions
+from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.gateway import follower
 
@@ -58,3 +60,71 @@
     clock.advance(0.2)
     assert following.store_failed
     assert not following.in_outage
+
+
+def _rows(era, number, *keys, value=b"1"):
+    """Return rows of a table in an era, and their version."""
+    version = row_versions.join(era, number)
+    found = tuple(
+        rows.FollowedRow(networks.OPERATORS, key, version, value)
+        for key in keys
+    )
+    return networks.OPERATORS, found, version
+
+
+@pytest.fixture
+def applied(following):
+    """Return the rows that the node acts on."""
+    news = []
+    following._apply = news.append
+    return news
+
+
+# Guards against a copy that takes back what was confirmed and in force.
+def test_what_an_older_copy_lacks_is_kept_until_it_may_be_written_again(
+    following, applied, clock
+):
+    following.apply_rows(*_rows(1, 9, "a", "b"), True)
+    applied.clear()
+    following.apply_rows(*_rows(2, 5, "a"), True)
+    assert not applied
+    clock.advance(follower.RETURN_GRACE_S)
+    assert following._has_settled(networks.OPERATORS)
+    table, found, version = _rows(2, 5, "a")
+    following.apply_rows(table, found, version + 1, True)
+    assert [(row.key, row.value) for row in applied] == [("b", None)]
+
+
+def test_what_was_removed_is_not_taken_from_an_older_copy(
+    following, applied, clock
+):
+    following.apply_rows(*_rows(1, 8, "a"), True)
+    following.apply_rows(*_rows(1, 9, "a", value=None), False)
+    applied.clear()
+    following.apply_rows(*_rows(2, 5, "a"), True)
+    assert not applied
+    # What is written after the return is news.
+    following.apply_rows(*_rows(2, 6, "a"), False)
+    assert [row.value for row in applied] == [b"1"]
+
+
+def test_a_row_that_is_only_numbered_anew_is_no_new_order(following, applied):
+    following.apply_rows(*_rows(1, 9, "a"), True)
+    applied.clear()
+    following.apply_rows(*_rows(2, 5, "a"), False)
+    assert not applied
+    following.apply_rows(*_rows(2, 6, "a"), False)
+    following.apply_rows(*_rows(2, 7, "a", value=b"2"), False)
+    assert [row.value for row in applied] == [b"1", b"2"]
+
+
+# Guards against another node that brings the era before back.
+def test_rows_of_an_older_era_change_nothing(following, applied):
+    following.apply_rows(*_rows(2, 5, "a"), True)
+    applied.clear()
+    for is_whole in (True, False):
+        following.apply_rows(*_rows(1, 99, "a", value=b"old"), is_whole)
+    assert not applied
+    assert following.cache.version(networks.OPERATORS) == row_versions.join(
+        2, 5
+    )
