Log where rows of the store come from, and how old they are

Neither a line nor status told whether a node that refuses for want of a route had rows of an earlier moment, nor who had brought the newer ones. 'rows' lines name the source, refusals the age, status and metrics both by table.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -17,6 +17,7 @@
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import retry_policy
+from fireflypulley.core.gateway import row_freshness
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import versions
 from fireflypulley.core.gateway import workspace_limits
@@ -61,6 +62,7 @@
         self.crash_tracker = crash_tracker.CrashTracker(self.shared)
         self.prompt_crashes = prompt_crashes.PromptCrashes()
         self.limited = limited_endpoints.LimitedEndpoints()
+        self.freshness = row_freshness.RowFreshness()
         self.nodes_alive = 1
         self.nodes_known = 1
         self.refused: collections.Counter[calls.RefusalReason]
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -5,6 +5,7 @@
 from twisted.internet import interfaces
 from twisted.internet import task
 
+from fireflypulley.core.gateway import row_freshness
 from fireflypulley.core.gateway import row_versions
 from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import scheduler
@@ -130,6 +131,7 @@
                         table, after, self._watch_time_s(table)
                     )
                     self.apply_rows(table, result.rows, result.version, False)
+                    self.note_confirmed(table, row_freshness.STORE)
                 else:
                     result = await self._store.read(table)
                     is_current = self._apply_snapshot(table, result)
@@ -207,19 +209,36 @@
             )
             return False
         self.apply_rows(table, snapshot.rows, snapshot.version, True)
+        self.note_confirmed(table, row_freshness.STORE)
         return True
 
+    def note_confirmed(self, table: str, source: str) -> None:
+        """Record that a source has no newer rows than this node."""
+        now_s = self._reactor.seconds()
+        self._scheduler.freshness.note(table, source, now_s)
+
     def apply_rows(
         self,
         table: str,
         changed: tuple[rows.FollowedRow, ...],
         version: int,
         is_whole: bool,
+        source: str = row_freshness.STORE,
     ) -> None:
         """Apply rows of the store that this node or another node read."""
         if table not in self.tables:
             return
         self._note_return(table, version)
+        if changed and version > self.cache.version(table):
+            decision_log.note(
+                "rows",
+                table=table,
+                source=source,
+                known=self.cache.version(table),
+                version=version,
+                whole=is_whole,
+                rows=len(changed),
+            )
         removed: list[rows.FollowedRow] = []
         if is_whole:
             if version < self.cache.version(table):
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -32,6 +32,9 @@
         self._version = self._gauge(
             "configuration_version", "The configuration in force."
         )
+        self._rows_age = self._gauge(
+            "rows_age_seconds", "Time since rows were confirmed, by table."
+        )
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
@@ -92,8 +95,13 @@
         unreadable: int,
         holds_duty: bool,
         permits: collections.Counter[permit_gate.PermitReason],
+        now_s: float,
     ) -> None:
         """Set the metrics to the node's current counts."""
+        fresh = node_scheduler.freshness
+        for table in fresh.tables:
+            age_s = fresh.age_s(table, now_s)
+            self._rows_age.set({"table": table}, age_s or 0.0)
         for answer, count in permits.items():
             self._permits.set({"answer": answer.value}, count)
         for limit in node_scheduler.limited.limits.known():
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -331,7 +331,11 @@
             self._replicator.send_missing(node_id)
         elif isinstance(message, messages.Rows):
             self._follower.apply_rows(
-                message.table, message.rows, message.version, message.is_whole
+                message.table,
+                message.rows,
+                message.version,
+                message.is_whole,
+                node_id,
             )
         elif isinstance(message, messages.Facts):
             self._receive_facts(node_id, message.facts, now_s)
@@ -391,8 +395,24 @@
         self._usage.update_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
             self._follower.note_peer_failure()
+        elif from_node == node_id:
+            self._note_confirmed(state)
         self.duty_claims.note(node_id, state.holds_duty, now_s)
 
+    def _note_confirmed(self, state: node_states.NodeState) -> None:
+        """Record the tables of which a relay has no newer rows.
+
+        A node that reads the store itself is confirmed by that alone.
+        """
+        relays = self._overlay.relays
+        if self._overlay.is_relay or state.node_id not in relays:
+            return
+        known = self._states.get(state.node_id)
+        reported = known.versions if known is not None else {}
+        for table, version in self._follower.cache.versions().items():
+            if reported.get(table, version + 1) <= version:
+                self._follower.note_confirmed(table, state.node_id)
+
     def _reported_loads(self, node_id: str) -> dict[str, loads.ReportedLoad]:
         state = self._states.get(node_id)
         reported = state.loads if state is not None else None
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -9,6 +9,15 @@
 from fireflypulley.gateway import metrics
 
 
+_REFUSED_BY_ROWS = frozenset(
+    {
+        calls.RefusalReason.NO_ROUTE.value,
+        calls.RefusalReason.NO_KEY.value,
+        calls.RefusalReason.NO_ENDPOINT.value,
+    }
+)
+
+
 @dataclasses.dataclass(slots=True)
 class RequestRecord:
     """What is known of a request so far."""
@@ -77,6 +86,7 @@
             took_ms=_ms(took_s),
             nodes_alive=node_scheduler.nodes_alive,
             **self._last_choice(),
+            **_rows_age(result, node_scheduler, now_s),
         )
 
     def _last_choice(self) -> dict[str, object]:
@@ -94,6 +104,16 @@
         return fields | _limit_fields(run)
 
 
+def _rows_age(
+    result: str, node_scheduler: scheduler.RequestScheduler, now_s: float
+) -> dict[str, object]:
+    """Return how old the rows are that a refusal rests on."""
+    age_s = node_scheduler.freshness.oldest_age_s(now_s)
+    if result not in _REFUSED_BY_ROWS or age_s is None:
+        return {}
+    return {"rows_age_ms": _ms(age_s)}
+
+
 def _limit_fields(run: runs.Run) -> dict[str, object]:
     """Return the log fields that explain a run at a limited endpoint."""
     permit = run.permit
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -313,6 +313,7 @@
             self._follower.unreadable,
             self._duties.holds,
             self._permits.counts,
+            self._reactor.seconds(),
         )
         return 200, self._metrics.render()
 
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -64,11 +64,25 @@
         "store_doubted": sources.follower.store_doubted,
         "unreadable_rows": sources.follower.unreadable,
         "rows": sources.follower.cache.versions(),
+        "rows_confirmed": _freshness(sources.scheduler, now_s),
         "holds_duty": sources.duties.holds,
         "fencing": sources.duties.fence.fencing,
     }
 
 
+def _freshness(
+    node_scheduler: scheduler.RequestScheduler, now_s: float
+) -> Json:
+    fresh = node_scheduler.freshness
+    return {
+        table: {
+            "before_s": round(fresh.age_s(table, now_s) or 0.0, 2),
+            "by": fresh.source(table),
+        }
+        for table in fresh.tables
+    }
+
+
 def _configuration(
     node_scheduler: scheduler.RequestScheduler, now_s: float
 ) -> Json:
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -119,3 +119,9 @@
     assert entry["endpoints"] == ["x0", "x1", "x2", "x3"]
     assert entry["last_crash_before_s"] == 7.0
     assert entry["tried_in_s"] > 100
+
+
+def test_who_confirmed_the_rows_is_shown(serving_scheduler):
+    serving_scheduler.freshness.note("t", "n2", NOW_S - 1.5)
+    confirmed = _page(serving_scheduler)["node"]["rows_confirmed"]
+    assert confirmed == {"t": {"before_s": 1.5, "by": "n2"}}
