Close connections to the store 2 s after they went silent

Callers got 404 for a route that had been confirmed seconds before, at all nodes. A long poll waited 6 s for an answer that could not come, as the connection had gone silent without a reset; nothing probed it. Ruled out: the rows' way between nodes (all nodes were behind alike, 'rows' lines name the store as the source at the end of the wait). Connections of the store's client now have keep-alive probes of one second and a user timeout. Linux goes by the user timeout, others by the number of probes; both now give 2 s.

--- a/packages/platform/src/fireflypulley/platform/http_client.py
+++ b/packages/platform/src/fireflypulley/platform/http_client.py
@@ -4,12 +4,16 @@
 import io
 
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.web import client
 from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
 
 from fireflypulley.platform import base
+from fireflypulley.transport import watched_endpoint
 
 TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -27,6 +31,26 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
+@interface.implementer(iweb.IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connects so that a connection that went silent is noticed."""
+
+    def __init__(self, reactor: interfaces.IReactorCore) -> None:
+        self._reactor = reactor
+        self._tls_policy = client.BrowserLikePolicyForHTTPS()
+
+    def endpointForURI(
+        self, uri: client.URI
+    ) -> interfaces.IStreamClientEndpoint:
+        endpoint = endpoints.HostnameEndpoint(
+            self._reactor, uri.host, uri.port, CONNECT_TIMEOUT_S
+        )
+        if uri.scheme == b"https":
+            tls = self._tls_policy.creatorForNetloc(uri.host, uri.port)
+            endpoint = endpoints.wrapClientTLS(tls, endpoint)
+        return watched_endpoint.WatchedEndpoint(endpoint)
+
+
 class HttpClient:
     """Sends requests to a base URL with a bearer token."""
 
@@ -39,8 +63,8 @@
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
-        self._agent = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor, _EndpointFactory(reactor), self._pool
         )
 
     async def request(
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -8,6 +8,13 @@
 KEEPALIVE_PROBES = 3
 USER_TIMEOUT_MS = 2500
 """Sent data that stays unacknowledged this long closes the connection."""
+WATCH_KEEPALIVE_PROBES = 1
+WATCH_USER_TIMEOUT_MS = 1500
+"""On connections on which a long poll waits, one unanswered probe is enough.
+Linux goes by the user timeout, where one is set, and not by the number of
+probes; with both, a connection is closed ``SILENCE_DETECTED_S`` after the
+last byte either way."""
+SILENCE_DETECTED_S = 2.0
 
 
 def set_tcp_options(transport: typing.Any) -> None:
@@ -15,11 +22,22 @@
 
     ``transport`` is a TCP transport or TLS over TCP.
     """
+    _set_options(transport, KEEPALIVE_PROBES, USER_TIMEOUT_MS)
+
+
+def set_watch_options(transport: typing.Any) -> None:
+    """Set the options of a connection on which long polls wait."""
+    _set_options(transport, WATCH_KEEPALIVE_PROBES, WATCH_USER_TIMEOUT_MS)
+
+
+def _set_options(
+    transport: typing.Any, probes: int, user_timeout_ms: int
+) -> None:
     transport.setTcpNoDelay(True)
     handle = getattr(transport, "transport", transport).getHandle()
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     handle.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     handle.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    handle.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    handle.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
+    handle.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -335,6 +335,13 @@
         """Let the open connections go silent for good."""
         for call in self._calls:
             call.is_silent = True
+            self._node.reactor.callLater(
+                sockets.SILENCE_DETECTED_S, self._lose, call
+            )
+
+    def _lose(self, call):
+        if call.is_silent:
+            self._fail(call)
 
     def stop(self):
         self._store.links.remove(self)
