--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -130,7 +130,9 @@
                     result = await self._store.watch(
                         table, after, self._watch_time_s(table)
                     )
-                    self.apply_rows(table, result.rows, result.version, False)
+                    self.apply_rows(
+                        table, result.rows, result.version, False, after
+                    )
                     self.note_confirmed(table, row_freshness.STORE)
                 else:
                     result = await self._store.read(table)
@@ -223,9 +225,16 @@
         changed: tuple[rows.FollowedRow, ...],
         version: int,
         is_whole: bool,
+        after: int | None = None,
         source: str = row_freshness.STORE,
     ) -> None:
-        """Apply rows of the store that this node or another node read."""
+        """Apply rows of the store that this node or another node read.
+
+        Unless they are all rows of the table, they must continue from a
+        version ``after`` that this node has reached.  If not, an earlier
+        batch was lost: the rows count, but the version that this node
+        reports stays, so that it is sent again what lies between.
+        """
         if table not in self.tables:
             return
         self._note_return(table, version)
@@ -236,6 +245,7 @@
                 source=source,
                 known=self.cache.version(table),
                 version=version,
+                after=after,
                 whole=is_whole,
                 rows=len(changed),
             )
@@ -255,7 +265,8 @@
         for row in sorted([*changed, *removed], key=lambda r: r.version):
             if self.cache.update(row):
                 self._apply(row)
-        self.cache.note_version(table, version)
+        if is_whole or (after is not None and after <= before):
+            self.cache.note_version(table, version)
         if self.on_update is not None and self.cache.version(table) > before:
             self.on_update(table)
 
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -76,7 +76,7 @@
             (permit_broker.FEATURE, crash_detector.FEATURE),
         )
         self._replicator = row_replication.RowReplicator(
-            store_follower.cache, self.hub, self._states
+            reactor, store_follower.cache, self.hub, self._states
         )
         self.limits = report_replication.LimitReplicator(
             node_scheduler.limited.limits, self.hub, permit_broker.FEATURE
@@ -335,6 +335,7 @@
                 message.rows,
                 message.version,
                 message.is_whole,
+                message.after,
                 node_id,
             )
         elif isinstance(message, messages.Facts):
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -181,13 +181,16 @@
 class Rows(Message):
     """Rows of the store that the receiver does not have yet.
 
-    ``is_whole`` means that these are all rows of the table.
+    ``is_whole`` means that these are all rows of the table.  If not, they
+    are all that changed between the versions ``after`` and ``version``;
+    older nodes do not state ``after``.
     """
 
     table: str
     version: int
     is_whole: bool
     rows: tuple[rows.FollowedRow, ...]
+    after: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -163,7 +163,9 @@
     def read_row(self, version):
         """Apply a row as if it had been read from the store."""
         row = rows.FollowedRow(OPERATORS, "k", version, json.dumps(1).encode())
-        self.follower.apply_rows(OPERATORS, (row,), version, version == 1)
+        self.follower.apply_rows(
+            OPERATORS, (row,), version, version == 1, version - 1
+        )
 
     @property
     def alive(self):
