Know changes of a table only since its last full read

An evacuation that had been taken back stayed in force at one node. Another node had read the table in full after its history was gone and never known the row that was written and removed in between; it then told the first one what had changed since before that read, without the removal. The first full read counted as the point from which a node knows all changes; now it is the last one, and a peer behind it gets the whole table. The test that asked for the first full read held the fault; the one in its place asks the same of the last. It is red on the code before.

--- a/packages/core/src/fireflypulley/core/gateway/rows.py
+++ b/packages/core/src/fireflypulley/core/gateway/rows.py
@@ -43,9 +43,10 @@
     def note_baseline(self, table: str, version: int) -> None:
         """Record that a full read returned all rows as of a version.
 
-        Removals before the first full read are unknown.
+        Removals before it are unknown: a row that it lacks may have been
+        written and removed while this node followed no changes.
         """
-        self._baselines.setdefault(table, version)
+        self._baselines[table] = version
 
     def knows_since(self, table: str, version: int) -> bool:
         """Return whether all changes after a version are known."""
--- a/tests/core/gateway/test_rows.py
+++ b/tests/core/gateway/test_rows.py
@@ -32,13 +32,17 @@
     assert missing == [_row("k2", 5, None)]
 
 
-def test_changes_are_known_only_since_the_first_full_read():
+# Guards against a row that stays in force at one node, as the node that
+# tells it what changed never knew the row.
+def test_changes_are_known_only_since_the_last_full_read():
     cache = rows.RowCache()
     assert not cache.knows_since("t", 3)
     cache.note_baseline("t", 4)
-    cache.note_baseline("t", 9)
     assert not cache.knows_since("t", 3)
     assert cache.knows_since("t", 4)
+    cache.note_baseline("t", 9)
+    assert not cache.knows_since("t", 4)
+    assert cache.knows_since("t", 9)
 
 
 def test_rows_since_a_version_include_removals():
