Send over the newest stream to a peer, and anew after its loss

Where two nodes have several streams (both dial at the start; one side has not noticed that a stream is dead after a restart or a partition), messages went to the oldest one: for up to 2.5 s, until TCP gave up, rows, states and facts were written to a dead stream. The loss of that stream beside a living one was not told to the listener, so nothing was sent anew: a node that had restarted stayed without a change until the next one. The newest stream, which has just carried a handshake, is used now; a new one, and the loss of the one in use, make the listener send its rows, states and facts again.

--- a/packages/nodes/src/fireflypulley/nodes/hub.py
+++ b/packages/nodes/src/fireflypulley/nodes/hub.py
@@ -27,7 +27,10 @@
 
     @abc.abstractmethod
     def peer_up(self, node_id: str, incarnation: int) -> None:
-        """Handle the first peer stream to a node becoming ready."""
+        """Handle a new peer stream, which carries what is sent from now on.
+
+        What was sent over another stream before may be lost.
+        """
 
     @abc.abstractmethod
     def peer_down(self, node_id: str) -> None:
@@ -57,6 +60,10 @@
 class Hub(streams.StreamOwner):
     """Accepts streams, connects to the wanted peers and sends messages.
 
+    Two nodes may have several streams, as when both dial, or when one side
+    has not noticed yet that a stream is dead.  The newest one, which has
+    just carried a handshake both ways, carries what is sent.
+
     ``dial_template`` is a Twisted client endpoint string with ``{host}``
     and ``{port}``; it selects TCP or TLS.
     """
@@ -87,6 +94,7 @@
         self._dialing: set[str] = set()
         self._stopped = False
         self._heartbeat_loop = task.LoopingCall(self._send_heartbeats)
+        self._heartbeat_loop.clock = reactor
         self.bytes_sent = 0
         self.messages_sent = 0
 
@@ -146,7 +154,7 @@
         return [
             node_id
             for node_id, node_streams in self._streams.items()
-            if node_streams and feature in node_streams[0].features
+            if node_streams and feature in node_streams[-1].features
         ]
 
     def close_unwanted(self) -> None:
@@ -168,7 +176,7 @@
         for node_id in node_ids:
             node_streams = self._streams.get(node_id)
             if node_streams:
-                self._send_on(node_streams[0], data)
+                self._send_on(node_streams[-1], data)
 
     def broadcast(
         self, message: messages.Message, except_node: str | None
@@ -180,7 +188,7 @@
                 continue
             peers = [s for s in node_streams if s.purpose is _PEER]
             if peers:
-                self._send_on(peers[0], data)
+                self._send_on(peers[-1], data)
 
     def _send_on(self, stream: streams.NodeStream, data: bytes) -> None:
         self.bytes_sent += len(data)
@@ -195,7 +203,7 @@
         data = codec.encode(message)
         node_streams = self._streams.get(node_id)
         if node_streams:
-            self._send_on(node_streams[0], data)
+            self._send_on(node_streams[-1], data)
             return
         pending = self._pending.setdefault(node_id, [])
         if len(pending) < MAX_PENDING_MESSAGES:
@@ -248,12 +256,10 @@
         return self._features
 
     def stream_up(self, stream: streams.NodeStream) -> None:
-        node_streams = self._streams[stream.node_id]
-        first = not any(s.purpose is _PEER for s in node_streams)
-        node_streams.append(stream)
+        self._streams[stream.node_id].append(stream)
         for data in self._pending.pop(stream.node_id, []):
             self._send_on(stream, data)
-        if stream.purpose is _PEER and first:
+        if stream.purpose is _PEER:
             self._listener.peer_up(stream.node_id, stream.incarnation)
 
     def stream_message(
@@ -263,14 +269,18 @@
 
     def stream_down(self, stream: streams.NodeStream) -> None:
         node_streams = self._streams.get(stream.node_id, [])
+        was_newest = node_streams[-1:] == [stream]
         if stream in node_streams:
             node_streams.remove(stream)
         if not node_streams:
             self._streams.pop(stream.node_id, None)
         if self._stopped or stream.purpose is not _PEER:
             return
-        if not any(s.purpose is _PEER for s in node_streams):
+        left = [s for s in node_streams if s.purpose is _PEER]
+        if not left:
             self._listener.peer_down(stream.node_id)
+        elif was_newest:
+            self._listener.peer_up(stream.node_id, left[-1].incarnation)
 
 
 _PEER = messages.Purpose.PEER
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -425,7 +425,6 @@
         self.follower.peers_lost_store = lambda: self.sync.peers_lost_store
 
     def start(self):
-        self.sync.hub._heartbeat_loop.clock = self.reactor
         self.sync.start()
         self.follower.start()
         ticking = task.LoopingCall(self.sync.send_state)
