Take a relay that is silent for a second for no feed

A node that reads through relays waited 2 s for a relay that stood still or was cut off before it read the store itself, as long as the whole time in which a change is to be in force: late by the time of the read. A relay sends a state four times a second; after one second without any the node reads itself.

--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -26,6 +26,10 @@
 
 MIN_SEND_INTERVAL_S = 0.05
 STREAM_SILENCE_LIMIT_S = 2.0
+FEED_SILENCE_LIMIT_S = 1.0
+"""A relay that sent no state for this long no longer feeds this node.  It
+sends four in that time; the node reads the store itself soon enough then to
+have a change in force in time."""
 ROTATION_INTERVAL_S = 1.0
 """Interval at which a node without a relay tries the next one."""
 DIAL_TEMPLATE = "tcp:{host}:{port}"
@@ -134,7 +138,7 @@
         for node_id in self._overlay.relays & set(self.hub.peers):
             state = self._states.get(node_id)
             last_seen_s = self._stream_last_seen_s.get(node_id, float("-inf"))
-            is_recent = now_s - last_seen_s < STREAM_SILENCE_LIMIT_S
+            is_recent = now_s - last_seen_s < FEED_SILENCE_LIMIT_S
             if state is not None and is_recent and not state.store_doubted:
                 return True
         return False
