Watch the store in short turns at nodes that feed others

A node that reads through relays had a change late where its relays were cut from the store only: their watch of 5 s hid the cut for up to 6 s while their states went on coming. Relays now watch for 1 s and give up half a second later, and fed nodes look at their feed ten times a second, which adds up to less than the 2 s in which a change is to be in force. Nodes of a full mesh keep 5 s; each reads for itself, and one that is cut off is not in touch. Weighed: an age of the store in each state (breaks older nodes, which take no longer tuples), more relays per node (rarer, not excluded).

--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -16,7 +16,11 @@
 from fireflypulley.platform import base
 
 WATCH_TIMEOUT_S = 5.0
-FEED_CHECK_INTERVAL_S = 0.25
+FEEDING_WATCH_TIMEOUT_S = 1.0
+"""The same at a node that feeds others.  They read the store themselves once
+it doubts the store, which is to be soon enough for a change to be in force
+in time."""
+FEED_CHECK_INTERVAL_S = 0.1
 RETRY_DELAY_S = 0.25
 STALE_READ_RETRY_DELAY_S = 0.4
 STORE_DOUBTED_S = 3.5
@@ -46,6 +50,7 @@
         self.cache = rows.RowCache()
         self.on_update: collections.abc.Callable[[str], None] | None = None
         self.has_relay_feed: collections.abc.Callable[[], bool] = lambda: False
+        self.feeds_others: collections.abc.Callable[[], bool] = lambda: False
         self.peers_lost_store: collections.abc.Callable[[], bool] = lambda: (
             False
         )
@@ -154,10 +159,13 @@
 
     def _watch_time_s(self, table: str) -> float:
         """Return how long to watch before the next full read is due."""
+        timeout_s = WATCH_TIMEOUT_S
+        if self.feeds_others():
+            timeout_s = FEEDING_WATCH_TIMEOUT_S
         if table not in self._returned_s:
-            return WATCH_TIMEOUT_S
+            return timeout_s
         passed_s = self._reactor.seconds() - self._returned_s[table]
-        return min(WATCH_TIMEOUT_S, max(0.0, RETURN_GRACE_S - passed_s))
+        return min(timeout_s, max(0.0, RETURN_GRACE_S - passed_s))
 
     def _has_settled(self, table: str) -> bool:
         """Return once whether the grace after a return has ended.
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -129,6 +129,11 @@
         """Return whether every node has a stream to every other."""
         return self._overlay.is_mesh
 
+    @property
+    def feeds_others(self) -> bool:
+        """Return whether other nodes read the store through this one."""
+        return self._overlay.is_relay and not self._overlay.is_mesh
+
     @property
     def has_relay_feed(self) -> bool:
         """Return whether a relay sends this node the rows of the store."""
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -276,6 +276,7 @@
         self._listen(self._config.nodes, sync.hub.server_factory())
         self._peer_sync = sync
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
+        self._follower.feeds_others = lambda: sync.feeds_others
         self._follower.peers_lost_store = lambda: sync.peers_lost_store
         sync.start()
         await self._membership.refresh_periodically(
--- a/packages/platform/src/fireflypulley/platform/base.py
+++ b/packages/platform/src/fireflypulley/platform/base.py
@@ -181,6 +181,19 @@
     expected_version: int | None
 
 
+MIN_WATCH_MARGIN_S = 0.5
+MAX_WATCH_MARGIN_S = 1.0
+
+
+def watch_timeout_s(wait_s: float) -> float:
+    """Return when to give up a watch that the store is to end by itself.
+
+    The margin is for a slow store; shorter watches are more urgent.
+    """
+    margin_s = max(MIN_WATCH_MARGIN_S, min(MAX_WATCH_MARGIN_S, wait_s / 2))
+    return wait_s + margin_s
+
+
 class ControlStore(abc.ABC):
     """The store of rows shared by all nodes and the operators.
 
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -311,7 +311,7 @@
         return await self._call(None, 0.0, http_client.TIMEOUT_S)
 
     async def watch(self, table, after, wait_s):
-        return await self._call(after, wait_s, wait_s + 1.0)
+        return await self._call(after, wait_s, base.watch_timeout_s(wait_s))
 
     async def transact(self, writes):
         raise base.Unavailable("no writes here")
@@ -422,6 +422,7 @@
             ),
         )
         self.follower.has_relay_feed = lambda: self.sync.has_relay_feed
+        self.follower.feeds_others = lambda: self.sync.feeds_others
         self.follower.peers_lost_store = lambda: self.sync.peers_lost_store
 
     def start(self):
@@ -518,6 +519,18 @@
         node.link.is_cut = True
         self.clock.callLater(for_s, setattr, node.link, "is_cut", False)
 
+    def cut_stores(self):
+        """Cut most nodes from the store at once for a while."""
+        for_s = self.rng.choice([0.5, 1.5, 3.0, 6.0])
+        for node in self.nodes:
+            if self.rng.random() < 0.7:
+                self.note(f"cut {node.name} from the store {for_s}")
+                self._disturb(node, for_s)
+                node.link.is_cut = True
+                self.clock.callLater(
+                    for_s, setattr, node.link, "is_cut", False
+                )
+
     def cut_node(self):
         """Cut a node from all others, and perhaps from the store."""
         node = self.rng.choice(self.nodes)
--- a/tests/gateway/test_peer_sync.py
+++ b/tests/gateway/test_peer_sync.py
@@ -138,6 +138,20 @@
     assert len(fed) == MANY - len(_relays(network))
 
 
+def test_nodes_that_feed_others_notice_soon_that_the_store_is_away():
+    network = networks.Network(MANY)
+    network.start()
+    network.run(3.0)
+    feeding = {
+        name
+        for name, node in network.nodes.items()
+        if node.peer_sync.feeds_others
+    }
+    assert feeding == set(_relays(network))
+    few = networks.Network(9)
+    assert not any(n.peer_sync.feeds_others for n in few.nodes.values())
+
+
 def test_a_node_whose_relays_lost_the_store_reads_it_itself():
     network = networks.Network(MANY)
     network.start()
--- a/tests/gateway/test_row_histories.py
+++ b/tests/gateway/test_row_histories.py
@@ -7,7 +7,15 @@
 from . import histories
 
 SEEDS = range(1, 31)
-FAULTS = ("restart", "freeze", "cut_store", "cut_node", "compact", "silence")
+FAULTS = (
+    "restart",
+    "freeze",
+    "cut_store",
+    "cut_stores",
+    "cut_node",
+    "compact",
+    "silence",
+)
 
 
 @pytest.fixture(params=["mesh", "relays"])
