Reach endpoints through peers while a node's own links are cut

A node to which two endpoints take no connection, with no success between, opens its connections through a peer now: a stream of the node port that the peer joins to a connection to the endpoint it knows. Decisions, attempts, permits and metering stay at the node; a close in order and a reset stay different. An endpoint counts as crashed only if a peer does not reach it either.

--- a/packages/gateway/src/fireflypulley/gateway/connector.py
+++ b/packages/gateway/src/fireflypulley/gateway/connector.py
@@ -48,7 +48,10 @@
         after it was issued.
         """
         try:
-            connection = await self._pool(run).acquire(fresh=False)
+            # A request that runs at most once is not risked on a
+            # connection to an endpoint that has gone silent.
+            is_silent = run.load.is_unresponsive(self._reactor.seconds())
+            connection = await self._pool(run).acquire(fresh=is_silent)
         except (error.ConnectError, error.ConnectionClosed) as problem:
             return Obstacle(calls.Outcome.UNREACHED, str(problem))
         await self._get_permit(run)
--- a/packages/gateway/src/fireflypulley/gateway/crash_detector.py
+++ b/packages/gateway/src/fireflypulley/gateway/crash_detector.py
@@ -23,7 +23,8 @@
 class CrashDetector:
     """Checks endpoints that cut off requests, and collects the evidence.
 
-    An endpoint that cannot be connected to after that has crashed.  The
+    An endpoint that neither this node nor a peer can connect to after that
+    has crashed.  The
     requests that it had not begun to answer may have caused it.
     """
 
@@ -58,7 +59,7 @@
         background.start(self._check(member, cut), probe=member.endpoint_id)
 
     async def _check(self, member: fleet.Member, cut: list[runs.Run]) -> None:
-        if await self._prober.can_connect(member):
+        if not await self._prober.has_failed(member):
             return
         for run in cut:
             self._count_request(run)
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -158,6 +158,7 @@
         )
         self._relay.start_attempt()
         self._connection = connection
+        self._record.through = connection.peer
         self._record.attempt_counts.arrivals += 1
         self._was_sent = True
         self._dependencies.scheduler.note_sent(run, now_s)
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -35,6 +35,15 @@
         self._rows_age = self._gauge(
             "rows_age_seconds", "Time since rows were confirmed, by table."
         )
+        self._cut_off = self._gauge(
+            "cut_off", "1 while this node reaches endpoints through others."
+        )
+        self._tunnels_opened = self._counter(
+            "tunnels_opened", "Connections opened through other nodes."
+        )
+        self._tunnels = self._gauge(
+            "tunnels_for_others", "Connections that other nodes use now."
+        )
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
@@ -88,6 +97,14 @@
         service = run.request.service.name
         self._first_events.observe({"service": service}, first_s - run.began_s)
 
+    def collect_paths(
+        self, is_cut_off: bool, tunnels_opened: int, for_others: int
+    ) -> None:
+        """Set the metrics of the ways to endpoints."""
+        self._cut_off.set({}, int(is_cut_off))
+        self._tunnels_opened.set({}, tunnels_opened)
+        self._tunnels.set({}, for_others)
+
     def collect(
         self,
         node_scheduler: scheduler.RequestScheduler,
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -133,6 +133,8 @@
         self._keep_alive_s = MAX_IDLE_S
         self.idle_since_s = 0.0
         self.answered = 0
+        self.peer = ""
+        """The node that the connection leads through, "" if direct."""
 
     def connectionMade(self) -> None:
         self._is_open = True
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -1,6 +1,7 @@
 """Exchange of state between gateway nodes over their streams."""
 
 import collections.abc
+import random
 
 from twisted.internet import interfaces
 
@@ -20,6 +21,7 @@
 from fireflypulley.gateway import permit_streams
 from fireflypulley.gateway import report_replication
 from fireflypulley.gateway import row_replication
+from fireflypulley.gateway import tunnels
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
 from fireflypulley.nodes import messages
@@ -88,6 +90,9 @@
         self.crashes = report_replication.CrashReplicator(
             node_scheduler.prompt_crashes, self.hub, crash_detector.FEATURE
         )
+        self.tunnel_dialer = tunnels.TunnelDialer(
+            reactor, self.hub, keys.SharedKey(key), self._tunnel_peers
+        )
         store_follower.on_update = self._send_rows
         permits.attach(
             permit_streams.PermitStreams(
@@ -122,6 +127,19 @@
         """Return whether another node has sent its state, if there is any."""
         return self._has_heard_state or not self._peer_registry.node_ids
 
+    def _tunnel_peers(self) -> list[peer_registry.NodeEntry]:
+        """Return the live nodes, those of the own failure domain first.
+
+        Within a domain the order is random, so that one node does not
+        carry all tunnels.
+        """
+        alive = self._peer_registry.alive(self._reactor.seconds())
+        entries = [self._peer_registry.get(node_id) for node_id in alive]
+        peers = [entry for entry in entries if entry is not None]
+        random.shuffle(peers)
+        domain = self._peer_registry.this.failure_domain
+        return sorted(peers, key=lambda p: p.failure_domain != domain)
+
     # Selection of streams
 
     @property
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -4,12 +4,15 @@
 import collections.abc
 
 from twisted.internet import endpoints
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
 
+from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import outbound
+from fireflypulley.gateway import tunnels
 
 CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_PER_ENDPOINT = 24
@@ -27,6 +30,15 @@
         return outbound.EndpointConnection(self._pool)
 
 
+class Paths:
+    """The ways to endpoints: direct, or through other nodes."""
+
+    def __init__(self) -> None:
+        self.direct = endpoint_paths.EndpointPaths()
+        self.tunnels: tunnels.TunnelSource | None = None
+        self.tunnels_opened = 0
+
+
 class EndpointPool(outbound.ConnectionPool):
     """The connections to one incarnation of an endpoint."""
 
@@ -35,8 +47,12 @@
         reactor: interfaces.IReactorTime,
         address: str,
         on_activity: collections.abc.Callable[[], None],
+        key: tuple[str, int] = ("", 0),
+        paths: Paths | None = None,
     ) -> None:
         self._reactor = reactor
+        self._key = key
+        self._paths = paths or Paths()
         host, port = address.rsplit(":", 1)
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
@@ -58,15 +74,69 @@
 
         Errors of connecting are raised; no request has been sent then.
         """
+        if self._is_cut_off:
+            self._close_direct()
         if not fresh:
             idle = self._pop_idle()
             if idle is not None:
                 return idle
-        self.opened += 1
-        connection = await self._endpoint.connect(_ConnectionFactory(self))
+        connection = await self._connect()
         self._open.add(connection)
         return connection
 
+    @property
+    def _is_cut_off(self) -> bool:
+        return self._paths.direct.is_cut_off(self._reactor.seconds())
+
+    def _close_direct(self) -> None:
+        """Close idle connections over links that seem to be cut."""
+        for connection in list(self._idle):
+            if not connection.peer:
+                connection.abort()
+
+    async def _connect(self) -> outbound.EndpointConnection:
+        """Open a connection, through a peer if this node is cut off."""
+        if not self._is_cut_off:
+            try:
+                return await self._connect_directly()
+            except (error.ConnectError, error.ConnectionClosed):
+                if not self._is_cut_off:
+                    raise
+        return await self._connect_through_peer()
+
+    async def _connect_directly(self) -> outbound.EndpointConnection:
+        self.opened += 1
+        note = self._paths.direct.note_direct
+        try:
+            connection = await self._endpoint.connect(_ConnectionFactory(self))
+        except (error.ConnectError, error.ConnectionClosed):
+            note(self._key, False, self._reactor.seconds())
+            raise
+        note(self._key, True, self._reactor.seconds())
+        return connection
+
+    async def _connect_through_peer(self) -> outbound.EndpointConnection:
+        if self._paths.tunnels is None:
+            raise tunnels.NoTunnel("no other node is known")
+        connection = outbound.EndpointConnection(self)
+        connection.peer = await self._paths.tunnels.connect(
+            self._key, connection
+        )
+        self._paths.tunnels_opened += 1
+        return connection
+
+    async def probe_links(self) -> None:
+        """Try a direct connection, which shows whether the links stand."""
+        connection = await self._connect_directly()
+        self._open.add(connection)
+        self.release(connection)
+
+    async def probe_through_peer(self) -> None:
+        """Connect through a peer; raise ``tunnels.NoTunnel`` if it can't."""
+        connection = await self._connect_through_peer()
+        self._open.add(connection)
+        self.release(connection)
+
     def _pop_idle(self) -> outbound.EndpointConnection | None:
         now_s = self._reactor.seconds()
         while self._idle:
@@ -124,6 +194,7 @@
 
     def __init__(self, reactor: interfaces.IReactorTime) -> None:
         self._reactor = reactor
+        self.paths = Paths()
         self._pools: dict[tuple[str, int, str], EndpointPool] = {}
 
     def pool(
@@ -137,11 +208,14 @@
                 self._reactor,
                 spec.address,
                 lambda: load.note_activity(self._reactor.seconds()),
+                spec.key,
+                self.paths,
             )
         return self._pools[pool_key]
 
     def tick(self, present: set[tuple[str, int]]) -> None:
         """Close stale connections, and idle ones to endpoints not present."""
+        self.paths.direct.forget_absent(present)
         for pool_key, pool in list(self._pools.items()):
             pool.drop_stale()
             if pool_key[:2] in present:
--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -8,6 +8,7 @@
 from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import pools
+from fireflypulley.gateway import tunnels
 
 
 class Prober:
@@ -26,10 +27,12 @@
         self._scheduler = node_scheduler
         self._connections = connections
         self._probing: set[tuple[str, int]] = set()
+        self._was_cut_off = False
 
     def tick(self) -> None:
         """Start the probes that are due."""
         now_s = self._reactor.seconds()
+        self._probe_links(now_s)
         for member in list(self._scheduler.fleet):
             key = member.registration.key
             if member.leaving or key in self._probing:
@@ -43,10 +46,58 @@
                 probe=member.endpoint_id,
             )
 
+    def _probe_links(self, now_s: float) -> None:
+        """Try a direct connection while this node seems to be cut off."""
+        paths = self._connections.paths.direct
+        is_cut_off = paths.is_cut_off(now_s)
+        if is_cut_off != self._was_cut_off:
+            self._was_cut_off = is_cut_off
+            state = "cut-off" if is_cut_off else "direct"
+            decision_log.note("path", state=state)
+        members = {
+            member.registration.key: member
+            for member in self._scheduler.fleet
+            if not member.leaving
+        }
+        if not members or not paths.begin_probe(now_s):
+            return
+        member = members[paths.next_probe(list(members))]
+        background.start(self._probe_link(member), probe=member.endpoint_id)
+
+    def _pool(self, member: fleet.Member) -> pools.EndpointPool:
+        load = self._scheduler.loads.of(member)
+        return self._connections.pool(member, load)
+
+    async def _probe_link(self, member: fleet.Member) -> None:
+        try:
+            await self._pool(member).probe_links()
+        except (error.ConnectError, error.ConnectionClosed) as problem:
+            decision_log.note(
+                "path",
+                state="cut-off",
+                endpoint=member.endpoint_id,
+                problem=str(problem),
+            )
+
+    async def has_failed(self, member: fleet.Member) -> bool:
+        """Return whether an endpoint takes no connections at all.
+
+        One that this node alone does not reach may be sound, so another
+        node is asked, if there is any.
+        """
+        if await self.can_connect(member):
+            return False
+        try:
+            await self._pool(member).probe_through_peer()
+        except tunnels.NoTunnel as problem:
+            now_s = self._reactor.seconds()
+            is_cut_off = self._connections.paths.direct.is_cut_off(now_s)
+            return problem.endpoint_failed or not is_cut_off
+        return False
+
     async def can_connect(self, member: fleet.Member) -> bool:
         """Return whether an endpoint takes a new connection."""
-        load = self._scheduler.loads.of(member)
-        pool = self._connections.pool(member, load)
+        pool = self._pool(member)
         try:
             pool.release(await pool.acquire(fresh=True))
         except (error.ConnectError, error.ConnectionClosed):
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -26,6 +26,8 @@
     metadata: calls.RequestMetadata = calls.RequestMetadata()
     request: calls.AdmittedRequest | None = None
     last_run: runs.Run | None = None
+    through: str = ""
+    """The node that the last attempt was sent through, "" if direct."""
     attempt_counts: runs.AttemptCounts = dataclasses.field(
         default_factory=runs.AttemptCounts
     )
@@ -52,6 +54,7 @@
             detail=detail,
             after_ms=_ms(now_s - run.began_s),
             next="stop" if refusal else "again",
+            **self._through(),
             **_limit_fields(run),
         )
 
@@ -101,7 +104,10 @@
             fields["removed_before_ms"] = _ms(run.removed_before_s)
         if run.first_event_s is not None:
             fields["first_event_ms"] = _ms(run.first_event_s - run.began_s)
-        return fields | _limit_fields(run)
+        return fields | self._through() | _limit_fields(run)
+
+    def _through(self) -> dict[str, object]:
+        return {"through": self.through} if self.through else {}
 
 
 def _rows_age(
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -38,6 +38,7 @@
 from fireflypulley.gateway import row_codec
 from fireflypulley.gateway import settings
 from fireflypulley.gateway import status
+from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
 from fireflypulley.transport import listening
@@ -97,6 +98,9 @@
         self._prober = prober.Prober(
             reactor, self._scheduler, self._connections
         )
+        self._tunnel_server = tunnel_server.TunnelServer(
+            reactor, self._scheduler.fleet, self._connections.paths.direct
+        )
         self._usage = WallClockUsage(
             config.usage_window_s, config.node.started_ms
         )
@@ -125,7 +129,12 @@
             reactor, self._scheduler, self._issuing_term
         )
         self._sources = status.Sources(
-            self._scheduler, self._peer_registry, self._follower, self._duties
+            self._scheduler,
+            self._peer_registry,
+            self._follower,
+            self._duties,
+            self._connections.paths,
+            self._tunnel_server,
         )
         self._scheduler.prompt_crashes.may_try = lambda: (
             self._issuing_term() is not None
@@ -277,6 +286,8 @@
         self._peer_sync = sync
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
         self._follower.feeds_others = lambda: sync.feeds_others
+        self._connections.paths.tunnels = sync.tunnel_dialer
+        sync.hub.receive_tunnel = self._tunnel_server.receive
         self._follower.peers_lost_store = lambda: sync.peers_lost_store
         sync.start()
         await self._membership.refresh_periodically(
@@ -308,6 +319,11 @@
         return 200, status.render(page)
 
     def _metrics_page(self) -> tuple[int, bytes]:
+        self._metrics.collect_paths(
+            self._connections.paths.direct.is_cut_off(self._reactor.seconds()),
+            self._connections.paths.tunnels_opened,
+            self._tunnel_server.open_count,
+        )
         self._metrics.collect(
             self._scheduler,
             len(self._open_requests),
@@ -392,7 +408,7 @@
         """Stop accepting callers, finish open requests, then stop."""
         if self._is_stopping:
             return
-        self._is_stopping = True
+        self._is_stopping = self._tunnel_server.is_stopping = True
         decision_log.note(
             "node", state="stopping", open=len(self._open_requests)
         )
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -12,6 +12,8 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.gateway import duties
 from fireflypulley.gateway import follower
+from fireflypulley.gateway import pools
+from fireflypulley.gateway import tunnel_server
 
 Json = dict[str, typing.Any]
 
@@ -24,6 +26,8 @@
     peer_registry: peer_registry.PeerRegistry
     follower: follower.Follower
     duties: duties.DutyManager
+    paths: pools.Paths
+    tunnel_server: tunnel_server.TunnelServer
 
 
 def describe(sources: Sources, now_s: float, open_requests: int) -> Json:
@@ -65,6 +69,8 @@
         "unreadable_rows": sources.follower.unreadable,
         "rows": sources.follower.cache.versions(),
         "rows_confirmed": _freshness(sources.scheduler, now_s),
+        "cut_off_from_endpoints": sources.paths.direct.is_cut_off(now_s),
+        "tunnels_for_others": sources.tunnel_server.open_count,
         "holds_duty": sources.duties.holds,
         "fencing": sources.duties.fence.fencing,
     }
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -0,0 +1,126 @@
+"""Joins streams of nodes that are cut off to connections to endpoints."""
+
+import collections.abc
+
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.internet import protocol
+
+from fireflypulley.core.gateway import endpoint_paths
+from fireflypulley.core.gateway import fleet
+from fireflypulley.gateway import background
+from fireflypulley.gateway import tunnels
+from fireflypulley.nodes import messages
+from fireflypulley.nodes import streams
+from fireflypulley.transport import sockets
+
+CONNECT_TIMEOUT_S = 0.35
+MAX_TUNNELS = 400
+"""Each takes two descriptors of this node."""
+
+
+class _EndpointPipe(tunnels.Pipe):
+    """The side of the endpoint."""
+
+    def connectionMade(self) -> None:
+        sockets.set_tcp_options(self.transport)
+
+
+class _NodePipe(tunnels.Pipe):
+    """The side of the node; ``closed`` is called when the tunnel ends."""
+
+    def __init__(self, closed: collections.abc.Callable[[], None]) -> None:
+        super().__init__()
+        self._closed = closed
+
+    def connectionLost(
+        self, reason: tunnels.failure.Failure = protocol.connectionDone
+    ) -> None:
+        super().connectionLost(reason)
+        self._closed()
+
+
+class TunnelServer:
+    """Opens tunnels to the endpoints that this node knows and reaches."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        endpoint_fleet: fleet.Fleet,
+        paths: endpoint_paths.EndpointPaths,
+    ) -> None:
+        self._reactor = reactor
+        self._fleet = endpoint_fleet
+        self._paths = paths
+        self.open_count = 0
+        self.is_stopping = False
+
+    def receive(
+        self, stream: streams.NodeStream, request: messages.TunnelRequest
+    ) -> None:
+        """Handle a node's request for a tunnel on its stream."""
+        member = self._fleet.get(request.endpoint_id)
+        problem = self._find_problem(member, request)
+        if problem or member is None:
+            self._refuse(stream, messages.TunnelResponse(problem))
+            return
+        background.start(
+            self._open(stream, member), tunnel=request.endpoint_id
+        )
+
+    def _find_problem(
+        self, member: fleet.Member | None, request: messages.TunnelRequest
+    ) -> str:
+        """Return why a tunnel can't be opened, or ""."""
+        if self.is_stopping:
+            return "node is stopping"
+        if self.open_count >= MAX_TUNNELS:
+            return "too many tunnels"
+        key = (request.endpoint_id, request.started_ms)
+        if member is None or member.registration.key != key:
+            return "endpoint is not known"
+        if self._paths.is_cut_off(self._reactor.seconds()):
+            return "cut off as well"
+        return ""
+
+    def _refuse(
+        self, stream: streams.NodeStream, response: messages.TunnelResponse
+    ) -> None:
+        stream.send(response)
+        if stream.transport is not None:
+            stream.transport.loseConnection()
+
+    async def _open(
+        self, stream: streams.NodeStream, member: fleet.Member
+    ) -> None:
+        registration = member.registration
+        host, port = registration.address.rsplit(":", 1)
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        now_s = self._reactor.seconds
+        factory = protocol.Factory.forProtocol(_EndpointPipe)
+        factory.noisy = False
+        try:
+            there = await endpoint.connect(factory)
+        except (error.ConnectError, error.ConnectionClosed) as problem:
+            self._paths.note_direct(registration.key, False, now_s())
+            response = messages.TunnelResponse(str(problem), True)
+            self._refuse(stream, response)
+            return
+        self._paths.note_direct(registration.key, True, now_s())
+        if not stream.ready:
+            there.transport.abortConnection()
+            return
+        self._join(stream, there)
+
+    def _join(self, stream: streams.NodeStream, there: tunnels.Pipe) -> None:
+        self.open_count += 1
+        here = _NodePipe(self._note_closed)
+        stream.send(messages.TunnelResponse(""))
+        stream.hand_over(here)
+        here.join(there)
+
+    def _note_closed(self) -> None:
+        self.open_count -= 1
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -52,6 +52,8 @@
         messages.States,
         messages.Rows,
         messages.Introduction,
+        messages.TunnelRequest,
+        messages.TunnelResponse,
         messages.LimitReports,
         messages.CrashReports,
         messages.PermitRequest,
--- a/packages/nodes/src/fireflypulley/nodes/hub.py
+++ b/packages/nodes/src/fireflypulley/nodes/hub.py
@@ -19,6 +19,9 @@
 DIAL_TIMEOUT_S = 1.0
 MAX_PENDING_MESSAGES = 1000
 
+_TunnelReceiver = collections.abc.Callable[
+    [streams.NodeStream, messages.TunnelRequest], None
+]
 _Resolver = collections.abc.Callable[[str], topology.Node | None]
 
 
@@ -93,6 +96,7 @@
         self._wanted_peers: tuple[str, ...] = ()
         self._dialing: set[str] = set()
         self._stopped = False
+        self.receive_tunnel: _TunnelReceiver | None = None
         self._heartbeat_loop = task.LoopingCall(self._send_heartbeats)
         self._heartbeat_loop.clock = reactor
         self.bytes_sent = 0
@@ -256,6 +260,8 @@
         return self._features
 
     def stream_up(self, stream: streams.NodeStream) -> None:
+        if stream.purpose is messages.Purpose.TUNNEL:
+            return
         self._streams[stream.node_id].append(stream)
         for data in self._pending.pop(stream.node_id, []):
             self._send_on(stream, data)
@@ -265,8 +271,20 @@
     def stream_message(
         self, stream: streams.NodeStream, message: messages.Message
     ) -> None:
+        if stream.purpose is messages.Purpose.TUNNEL:
+            self._open_tunnel(stream, message)
+            return
         self._listener.message_received(stream.node_id, message)
 
+    def _open_tunnel(
+        self, stream: streams.NodeStream, message: messages.Message
+    ) -> None:
+        is_request = isinstance(message, messages.TunnelRequest)
+        if not is_request or self.receive_tunnel is None:
+            stream.close()
+            return
+        self.receive_tunnel(stream, message)
+
     def stream_down(self, stream: streams.NodeStream) -> None:
         node_streams = self._streams.get(stream.node_id, [])
         was_newest = node_streams[-1:] == [stream]
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -26,10 +26,15 @@
 
 
 class Purpose(enum.StrEnum):
-    """The purpose of a stream; facts are only sent to peers."""
+    """The purpose of a stream; facts are only sent to peers.
+
+    A stream for a tunnel carries bytes of an endpoint's connection once
+    the tunnel is open.
+    """
 
     PEER = "peer"
     CALL = "call"
+    TUNNEL = "tunnel"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -200,6 +205,28 @@
     nodes: tuple[peer_registry.NodeEntry, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TunnelRequest(Message):
+    """Asks the receiver to connect this stream to a start of an endpoint.
+
+    The address is that of the endpoint's entry as the receiver knows it.
+    """
+
+    endpoint_id: str
+    started_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TunnelResponse(Message):
+    """Opens the tunnel if ``problem`` is empty: bytes follow, no messages.
+
+    ``endpoint_failed`` tells that the endpoint took no connection.
+    """
+
+    problem: str
+    endpoint_failed: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitReports(Message):
     """Limits of endpoints that the receiver may not know yet."""
--- a/packages/nodes/src/fireflypulley/nodes/streams.py
+++ b/packages/nodes/src/fireflypulley/nodes/streams.py
@@ -90,8 +90,10 @@
 
     def _handle_hello(self, hello: messages.Hello) -> None:
         self._peer_hello = hello
-        if messages.Purpose.CALL in (hello.purpose, self.purpose):
-            self.purpose = messages.Purpose.CALL
+        for purpose in (messages.Purpose.TUNNEL, messages.Purpose.CALL):
+            if purpose in (hello.purpose, self.purpose):
+                self.purpose = purpose
+                break
         text = _signed_text(self._own_hello, hello)
         signatures = self._ring.sign(text)
         self._write(messages.Proof(signatures, self._owner.features))
@@ -129,6 +131,12 @@
         if unsent > MAX_UNSENT_BYTES:
             self.transport.abortConnection()
 
+    def hand_over(self, successor: protocol.Protocol) -> None:
+        """Let another protocol use the connection from now on."""
+        self.ready = False
+        self.transport.protocol = successor
+        successor.makeConnection(self.transport)
+
     def close(self) -> None:
         """Abort the connection."""
         self.transport.abortConnection()
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -11,7 +11,9 @@
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import metrics
+from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
+from fireflypulley.gateway import tunnels
 
 from ..core.gateway import builders
 from . import header_codecs
@@ -53,6 +55,7 @@
 
     def __init__(self, endpoint_id):
         self.endpoint_id = endpoint_id
+        self.peer = ""
         self.listener = None
         self.aborted = False
         self.discarded = False
@@ -93,6 +96,10 @@
         self.world.sent.append(connection)
         return defer.succeed(connection)
 
+    async def probe_through_peer(self):
+        if self.endpoint_id not in self.world.reached_by_peers:
+            raise tunnels.NoTunnel("refused", endpoint_failed=True)
+
     def release(self, connection):
         self.released.append(connection)
 
@@ -108,7 +115,9 @@
         )
         for _ in range(50):
             self.scheduler.retry_budget.note_request("s", 0.0)
+        self.paths = pools.Paths()
         self.unreachable = set()
+        self.reached_by_peers = set()
         self.slow_connect = None
         self.sent = []
         self.pools = {}
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -94,7 +94,14 @@
     def abortConnection(self):
         self.wires.abort(self)
 
-    loseConnection = abortConnection
+    def loseConnection(self):
+        self.wires.close(self)
+
+    def registerProducer(self, producer, streaming):
+        """Do nothing: nothing waits here, so that no producer is stopped."""
+
+    def unregisterProducer(self):
+        pass
 
     def setTcpNoDelay(self, enabled):
         pass
@@ -173,7 +180,7 @@
         here, there = _End(self, node), _End(self, other)
         here.other, there.other = there, here
         self.ends += [here, there]
-        there.protocol = other.sync.hub.server_factory().buildProtocol(None)
+        there.protocol = other.server_factory().buildProtocol(None)
         here.protocol = factory.buildProtocol(None)
         there.protocol.makeConnection(there)
         here.protocol.makeConnection(here)
@@ -198,6 +205,21 @@
         if self._is_passable(end):
             self.clock.callLater(DELAY_S, self._reset, end.other)
 
+    def close(self, end):
+        """Close an end in order, after what it has sent."""
+        if not end.is_open:
+            return
+        end.is_open = False
+        end.node.reactor.callLater(0, self._lose, end, error.ConnectionDone)
+        self.clock.callLater(2 * DELAY_S, self._finish, end.other)
+
+    def _finish(self, end):
+        if end.is_open and end.node.is_up:
+            while end.unread:
+                end.protocol.dataReceived(end.unread.pop(0)[1])
+            end.is_open = False
+            self._lose(end, error.ConnectionDone)
+
     def _is_passable(self, end):
         is_silent = end.is_silent or end.other.is_silent
         return not is_silent and self._reaches(end.node, end.other.node)
@@ -432,6 +454,9 @@
         ticking.clock = self.reactor
         ticking.start(TICK_S, now=False)
 
+    def server_factory(self):
+        return self.sync.hub.server_factory()
+
     def stop(self):
         self.is_up = False
         self.link.stop()
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -63,6 +63,17 @@
     assert not world.crash_reports
 
 
+# Guards against a node without links that reports sound endpoints, and the
+# requests that hung there, to all others.
+def test_an_endpoint_that_a_peer_reaches_has_not_crashed():
+    world = _world(max_attempts=1)
+    connection = world.begin()
+    world.reached_by_peers.add(connection.endpoint_id)
+    _cut(world, connection)
+    assert not world.crash_reports
+    assert not world.published
+
+
 def test_an_endpoint_that_leaves_as_announced_has_not_crashed():
     world = _world(max_attempts=1)
     connection = world.begin()
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import versions
+from fireflypulley.gateway import pools
 from fireflypulley.gateway import status
 
 from ..core.gateway import builders
@@ -39,7 +40,14 @@
     manager = types.SimpleNamespace(
         holds=True, fence=types.SimpleNamespace(fencing=3)
     )
-    sources = status.Sources(serving_scheduler, registry, following, manager)
+    sources = status.Sources(
+        serving_scheduler,
+        registry,
+        following,
+        manager,
+        pools.Paths(),
+        types.SimpleNamespace(open_count=4),
+    )
     page = status.describe(sources, NOW_S, 5)
     assert json.loads(status.render(page)) == page
     return page
@@ -58,6 +66,8 @@
     assert page["node"]["open_requests"] == 5
     assert page["node"]["rows"] == {"t": 7}
     assert page["node"]["fencing"] == 3
+    assert page["node"]["cut_off_from_endpoints"] is False
+    assert page["node"]["tunnels_for_others"] == 4
     assert page["configuration"]["version"] == 4
     assert page["configuration"]["age_s"] == 2.0
 
--- /dev/null
+++ b/tests/gateway/test_tunnels.py
@@ -0,0 +1,319 @@
+"""Connections to endpoints through other nodes."""
+
+import types
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
+
+from fireflypulley.core.gateway import endpoint_paths
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import loads
+from fireflypulley.gateway import outbound
+from fireflypulley.gateway import pools
+from fireflypulley.gateway import tunnel_server
+from fireflypulley.gateway import tunnels
+
+from . import histories
+
+KEY = ("e1", 7)
+OTHER_KEY = ("e2", 7)
+
+
+class _Endpoint(protocol.Protocol):
+    """The server side of an endpoint's connection."""
+
+    def __init__(self, host):
+        self._host = host
+        self.received = b""
+        self.lost = None
+
+    def connectionMade(self):
+        self._host.connections.append(self)
+
+    def dataReceived(self, data):
+        self.received += data
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.lost = reason.type
+
+
+class _EndpointHost:
+    """A machine that takes connections to an endpoint."""
+
+    is_up = True
+    is_frozen = False
+
+    def __init__(self, wires, name, host):
+        self.name = name
+        self.host = host
+        self.reactor = wires.clock
+        self.connections = []
+
+    def server_factory(self):
+        return types.SimpleNamespace(
+            buildProtocol=lambda address: _Endpoint(self)
+        )
+
+
+class _System(histories.System):
+    """Three nodes and two endpoints."""
+
+    def __init__(self):
+        super().__init__(1, 3)
+        self.hosts = {}
+        for key, host in ((KEY, "127.0.1.1"), (OTHER_KEY, "127.0.1.2")):
+            self.hosts[key] = _EndpointHost(self.wires, key[0], host)
+        for node in self.nodes:
+            self._serve(node)
+        self.endpoints = dict(self.wires.nodes)
+        find = self.wires._listening
+        self.wires._listening = lambda host: (
+            next(
+                (h for h in self.hosts.values() if h.host == host and h.is_up),
+                None,
+            )
+            or find(host)
+        )
+
+    def _serve(self, node):
+        node.connections = pools.ConnectionPools(node.reactor)
+        for key, host in self.hosts.items():
+            node.scheduler.fleet.put(_registration(key, host), 0.0)
+        direct = node.connections.paths.direct
+        node.tunnel_server = tunnel_server.TunnelServer(
+            node.reactor, node.scheduler.fleet, direct
+        )
+        node.sync.hub.receive_tunnel = node.tunnel_server.receive
+        node.connections.paths.tunnels = node.sync.tunnel_dialer
+
+    def cut_off(self, *nodes):
+        """Cut nodes from all endpoints, and from nothing else."""
+        for node in nodes:
+            for host in self.hosts.values():
+                self.wires.cut.add((node.name, host.name))
+
+    def heal(self):
+        self.wires.cut.clear()
+
+    def pool(self, node, key=KEY):
+        member = node.scheduler.fleet.get(key[0])
+        return node.connections.pool(member, loads.EndpointLoad())
+
+    def acquire(self, node, key=KEY, seconds=3.0):
+        """Return a new connection, or the problem of opening one."""
+        results = []
+        acquired = defer.ensureDeferred(self.pool(node, key).acquire(True))
+        acquired.addBoth(results.append)
+        waited_s = 0.0
+        while not results and waited_s < seconds:
+            self.run(0.05)
+            waited_s += 0.05
+        return results[0] if results else None
+
+
+def _registration(key, host):
+    return fleet.Registration(
+        key[0], "s", f"{host.host}:1", "a", "v", 4, started_ms=key[1]
+    )
+
+
+class _Listener(outbound.ResponseListener):
+    """Keeps the answer to one request."""
+
+    def __init__(self):
+        self.body = b""
+        self.status = None
+        self.end = ""
+
+    def response_head(self, status, headers):
+        self.status = status
+
+    def response_data(self, data):
+        self.body += data
+
+    def response_end(self):
+        self.end = "whole"
+
+    def response_failed(self, outcome, detail):
+        self.end = outcome.value
+
+
+@pytest.fixture
+def system():
+    running = _System()
+    running.run(2.0)
+    return running
+
+
+@pytest.fixture
+def stranded(system):
+    """Return a node that knows that it reaches no endpoint."""
+    node = system.nodes[0]
+    system.cut_off(node)
+    for key in (KEY, OTHER_KEY):
+        system.acquire(node, key)
+    assert node.connections.paths.direct.is_cut_off(node.reactor.seconds())
+    return node
+
+
+def _send(system, connection, body=b"b"):
+    listener = _Listener()
+    connection.send(b"POST", b"/x", [(b"host", b"h")], body, listener)
+    system.run(0.1)
+    return listener
+
+
+def _server(system, key=KEY):
+    return system.hosts[key].connections[-1]
+
+
+# Guards against callers of a node without links who are not served while
+# its peers reach the endpoints.
+def test_a_node_without_links_reaches_an_endpoint_through_a_peer(
+    system, stranded
+):
+    connection = system.acquire(stranded)
+    assert connection.peer in {node.name for node in system.nodes[1:]}
+    listener = _send(system, connection)
+    assert b"POST /x HTTP/1.1" in _server(system).received
+    _server(system).transport.write(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )
+    system.run(0.1)
+    assert (listener.status, listener.body, listener.end) == (
+        200,
+        b"ok",
+        "whole",
+    )
+
+
+def test_a_node_with_links_connects_directly(system):
+    assert system.acquire(system.nodes[0]).peer == ""
+    assert not any(node.tunnel_server.open_count for node in system.nodes)
+
+
+def test_one_endpoint_that_is_gone_is_not_tried_through_peers(system):
+    system.hosts[KEY].is_up = False
+    problem = system.acquire(system.nodes[0])
+    assert problem.check(error.ConnectError)
+    assert not problem.check(tunnels.NoTunnel)
+
+
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_an_answer_without_a_length_ends_as_at_the_endpoint(
+    system, stranded, end
+):
+    listener = _send(system, system.acquire(stranded))
+    server = _server(system)
+    server.transport.write(b"HTTP/1.1 200 OK\r\n\r\nall")
+    system.run(0.1)
+    if end == "close":
+        server.transport.loseConnection()
+    else:
+        server.transport.abortConnection()
+    system.run(0.3)
+    assert listener.body == b"all"
+    assert listener.end == ("whole" if end == "close" else "cut")
+
+
+def test_a_caller_that_leaves_ends_the_work_at_the_endpoint(system, stranded):
+    connection = system.acquire(stranded)
+    _send(system, connection)
+    connection.abort()
+    system.run(0.2)
+    assert _server(system).lost is not None
+    assert not any(node.tunnel_server.open_count for node in system.nodes)
+
+
+def test_a_peer_that_dies_cuts_the_answer(system, stranded):
+    connection = system.acquire(stranded)
+    listener = _send(system, connection)
+    system.wires.nodes.pop(connection.peer).stop()
+    system.run(3.5)
+    assert listener.end == "cut"
+
+
+# Guards against requests that wait for a peer without links of its own.
+def test_peers_that_are_cut_off_as_well_are_passed_over(system, stranded):
+    other, sound = system.nodes[1:]
+    system.cut_off(other)
+    for key in (KEY, OTHER_KEY):
+        other.connections.paths.direct.note_direct(
+            key, False, other.reactor.seconds()
+        )
+    for _ in range(6):
+        assert system.acquire(stranded).peer == sound.name
+
+
+def test_if_no_peer_has_a_way_the_attempt_fails_at_once(system, stranded):
+    for node in system.nodes[1:]:
+        for key in (KEY, OTHER_KEY):
+            node.connections.paths.direct.note_direct(
+                key, False, node.reactor.seconds()
+            )
+    problem = system.acquire(stranded, seconds=0.3)
+    assert problem.check(tunnels.NoTunnel)
+
+
+def test_an_endpoint_that_a_peer_does_not_know_is_refused(system, stranded):
+    for node in system.nodes[1:]:
+        node.scheduler.fleet.put(
+            fleet.Registration(
+                "e1", "s", "127.0.1.1:1", "a", "v", 4, started_ms=8
+            ),
+            0.0,
+        )
+    problem = system.acquire(stranded, seconds=0.5)
+    assert problem.check(tunnels.NoTunnel)
+    assert not system.hosts[KEY].connections
+
+
+def test_a_stopping_peer_opens_no_tunnel(system, stranded):
+    stopping, sound = system.nodes[1:]
+    stopping.tunnel_server.is_stopping = True
+    for _ in range(4):
+        assert system.acquire(stranded).peer == sound.name
+
+
+def test_connections_are_direct_again_once_the_links_stand(system, stranded):
+    through = system.acquire(stranded)
+    system.pool(stranded).release(through)
+    system.heal()
+    assert stranded.connections.paths.direct.begin_probe(
+        stranded.reactor.seconds()
+    )
+    defer.ensureDeferred(system.pool(stranded).probe_links())
+    system.run(0.2)
+    assert system.acquire(stranded).peer == ""
+    assert through.is_usable
+
+
+# Guards against a request that is lost on a connection that only looks open.
+def test_idle_direct_connections_are_not_used_while_cut_off(system):
+    node = system.nodes[0]
+    pool = system.pool(node)
+    direct = system.acquire(node)
+    pool.release(direct)
+    system.cut_off(node)
+    paths = node.connections.paths.direct
+    for key in (KEY, OTHER_KEY):
+        paths.note_direct(key, False, node.reactor.seconds())
+    results = []
+    defer.ensureDeferred(pool.acquire(False)).addBoth(results.append)
+    system.run(0.5)
+    assert results[0].peer
+    assert not direct.is_usable
+
+
+def test_only_as_many_tunnels_as_there_are_descriptors_for(system, stranded):
+    for node in system.nodes[1:]:
+        node.tunnel_server.open_count = tunnel_server.MAX_TUNNELS
+    assert system.acquire(stranded, seconds=0.5).check(tunnels.NoTunnel)
+
+
+def test_paths_remember_enough_to_stay_cut_off_between_probes():
+    probes_s = endpoint_paths.PROBE_INTERVAL_S
+    several = endpoint_paths.MIN_FAILED_ENDPOINTS + 1
+    assert probes_s * several < endpoint_paths.FAILURE_VALID_S
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -85,6 +85,8 @@
     messages.LimitReports(
         (LIMIT, endpoint_limits.EndpointLimit("e", 5, 8, None)),
     ),
+    messages.TunnelRequest("e1", 17),
+    messages.TunnelResponse("connection refused", True),
     messages.PermitRequest(3, LIMIT, ("n", "m")),
     messages.PermitResponse(3, 0.25, "m", ("n",)),
     messages.States(
