--- a/packages/gateway/src/fireflypulley/gateway/events.py
+++ b/packages/gateway/src/fireflypulley/gateway/events.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+MAX_ID_DIGITS = 18
 MAX_EVENT_BYTES = 65536
 """An event holds only a few tokens, so a longer one is invalid."""
 
@@ -35,6 +36,8 @@
     for line in data.split(b"\n"):
         name, _, value = line.partition(b":")
         text = value.strip()
-        if name == b"id" and text.isdigit():
+        if name != b"id" or len(text) > MAX_ID_DIGITS:
+            continue
+        if text.isdigit():
             return Event(data, int(text))
     return Event(data, None)
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -127,7 +127,10 @@
         decision_log.note(
             "error", id=self._record.request_id, problem=str(reason)
         )
-        self._end_attempt(calls.Outcome.CUT, "internal error")
+        outcome = calls.Outcome.UNREACHED
+        if self._was_sent:
+            outcome = calls.Outcome.CUT
+        self._end_attempt(outcome, "internal error")
 
     async def _connect(self, run: runs.Run) -> None:
         source = self._dependencies.connector
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -284,7 +284,8 @@
                 self._apply_endpoint(row)
             else:
                 self._apply_operator(row)
-        except row_codec.InvalidRow as problem:
+        except Exception as problem:
+            # Whatever an odd row brings about, the others are to count.
             self.unreadable += 1
             decision_log.note(
                 "unreadable",
--- a/packages/gateway/src/fireflypulley/gateway/membership.py
+++ b/packages/gateway/src/fireflypulley/gateway/membership.py
@@ -100,7 +100,16 @@
             if row.key == SECRET_KEY:
                 key = row.value
                 continue
-            entry = peer_registry.NodeEntry(**json.loads(row.value))
+            try:
+                entry = peer_registry.NodeEntry(**json.loads(row.value))
+            except (TypeError, ValueError) as problem:
+                decision_log.note(
+                    "unreadable",
+                    table=TABLE,
+                    key=row.key,
+                    problem=str(problem),
+                )
+                continue
             if entry == self._peer_registry.this:
                 self._is_listed = True
             has_changed = self._peer_registry.put(entry, now_s) or has_changed
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -53,6 +53,7 @@
         self._reactor = reactor
         self._key = key
         self._paths = paths or Paths()
+        self._address = address
         host, port = address.rsplit(":", 1)
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
@@ -109,6 +110,8 @@
         note = self._paths.direct.note_direct
         try:
             connection = await self._endpoint.connect(_ConnectionFactory(self))
+        except OverflowError as problem:
+            raise error.ConnectError(string=f"{self._address}: {problem}")
         except (error.ConnectError, error.ConnectionClosed):
             note(self._key, False, self._reactor.seconds())
             raise
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -263,3 +263,16 @@
     sent.listener.response_failed(calls.Outcome.CUT, "test")
     world.clock.advance(crash_detector.CRASH_CHECK_DELAY_S)
     assert world.published == []
+
+
+# Guards against a request that is lost by an error before it was sent.
+def test_an_error_before_sending_tries_another_endpoint():
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    world.slow_connect = defer.Deferred()
+    world.begin()
+    failing, world.slow_connect = world.slow_connect, None
+    failing.errback(OverflowError("port must be 0-65535"))
+    (sent,) = world.sent
+    exchanges.answer(sent)
+    assert world.sink.status == 200
+    assert world.finished()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -128,3 +128,21 @@
     assert following.cache.version(networks.OPERATORS) == row_versions.join(
         2, 5
     )
+
+
+# Guards against a row that hides all later ones of its batch.
+def test_an_error_at_one_row_does_not_keep_the_others_out(following, clock):
+    applied = []
+
+    def apply(row):
+        if row.key == "odd":
+            raise OverflowError("port")
+        applied.append(row.key)
+
+    following._apply_operator = apply
+    following.apply_rows(*_rows(1, 5, "odd", "b"), True)
+    assert applied == ["b"]
+    assert following.unreadable == 1
+    assert following.cache.version(networks.OPERATORS) == row_versions.join(
+        1, 5
+    )
--- a/tests/platform_adapter/test_tables.py
+++ b/tests/platform_adapter/test_tables.py
@@ -185,6 +185,64 @@
         CODEC.decode_registration(_row("i-1", ENTRY | change, "servers"))
 
 
+# Guards against one odd entry that ends nodes, or stops them following.
+@pytest.mark.parametrize(
+    "text",
+    [
+        '"address": "10.0.0.1:99999"',
+        '"address": "10.0.0.1:0"',
+        '"address": "10.0.0.1:%s"' % ("9" * 5000),
+        '"address": "10.0.0.1:\\uff18\\uff10"',
+        '"address": "999.1.1.1:80"',
+        '"address": "10.0.0.1"',
+        '"slots": -5',
+        '"slots": 1%s' % ("0" * 30),
+        '"slots": 1%s' % ("0" * 6000),
+        '"born": 1%s' % ("0" * 30),
+        '"born": -1',
+        '"cold-remaining-ms": 1e999',
+        '"cold-remaining-ms": NaN',
+        '"cold-remaining-ms": 1e300',
+        '"leaves_ms": -1e308',
+        '"leaves_ms": NaN',
+        '"zone": %s1%s' % ("[" * 200000, "]" * 200000),
+        '"zone": {"a": "b"}',
+    ],
+    ids=lambda text: text[:28],
+)
+def test_an_odd_entry_is_rejected(text):
+    fields = [
+        f"{json.dumps(name)}: {json.dumps(value)}"
+        for name, value in ENTRY.items()
+        if not text.startswith(json.dumps(name))
+    ]
+    value = "{%s}" % ", ".join([*fields, text])
+    row = rows.FollowedRow("servers", "i-1", 5, value.encode())
+    with pytest.raises(row_codec.InvalidRow):
+        CODEC.decode_registration(row)
+
+
+def test_an_entry_whose_id_fits_no_header_is_rejected():
+    for key in ("i-1\r\nx: y", "i-\u20ac", "\x00"):
+        with pytest.raises(row_codec.InvalidRow):
+            CODEC.decode_registration(_row(key, ENTRY, "servers"))
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"7"])
+def test_an_entry_that_is_no_object_is_rejected(value):
+    row = rows.FollowedRow("servers", "i-1", 5, value)
+    with pytest.raises(row_codec.InvalidRow):
+        CODEC.decode_registration(row)
+
+
+@pytest.mark.parametrize("duration", ["1e999", "NaN", "-1", "1e300"])
+def test_a_rollout_of_an_odd_duration_is_rejected(duration):
+    value = '{"service": "s", "target": "v", "duration-s": %s}' % duration
+    row = rows.FollowedRow("op", "rollout/s", 5, value.encode())
+    with pytest.raises(row_codec.InvalidRow):
+        CODEC.decode_operator_row(row)
+
+
 @pytest.mark.parametrize("name", ["service", "address", "zone", "state"])
 def test_an_entry_with_a_field_missing_is_rejected(name):
     entry = {key: value for key, value in ENTRY.items() if key != name}
