Believe a refusal without a request id only on a new connection

Operators reported callers who were told 'not run, try again' for requests that ran: a faulty endpoint had written an earlier refusal once more on a kept connection. Here, one that names no request was taken for an answer to the request at hand on any connection; and where a request came back to an endpoint that had refused it, the first refusal, written again, bore its id. A refusal without an id counts only where the connection has carried no other request; an attempt is not sent over a connection that has carried one of the same request. One that names another request was dropped before as well. Red before (run): a_refusal_without_id_on_a_used_connection (503 and 421), an_attempt_is_not_sent_where_the_request_was_sent_before.

--- a/packages/gateway/src/fireflypulley/gateway/connector.py
+++ b/packages/gateway/src/fireflypulley/gateway/connector.py
@@ -51,7 +51,7 @@
             # A request that runs at most once is not risked on a
             # connection to an endpoint that has gone silent.
             is_silent = run.load.is_unresponsive(self._reactor.seconds())
-            connection = await self._pool(run).acquire(fresh=is_silent)
+            connection = await self._acquire(run, is_silent)
         except (error.ConnectError, error.ConnectionClosed) as problem:
             return Obstacle(calls.Outcome.UNREACHED, str(problem))
         await self._get_permit(run)
@@ -61,6 +61,18 @@
         self.release(run, connection)
         return obstacle
 
+    async def _acquire(
+        self, run: runs.Run, fresh: bool
+    ) -> outbound.EndpointConnection:
+        """Return a connection that has not carried the request before."""
+        pool = self._pool(run)
+        connection = await pool.acquire(fresh)
+        request_id = run.request.metadata.request_id
+        if not request_id or not connection.has_carried(request_id):
+            return connection
+        pool.release(connection)
+        return await pool.acquire(fresh=True)
+
     def release(
         self, run: runs.Run, connection: outbound.EndpointConnection
     ) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -173,7 +173,12 @@
                 self._abandon_unresponsive,
             )
         connection.send(
-            incoming.method, incoming.target, headers, incoming.body, self
+            incoming.method,
+            incoming.target,
+            headers,
+            incoming.body,
+            self,
+            self._record.request_id,
         )
         if self._paused:
             connection.pause()
@@ -200,9 +205,7 @@
         response = self._dependencies.header_codec.decode_response(
             status, headers
         )
-        # A refusal of an earlier request can arrive late on the same
-        # connection; its request id shows that it is not for this one.
-        is_ours = response.request_id in ("", self._record.request_id)
+        is_ours = self._is_ours(response)
         if is_ours and not response.misdirected and self._run is not None:
             self._dependencies.limit_reader.read(
                 self._run, response, self._now_s()
@@ -227,6 +230,18 @@
             return
         self._relay.set_head(status, headers)
 
+    def _is_ours(self, response: header_codec.ResponseMetadata) -> bool:
+        """Return whether an answer is one to this request.
+
+        A refusal of an earlier request can arrive late, or once more, on
+        the same connection.  One without a request id is only believed on
+        a connection that has carried no other request.
+        """
+        if response.request_id:
+            return response.request_id == self._record.request_id
+        connection = self._connection
+        return connection is not None and connection.is_first_request
+
     def _count_usage(self) -> None:
         request = self._record.request
         if (
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -1,6 +1,7 @@
 """Connections to endpoints: one request at a time, strict parsing."""
 
 import abc
+import collections
 import collections.abc
 
 import h11
@@ -17,6 +18,7 @@
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 65536
+REMEMBERED_REQUESTS = 64
 MAX_DISCARDED_BYTES = 65536
 DISCARD_TIMEOUT_S = 1.0
 """Time allowed to read the rest of a discarded response, in order to reuse
@@ -135,6 +137,8 @@
         self.answered = 0
         self.peer = ""
         """The node that the connection leads through, "" if direct."""
+        self._request_ids: collections.deque[str]
+        self._request_ids = collections.deque(maxlen=REMEMBERED_REQUESTS)
 
     def connectionMade(self) -> None:
         self._is_open = True
@@ -145,6 +149,18 @@
         """Return whether an idle connection may take a request."""
         return self._is_open and self._http.our_state is h11.IDLE
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether an attempt of a request was sent here before.
+
+        A second answer to that attempt could pass for one to the next.
+        """
+        return request_id in self._request_ids
+
+    @property
+    def is_first_request(self) -> bool:
+        """Return whether at most one request has been sent so far."""
+        return len(self._request_ids) <= 1
+
     def is_stale(self, now_s: float) -> bool:
         """Return whether the endpoint might close the connection soon."""
         limit_s = min(MAX_IDLE_S, self._keep_alive_s - KEEP_ALIVE_MARGIN_S)
@@ -157,8 +173,10 @@
         headers: header_codec.Headers,
         body: bytes,
         listener: ResponseListener,
+        request_id: str = "",
     ) -> None:
         """Send a complete request."""
+        self._request_ids.append(request_id)
         self._listener = listener
         framed_headers = list(headers)
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -56,12 +56,18 @@
     def __init__(self, endpoint_id):
         self.endpoint_id = endpoint_id
         self.peer = ""
+        self.carried = []
+        self.is_first_request = True
         self.listener = None
         self.aborted = False
         self.discarded = False
         self.is_usable = True
 
-    def send(self, method, target, headers, body, listener):
+    def has_carried(self, request_id):
+        return request_id in self.carried
+
+    def send(self, method, target, headers, body, listener, request_id=""):
+        self.carried.append(request_id)
         self.method, self.target, self.body = method, target, body
         self.headers = dict(headers)
         self.listener = listener
@@ -88,6 +94,10 @@
         self.released = []
 
     def acquire(self, fresh):
+        if self.world.kept is not None and not fresh:
+            connection, self.world.kept = self.world.kept, None
+            self.world.sent.append(connection)
+            return defer.succeed(connection)
         if self.endpoint_id in self.world.unreachable:
             return defer.fail(error.ConnectError())
         if self.world.slow_connect is not None:
@@ -119,6 +129,8 @@
         self.unreachable = set()
         self.reached_by_peers = set()
         self.slow_connect = None
+        self.kept = None
+        """A kept connection that the next attempt gets."""
         self.sent = []
         self.pools = {}
         self.done = []
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -276,3 +276,39 @@
     exchanges.answer(sent)
     assert world.sink.status == 200
     assert world.finished()
+
+
+@pytest.fixture(params=[503, 421])
+def refusal(request):
+    """Return an endpoint's refusal that names no request."""
+    return request.param, [(b"x-not-run", b"1")]
+
+
+# Guards against callers who are told "not run" for a request that runs, as
+# an endpoint wrote an earlier refusal once more.
+def test_a_refusal_without_id_on_a_used_connection_is_not_believed(refusal):
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    world.kept = exchanges.Connection("e1")
+    world.kept.is_first_request = False
+    sent = world.begin()
+    sent.listener.response_head(*refusal)
+    assert sent.aborted
+    assert len(world.sent) == 1
+    assert world.sink.status == 502
+
+
+def test_a_refusal_without_id_on_a_new_connection_is_believed(refusal):
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    world.begin().listener.response_head(*refusal)
+    assert len(world.sent) == 2
+
+
+# Guards against the refusal of a request's earlier attempt, written once
+# more, that passes for the answer to its next attempt.
+def test_an_attempt_is_not_sent_where_the_request_was_sent_before():
+    world = exchanges.World(exchanges.AT_MOST_ONCE, max_attempts=1)
+    world.kept = used = exchanges.Connection("e1")
+    used.carried.append("q1")
+    world.begin()
+    assert world.sent[-1] is not used
+    assert world.sent[-1].carried == ["q1"]
--- a/tests/gateway/test_outbound.py
+++ b/tests/gateway/test_outbound.py
@@ -237,3 +237,17 @@
     endpoint.close()
     assert listener.status is None
     assert listener.failed is None
+
+
+def test_a_connection_remembers_the_requests_that_it_carried(endpoint):
+    connection = endpoint.connection
+    assert connection.is_first_request
+    for number in (1, 2):
+        connection.send(
+            b"GET", b"/", [(b"host", b"h")], b"", Listener(), f"q{number}"
+        )
+        assert connection.is_first_request is (number == 1)
+        endpoint._flush()
+        endpoint.answer(WHOLE)
+    assert connection.has_carried("q1") and connection.has_carried("q2")
+    assert not connection.has_carried("q3")
