Let nothing but events of a stream's own kind go on it

Operators reported an error's text, at times its whole head, in the middle of a stream that had broken off and was taken up at another endpoint, or an end that looked complete. Here: an answer with status 200 that is of another kind than the stream (a page, text) was joined to it, and so was a block without an event id, also within one run. Another status was refused before. A resumed answer must name the same media type, and once a stream has numbered events, a block that is neither numbered nor a comment breaks it.

--- a/packages/gateway/src/fireflypulley/gateway/events.py
+++ b/packages/gateway/src/fireflypulley/gateway/events.py
@@ -14,6 +14,12 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event holds nothing but comments."""
+        lines = self.data.split(b"\n")
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 class EventSplitter:
     """Splits received bytes into complete events."""
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -219,7 +219,7 @@
             return
         problem = self._relay.find_head_problem(
             status, response, self._record.request_id
-        )
+        ) or self._relay.find_type_problem(headers)
         if problem:
             self._drop_connection()
             self._end_attempt(calls.Outcome.GARBAGE, problem)
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -15,6 +15,12 @@
 FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
 
 
+def _content_type(headers: header_codec.Headers) -> bytes:
+    """Return the media type of a body, without its parameters."""
+    value = dict(headers).get(b"content-type", b"")
+    return value.partition(b";")[0].strip().lower()
+
+
 class InvalidStream(ValueError):
     """Raised for bytes that can't continue the stream."""
 
@@ -28,6 +34,7 @@
         self._header_codec = codec
         self._sink: inbound.CallerSink | None = sink
         self._headers: header_codec.Headers = []
+        self._content_type = b""
         self._held: list[bytes] = []
         self._held_bytes = 0
         self._splitter = events.EventSplitter()
@@ -69,6 +76,12 @@
             return f"status {status} when resuming"
         return ""
 
+    def find_type_problem(self, headers: header_codec.Headers) -> str:
+        """Return why a body can't go on what the caller has got, or ""."""
+        if self.head_sent and _content_type(headers) != self._content_type:
+            return f"{_content_type(headers)!r} when resuming"
+        return ""
+
     def set_head(self, status: int, headers: header_codec.Headers) -> None:
         """Set the head; once sent, its header fields don't change."""
         self.status = status
@@ -76,6 +89,7 @@
         self._is_framed = not names.isdisjoint(FRAMING_FIELDS)
         if not self.head_sent:
             self._headers = list(headers)
+            self._content_type = _content_type(headers)
 
     def receive_data(self, data: bytes) -> bool:
         """Process body bytes; return whether they complete an event.
@@ -121,6 +135,8 @@
             if last_id is not None and new_id != last_id + 1:
                 raise InvalidStream(f"event {new_id} after {last_id}")
             self.last_event_id = new_id
+        elif last_id is not None and not event.is_comment:
+            raise InvalidStream(f"event without an id after {last_id}")
         self._held.append(event.data)
 
     def _flush(self) -> None:
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -173,3 +173,72 @@
     world = exchanges.World(exchanges.STREAM, max_attempts=1)
     exchanges.answer(world.begin(), body=b"", headers=CHUNKED)
     assert (world.sink.status, world.sink.state) == (200, "whole")
+
+
+ODD_ANSWERS = {
+    "error": (500, exchanges.SEALED, b"internal error\n\n"),
+    "busy": (503, exchanges.SEALED, b"too busy\n\n"),
+    "page": (
+        200,
+        [*exchanges.SEALED, (b"content-type", b"text/html")],
+        b"<html>\n\n",
+    ),
+    "untyped": (200, exchanges.SEALED, b"error: out of memory\n\n"),
+    "head": (
+        200,
+        [*exchanges.SEALED, (b"content-type", b"text/event-stream")],
+        b"HTTP/1.1 500 Oops\nContent-Type: text/plain\n\nerror\n\n",
+    ),
+    "data": (
+        200,
+        [*exchanges.SEALED, (b"content-type", b"text/event-stream")],
+        b"data: internal error\n\n",
+    ),
+}
+
+
+# Guards against callers who find an error's text in the middle of their
+# stream, or a stream that ends as if it were complete.
+@pytest.mark.parametrize("answer", ODD_ANSWERS)
+def test_an_error_after_a_stream_broke_off_is_no_part_of_it(answer):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    typed = [*exchanges.SEALED, (b"content-type", b"text/event-stream")]
+    first = world.begin()
+    first.listener.response_head(200, typed)
+    first.listener.response_data(_event(1))
+    first.listener.response_failed(calls.Outcome.CUT, "test")
+    second = world.sent[-1]
+    assert second is not first
+    status, headers, body = ODD_ANSWERS[answer]
+    second.listener.response_head(status, list(headers))
+    if not second.aborted and not second.discarded:
+        second.listener.response_data(body)
+    if not second.aborted and not second.discarded:
+        second.listener.response_end()
+    assert world.sink.body == _event(1)
+    assert world.sink.state == "cut"
+
+
+@pytest.mark.parametrize("parameters", [b"", b"; charset=utf-8"])
+def test_a_resumed_stream_may_name_its_type_with_parameters(parameters):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    kind = (b"content-type", b"text/event-stream")
+    first.listener.response_head(200, [*exchanges.SEALED, kind])
+    first.listener.response_data(_event(1))
+    first.listener.response_failed(calls.Outcome.CUT, "test")
+    second = world.sent[-1]
+    kind = (b"content-type", b"Text/Event-Stream" + parameters)
+    second.listener.response_head(200, [*exchanges.SEALED, kind])
+    second.listener.response_data(b": ping\n\n" + _event(2))
+    second.listener.response_end()
+    assert world.sink.body == _event(1) + b": ping\n\n" + _event(2)
+    assert world.sink.state == "whole"
+
+
+def test_text_between_events_of_one_run_breaks_the_stream():
+    world = exchanges.World(exchanges.STREAM, max_attempts=1)
+    sent = world.begin()
+    sent.listener.response_head(200, list(exchanges.SEALED))
+    sent.listener.response_data(_event(1) + b"HTTP/1.1 500 Oops\n\n")
+    assert world.sink.state == "cut"
