Risk no more refusals at brittle endpoints than they bear

Endpoints may say in all their answers that they fall over once they refuse more than N requests in a second for want of room (rule LIMIT). Nothing read that; nodes counted on the room to wait there, each on its own. While a service says so, a request that may be refused (the last slots, as far as all nodes' loads are known, or 2 s after a refusal) draws on the node's part of half of N; the others are sent as before. A full service refuses at once with a time to return. Nothing changes where no endpoint says so. Weighed: permits of the duty's holder as for limits (a round trip for each request although nothing is near its bound), a tap that all nodes close together (needs a message; the part holds without one).

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -4,6 +4,7 @@
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import brittle_endpoints
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import crash_tracker
 from fireflypulley.core.gateway import document
@@ -62,6 +63,7 @@
         self.crash_tracker = crash_tracker.CrashTracker(self.shared)
         self.prompt_crashes = prompt_crashes.PromptCrashes()
         self.limited = limited_endpoints.LimitedEndpoints()
+        self.brittle = brittle_endpoints.BrittleEndpoints(node_id)
         self.freshness = row_freshness.RowFreshness()
         self.nodes_alive = 1
         self.nodes_known = 1
@@ -114,6 +116,9 @@
         self.limited.forget_absent(
             {member.registration.key for member in self.fleet}
         )
+        self.brittle.forget_absent(
+            {member.registration.key for member in self.fleet}
+        )
         self.crash_tracker.forget_old()
 
     def old_running(self) -> dict[str, int]:
@@ -173,6 +178,13 @@
             return False
         if self.loads.of(candidate.member).full_until_s > now_s:
             return False
+        if not self.brittle.may_send(
+            candidate.member,
+            candidate.running,
+            max(self.nodes_known, 1),
+            now_s,
+        ):
+            return False
         if rate_per_s and candidate.member.is_cold(now_s):
             nodes = max(self.nodes_known, 1)
             return self.cold_limiter.may_send(
@@ -270,10 +282,11 @@
     ) -> runs.Run:
         load = self.loads.of(member)
         tokens = request.metadata.prompt_tokens or 0
+        nodes = max(self.nodes_known, 1)
+        self.brittle.note_sent(member, choice.running, nodes, now_s)
         load.begin(tokens, now_s)
         rate_per_s = request.service.cold_rate_per_s
         if rate_per_s and member.is_cold(now_s):
-            nodes = max(self.nodes_known, 1)
             self.cold_limiter.note_sent(
                 member.endpoint_id, rate_per_s, nodes, now_s
             )
@@ -363,6 +376,7 @@
             self.crash_tracker.answered(request.fingerprint)
         elif outcome is calls.Outcome.NOT_RUN:
             run.load.full_until_s = now_s + FULL_BACKOFF_S
+            self.brittle.note_refused(run.member, now_s)
         elif outcome in _NO_VERDICT:
             pass
         elif not run.member.leaving:
--- a/packages/gateway/src/fireflypulley/gateway/header_codec.py
+++ b/packages/gateway/src/fireflypulley/gateway/header_codec.py
@@ -50,6 +50,8 @@
     than the expected one.  ``limit_per_s`` is the rate that the endpoint
     takes from all nodes together, None if it names no valid one;
     ``invalid_limit`` is a value that is no positive number.
+    ``refusals_per_s`` is how many requests the endpoint may refuse before
+    it falls over, None if it bears any number.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     encoded: bool = False
     limit_per_s: float | None = None
     invalid_limit: str = ""
+    refusals_per_s: float | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/packages/gateway/src/fireflypulley/gateway/limit_reader.py
+++ b/packages/gateway/src/fireflypulley/gateway/limit_reader.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from fireflypulley.core.gateway import brittle_endpoints
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import decision_log
@@ -14,11 +15,13 @@
     def __init__(
         self,
         limits: endpoint_limits.EndpointLimits,
+        brittle: brittle_endpoints.BrittleEndpoints,
         on_change: collections.abc.Callable[
             [endpoint_limits.EndpointLimit], None
         ],
     ) -> None:
         self._limits = limits
+        self._brittle = brittle
         self._on_change = on_change
 
     def read(
@@ -32,6 +35,7 @@
         Only an answer of the endpoint itself to this request ends a
         limit: a refusal does not have to name the limit again.
         """
+        self._read_brittleness(run, response, now_s)
         key = run.member.registration.key
         if response.invalid_limit:
             self._note_invalid(key, response.invalid_limit)
@@ -44,6 +48,22 @@
             log(changed, "answer", run.request.metadata.request_id)
             self._on_change(changed)
 
+    def _read_brittleness(
+        self,
+        run: runs.Run,
+        response: header_codec.ResponseMetadata,
+        now_s: float,
+    ) -> None:
+        service = run.member.registration.service
+        if self._brittle.note_answer(service, response.refusals_per_s, now_s):
+            decision_log.note(
+                "brittle",
+                id=run.request.metadata.request_id,
+                endpoint=run.member.endpoint_id,
+                service=service,
+                refusals_per_s=response.refusals_per_s,
+            )
+
     def _note_invalid(self, key: endpoint_limits.Key, text: str) -> None:
         if self._limits.note_invalid(key, text):
             decision_log.note(
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -157,7 +157,9 @@
                 self._publish_crashes,
             ),
             limit_reader.LimitReader(
-                self._scheduler.limited.limits, self._limit_changed
+                self._scheduler.limited.limits,
+                self._scheduler.brittle,
+                self._limit_changed,
             ),
             self._request_done,
         )
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -150,7 +150,9 @@
             metrics.GatewayMetrics(),
             self.crash_detector(self.scheduler),
             limit_reader.LimitReader(
-                self.scheduler.limited.limits, self.limit_reports.append
+                self.scheduler.limited.limits,
+                self.scheduler.brittle,
+                self.limit_reports.append,
             ),
             self.done.append,
         )
--- a/tests/platform_adapter/test_fields.py
+++ b/tests/platform_adapter/test_fields.py
@@ -181,3 +181,20 @@
     assert response.limit_per_s is None
     assert response.invalid_limit
     assert len(response.invalid_limit) < 100
+
+
+@pytest.mark.parametrize(
+    ("values", "refusals_per_s"),
+    [
+        ([], None),
+        ([b"3"], 3.0),
+        ([b"5", b"2"], 2.0),
+        ([b"many"], None),
+        ([b"-1"], None),
+        ([b"9" * 6000], None),
+    ],
+)
+def test_how_many_refusals_an_endpoint_bears_is_read(values, refusals_per_s):
+    headers = [(b"server-brittle", value) for value in values]
+    response = CODEC.decode_response(503, headers)
+    assert response.refusals_per_s == refusals_per_s
