Let connection attempts of the model time out, and mend tunnel tests

The model let attempts to cut hosts hang for ever, reset connections that were closed in order, and the tests counted the fixture's own tunnel.

--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -84,6 +84,7 @@
     other: "_End | None" = None
     is_open: bool = True
     is_silent: bool = False
+    is_finished: bool = False
     unread: list = dataclasses.field(default_factory=list)
     unsent_since_s: float | None = None
 
@@ -135,6 +136,7 @@
         self.host = host
         self.port = port
         self.is_stopped = False
+        self.is_connected = False
 
     def getDestination(self):
         return address.IPv4Address("TCP", self.host, self.port)
@@ -165,6 +167,13 @@
         self.clock.callLater(
             DELAY_S, self._connect, node, connector, factory, timeout_s
         )
+        node.reactor.callLater(timeout_s, self._give_up, connector, factory)
+
+    def _give_up(self, connector, factory):
+        if not connector.is_connected:
+            connector.is_stopped = True
+            reason = failure.Failure(error.TimeoutError())
+            factory.clientConnectionFailed(connector, reason)
 
     def _connect(self, node, connector, factory, timeout_s):
         other = self._listening(connector.host)
@@ -177,6 +186,7 @@
                 lambda: self._connect(node, connector, factory, timeout_s)
             )
             return
+        connector.is_connected = True
         here, there = _End(self, node), _End(self, other)
         here.other, there.other = there, here
         self.ends += [here, there]
@@ -210,6 +220,7 @@
         if not end.is_open:
             return
         end.is_open = False
+        end.is_finished = True
         end.node.reactor.callLater(0, self._lose, end, error.ConnectionDone)
         self.clock.callLater(2 * DELAY_S, self._finish, end.other)
 
@@ -248,7 +259,8 @@
                 self._time_out(source)
         for end in list(self.ends):
             # The peer's process is gone; its system answers with a reset.
-            if not end.other.is_open and self._is_passable(end):
+            is_reset = not (end.other.is_open or end.other.is_finished)
+            if is_reset and self._is_passable(end):
                 self._reset(end)
 
     def _read(self, end, source, now_s):
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -165,6 +165,10 @@
     return listener
 
 
+def _tunnel_count(system):
+    return sum(node.tunnel_server.open_count for node in system.nodes)
+
+
 def _server(system, key=KEY):
     return system.hosts[key].connections[-1]
 
@@ -219,19 +223,24 @@
 
 
 def test_a_caller_that_leaves_ends_the_work_at_the_endpoint(system, stranded):
+    before = _tunnel_count(system)
     connection = system.acquire(stranded)
     _send(system, connection)
+    assert _tunnel_count(system) == before + 1
     connection.abort()
     system.run(0.2)
     assert _server(system).lost is not None
-    assert not any(node.tunnel_server.open_count for node in system.nodes)
+    assert _tunnel_count(system) == before
 
 
 def test_a_peer_that_dies_cuts_the_answer(system, stranded):
     connection = system.acquire(stranded)
     listener = _send(system, connection)
-    system.wires.nodes.pop(connection.peer).stop()
-    system.run(3.5)
+    peer = system.wires.nodes[connection.peer]
+    for end in list(system.wires.ends):
+        if end.node is peer:
+            system.wires.abort(end)
+    system.run(0.2)
     assert listener.end == "cut"
 
 
--- a/tests/platform_adapter/test_fields.py
+++ b/tests/platform_adapter/test_fields.py
@@ -196,5 +196,5 @@
 )
 def test_how_many_refusals_an_endpoint_bears_is_read(values, refusals_per_s):
     headers = [(b"server-brittle", value) for value in values]
-    response = CODEC.decode_response(503, headers)
+    response = fields.PlatformHeaderCodec().decode_response(503, headers)
     assert response.refusals_per_s == refusals_per_s
