Pass over a peer that refuses the handshake of a tunnel

A request at a node that is cut off waited for its whole time for a peer that closed the tunnel's stream during the handshake, as an older node does: the owner of a stream heard only of the loss of one that was ready. Found by reading the change again.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -410,7 +410,8 @@
         """Stop accepting callers, finish open requests, then stop."""
         if self._is_stopping:
             return
-        self._is_stopping = self._tunnel_server.is_stopping = True
+        self._is_stopping = True
+        self._tunnel_server.is_stopping = True
         decision_log.note(
             "node", state="stopping", open=len(self._open_requests)
         )
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -6,6 +6,7 @@
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
+from twisted.python import failure
 
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
@@ -35,7 +36,7 @@
         self._closed = closed
 
     def connectionLost(
-        self, reason: tunnels.failure.Failure = protocol.connectionDone
+        self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         super().connectionLost(reason)
         self._closed()
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -172,6 +172,9 @@
         if not self.answered.called:
             self.answered.errback(error.ConnectionLost("no answer"))
 
+    def stream_refused(self, stream: streams.NodeStream) -> None:
+        self.stream_down(stream)
+
 
 class Pipe(protocol.Protocol):
     """One side of two connections that are joined.
--- a/packages/nodes/src/fireflypulley/nodes/streams.py
+++ b/packages/nodes/src/fireflypulley/nodes/streams.py
@@ -42,6 +42,9 @@
     def stream_down(self, stream: "NodeStream") -> None:
         """Handle the loss of a stream that was ready."""
 
+    def stream_refused(self, stream: "NodeStream") -> None:
+        """Handle the loss of a stream whose handshake was not complete."""
+
 
 class NodeStream(protocol.Protocol):
     """The protocol of a stream; the same for both sides."""
@@ -144,9 +147,11 @@
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        if self.ready:
-            self.ready = False
-            self._owner.stream_down(self)
+        if not self.ready:
+            self._owner.stream_refused(self)
+            return
+        self.ready = False
+        self._owner.stream_down(self)
 
 
 def nonce() -> bytes:
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -14,6 +14,7 @@
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import tunnels
+from fireflypulley.nodes import keys
 
 from . import histories
 
@@ -279,6 +280,21 @@
     assert not system.hosts[KEY].connections
 
 
+# Guards against requests that wait for ever for a peer that refuses the
+# handshake, as an older one or one with another key does.
+def test_a_peer_that_refuses_the_handshake_is_passed_over(system, stranded):
+    stranded.sync.tunnel_dialer._ring = keys.SharedKey(b"another key")
+    problem = system.acquire(stranded, seconds=0.5)
+    assert problem.check(tunnels.NoTunnel)
+
+
+def test_a_peer_that_does_not_answer_is_passed_over(system, stranded):
+    for node in system.nodes[1:]:
+        node.sync.hub.receive_tunnel = lambda stream, request: None
+    problem = system.acquire(stranded, seconds=2.0)
+    assert problem.check(tunnels.NoTunnel)
+
+
 def test_a_stopping_peer_opens_no_tunnel(system, stranded):
     stopping, sound = system.nodes[1:]
     stopping.tunnel_server.is_stopping = True
