Keep a tunnel open beyond the time for its handshake

A stream that was handed over no longer has a transport to close. Red before (run): test_a_tunnel_outlives_the_time_for_its_handshake.

--- a/packages/nodes/src/fireflypulley/nodes/streams.py
+++ b/packages/nodes/src/fireflypulley/nodes/streams.py
@@ -136,9 +136,10 @@
 
     def hand_over(self, successor: protocol.Protocol) -> None:
         """Let another protocol use the connection from now on."""
+        transport, self.transport = self.transport, None
         self.ready = False
-        self.transport.protocol = successor
-        successor.makeConnection(self.transport)
+        transport.protocol = successor
+        successor.makeConnection(transport)
 
     def close(self) -> None:
         """Abort the connection."""
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -15,6 +15,7 @@
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import tunnels
 from fireflypulley.nodes import keys
+from fireflypulley.nodes import streams
 
 from . import histories
 
@@ -194,6 +195,19 @@
     )
 
 
+# Guards against answers that are cut because their tunnel was taken for a
+# stream whose handshake never ended.
+def test_a_tunnel_outlives_the_time_for_its_handshake(system, stranded):
+    connection = system.acquire(stranded)
+    listener = _send(system, connection)
+    system.run(2 * streams.HANDSHAKE_TIMEOUT_S)
+    _server(system).transport.write(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )
+    system.run(0.1)
+    assert listener.end == "whole"
+
+
 def test_a_node_with_links_connects_directly(system):
     assert system.acquire(system.nodes[0]).peer == ""
     assert not any(node.tunnel_server.open_count for node in system.nodes)
