Send the events before a bad one, after which a stream is resumed

An event was missing in a resumed stream (rule ORDER): where a good event and one that broke the stream arrived in one piece, the good one counted for Last-Event-ID and was then thrown away with the attempt. What is held when the stream breaks is sent first.

--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -108,8 +108,15 @@
         complete = self._splitter.feed(data)
         if len(self._splitter.remainder) > events.MAX_EVENT_BYTES:
             raise InvalidStream("an event without end")
-        for event in complete:
-            self._queue(event)
+        try:
+            for event in complete:
+                self._queue(event)
+        except InvalidStream:
+            # A resumed stream goes on after the last event that counts,
+            # so the caller must get all up to it.
+            if self._held:
+                self._flush()
+            raise
         if complete:
             self._has_events = True
             self._flush()
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -242,3 +242,21 @@
     sent.listener.response_head(200, list(exchanges.SEALED))
     sent.listener.response_data(_event(1) + b"HTTP/1.1 500 Oops\n\n")
     assert world.sink.state == "cut"
+
+
+# Guards against an event that is missing in a resumed stream, as it arrived
+# together with one that broke the stream.
+@pytest.mark.parametrize("bad", [_event(3), b"oops\n\n"])
+def test_events_before_a_bad_one_reach_the_caller_once(bad):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(exchanges.SEALED))
+    first.listener.response_data(_event(1) + bad)
+    second = world.sent[-1]
+    assert second is not first
+    assert second.headers[b"last-event-id"] == b"1"
+    second.listener.response_head(200, list(exchanges.SEALED))
+    second.listener.response_data(_event(2))
+    second.listener.response_end()
+    assert world.sink.body == _event(1) + _event(2)
+    assert world.sink.state == "whole"
