Count a crash where no node reaches the endpoint

An endpoint counts as crashed where no peer that is asked reaches it, as before the tunnels; a node that is cut off alone finds a sound peer.

--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -82,17 +82,16 @@
     async def has_failed(self, member: fleet.Member) -> bool:
         """Return whether an endpoint takes no connections at all.
 
-        One that this node alone does not reach may be sound, so another
-        node is asked, if there is any.
+        One that this node alone does not reach may be sound, so others are
+        asked.  If they are all cut off as well, the endpoints are gone:
+        many of them may crash together.
         """
         if await self.can_connect(member):
             return False
         try:
             await self._pool(member).probe_through_peer()
-        except tunnels.NoTunnel as problem:
-            now_s = self._reactor.seconds()
-            is_cut_off = self._connections.paths.direct.is_cut_off(now_s)
-            return problem.endpoint_failed or not is_cut_off
+        except tunnels.NoTunnel:
+            return True
         return False
 
     async def can_connect(self, member: fleet.Member) -> bool:
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -32,14 +32,10 @@
 
 
 class NoTunnel(error.ConnectError):
-    """No peer has a way to the endpoint; nothing was sent.
+    """No peer has a way to the endpoint; nothing was sent."""
 
-    ``endpoint_failed`` tells that a peer whose links stand tried.
-    """
-
-    def __init__(self, text: str, endpoint_failed: bool = False) -> None:
+    def __init__(self, text: str) -> None:
         super().__init__(string=text)
-        self.endpoint_failed = endpoint_failed
 
 
 class EndpointFailed(error.ConnectError):
@@ -92,7 +88,7 @@
             try:
                 stream = await self._open(peer, key)
             except EndpointFailed as problem:
-                raise NoTunnel(f"{peer.node_id}: {problem}", True)
+                raise NoTunnel(f"{peer.node_id}: {problem}")
             except (error.ConnectError, error.ConnectionClosed) as problem:
                 self._note_failed(peer.node_id, key, str(problem))
                 problems.append(f"{peer.node_id}: {problem}")
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -108,7 +108,7 @@
 
     async def probe_through_peer(self):
         if self.endpoint_id not in self.world.reached_by_peers:
-            raise tunnels.NoTunnel("refused", endpoint_failed=True)
+            raise tunnels.NoTunnel(self.world.peers_problem)
 
     def release(self, connection):
         self.released.append(connection)
@@ -128,6 +128,7 @@
         self.paths = pools.Paths()
         self.unreachable = set()
         self.reached_by_peers = set()
+        self.peers_problem = "refused"
         self.slow_connect = None
         self.kept = None
         """A kept connection that the next attempt gets."""
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -74,6 +74,19 @@
     assert not world.published
 
 
+# Guards against crashes that nobody counts, as all nodes take themselves for
+# cut off while many endpoints crash together.
+def test_an_endpoint_that_no_node_reaches_has_crashed():
+    world = _world(max_attempts=1)
+    connection = world.begin()
+    world.peers_problem = "cut off as well"
+    for key in (("x1", 1), ("x2", 1)):
+        world.paths.direct.note_direct(key, False, world.clock.seconds())
+    _cut(world, connection)
+    assert world.crash_reports
+    assert len(world.published) == 1
+
+
 def test_an_endpoint_that_leaves_as_announced_has_not_crashed():
     world = _world(max_attempts=1)
     connection = world.begin()
