Compute once what the scheduler and the pools computed twice

The set of present endpoints was built twice a tick, the number of nodes and the age of rows before they were needed, and the prober's endpoints in each tick of a node that is not cut off. A pool registered a new connection in three places; each way to connect does it now. The tunnel server had a copy of the pool's connection timeout. The catch of OverflowError in the pool is dead: addresses are checked at the border, and an error before the send ends the attempt as not arrived (test_an_error_before_sending_tries_another_endpoint).

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -113,12 +113,9 @@
     def forget_absent(self) -> None:
         """Drop what is known of endpoints that are gone, and old crashes."""
         self.loads.forget_absent()
-        self.limited.forget_absent(
-            {member.registration.key for member in self.fleet}
-        )
-        self.brittle.forget_absent(
-            {member.registration.key for member in self.fleet}
-        )
+        present = {member.registration.key for member in self.fleet}
+        self.limited.forget_absent(present)
+        self.brittle.forget_absent(present)
         self.crash_tracker.forget_old()
 
     def old_running(self) -> dict[str, int]:
@@ -178,15 +175,12 @@
             return False
         if self.loads.of(candidate.member).full_until_s > now_s:
             return False
+        nodes = max(self.nodes_known, 1)
         if not self.brittle.may_send(
-            candidate.member,
-            candidate.running,
-            max(self.nodes_known, 1),
-            now_s,
+            candidate.member, candidate.running, nodes, now_s
         ):
             return False
         if rate_per_s and candidate.member.is_cold(now_s):
-            nodes = max(self.nodes_known, 1)
             return self.cold_limiter.may_send(
                 candidate.endpoint_id, rate_per_s, nodes, now_s
             )
--- a/packages/gateway/src/fireflypulley/gateway/crash_detector.py
+++ b/packages/gateway/src/fireflypulley/gateway/crash_detector.py
@@ -24,8 +24,8 @@
     """Checks endpoints that cut off requests, and collects the evidence.
 
     An endpoint that neither this node nor a peer can connect to after that
-    has crashed.  The
-    requests that it had not begun to answer may have caused it.
+    has crashed.  The requests that it had not begun to answer may have
+    caused it.
     """
 
     def __init__(
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -53,7 +53,6 @@
         self._reactor = reactor
         self._key = key
         self._paths = paths or Paths()
-        self._address = address
         host, port = address.rsplit(":", 1)
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
@@ -81,9 +80,7 @@
             idle = self._pop_idle()
             if idle is not None:
                 return idle
-        connection = await self._connect()
-        self._open.add(connection)
-        return connection
+        return await self._connect()
 
     @property
     def _is_cut_off(self) -> bool:
@@ -110,12 +107,11 @@
         note = self._paths.direct.note_direct
         try:
             connection = await self._endpoint.connect(_ConnectionFactory(self))
-        except OverflowError as problem:
-            raise error.ConnectError(string=f"{self._address}: {problem}")
         except (error.ConnectError, error.ConnectionClosed):
             note(self._key, False, self._reactor.seconds())
             raise
         note(self._key, True, self._reactor.seconds())
+        self._open.add(connection)
         return connection
 
     async def _connect_through_peer(self) -> outbound.EndpointConnection:
@@ -126,19 +122,16 @@
             self._key, connection
         )
         self._paths.tunnels_opened += 1
+        self._open.add(connection)
         return connection
 
     async def probe_links(self) -> None:
         """Try a direct connection, which shows whether the links stand."""
-        connection = await self._connect_directly()
-        self._open.add(connection)
-        self.release(connection)
+        self.release(await self._connect_directly())
 
     async def probe_through_peer(self) -> None:
         """Connect through a peer; raise ``tunnels.NoTunnel`` if it can't."""
-        connection = await self._connect_through_peer()
-        self._open.add(connection)
-        self.release(connection)
+        self.release(await self._connect_through_peer())
 
     def _pop_idle(self) -> outbound.EndpointConnection | None:
         now_s = self._reactor.seconds()
--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -54,12 +54,14 @@
             self._was_cut_off = is_cut_off
             state = "cut-off" if is_cut_off else "direct"
             decision_log.note("path", state=state)
+        if not paths.begin_probe(now_s):
+            return
         members = {
             member.registration.key: member
             for member in self._scheduler.fleet
             if not member.leaving
         }
-        if not members or not paths.begin_probe(now_s):
+        if not members:
             return
         member = members[paths.next_probe(list(members))]
         background.start(self._probe_link(member), probe=member.endpoint_id)
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -8,7 +8,6 @@
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import metrics
 
-
 _REFUSED_BY_ROWS = frozenset(
     {
         calls.RefusalReason.NO_ROUTE.value,
@@ -114,10 +113,10 @@
     result: str, node_scheduler: scheduler.RequestScheduler, now_s: float
 ) -> dict[str, object]:
     """Return how old the rows are that a refusal rests on."""
-    age_s = node_scheduler.freshness.oldest_age_s(now_s)
-    if result not in _REFUSED_BY_ROWS or age_s is None:
+    if result not in _REFUSED_BY_ROWS:
         return {}
-    return {"rows_age_ms": _ms(age_s)}
+    age_s = node_scheduler.freshness.oldest_age_s(now_s)
+    return {} if age_s is None else {"rows_age_ms": _ms(age_s)}
 
 
 def _limit_fields(run: runs.Run) -> dict[str, object]:
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -11,12 +11,12 @@
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.gateway import background
+from fireflypulley.gateway import pools
 from fireflypulley.gateway import tunnels
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import sockets
 
-CONNECT_TIMEOUT_S = 0.35
 MAX_TUNNELS = 400
 """Each takes two descriptors of this node."""
 
@@ -98,7 +98,7 @@
         registration = member.registration
         host, port = registration.address.rsplit(":", 1)
         endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+            self._reactor, host, int(port), timeout=pools.CONNECT_TIMEOUT_S
         )
         now_s = self._reactor.seconds
         factory = protocol.Factory.forProtocol(_EndpointPipe)
