Forget starts of endpoints that are gone by one function

One function serves them; behaviour stays. Run: lint, the tests of these modules and of the scheduler, green.

--- a/packages/core/src/fireflypulley/core/gateway/brittle_endpoints.py
+++ b/packages/core/src/fireflypulley/core/gateway/brittle_endpoints.py
@@ -7,6 +7,7 @@
 
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import presence
 
 NAMED_VALID_S = 3.0
 """Each answer names it anew; a service is brittle if one endpoint is."""
@@ -91,5 +92,4 @@
 
     def forget_absent(self, present: set[tuple[str, int]]) -> None:
         """Drop the refusals of starts that are gone."""
-        for key in [key for key in self._refused_s if key not in present]:
-            del self._refused_s[key]
+        presence.drop_absent(self._refused_s, present)
--- a/packages/core/src/fireflypulley/core/gateway/endpoint_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_limits.py
@@ -8,6 +8,8 @@
 import dataclasses
 import math
 
+from fireflypulley.core.gateway import presence
+
 Key = tuple[str, int]
 """One start of an endpoint: its id and start time."""
 
@@ -127,7 +129,6 @@
 
     def forget_absent(self, present: collections.abc.Container[Key]) -> None:
         """Drop what is known of starts that are gone."""
-        for kept in (self._limits, self._named_s, self._invalid):
-            for key in list(kept):
-                if key not in present:
-                    del kept[key]
+        presence.drop_absent(self._limits, present)
+        presence.drop_absent(self._named_s, present)
+        presence.drop_absent(self._invalid, present)
--- a/packages/core/src/fireflypulley/core/gateway/endpoint_paths.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_paths.py
@@ -5,6 +5,8 @@
 cut, and reaches endpoints through other nodes until an attempt succeeds.
 """
 
+from fireflypulley.core.gateway import presence
+
 MIN_FAILED_ENDPOINTS = 2
 FAILURE_VALID_S = 3.0
 """A failed attempt counts for this long; while the node is cut off, probes
@@ -52,5 +54,4 @@
 
     def forget_absent(self, present: set[_Key]) -> None:
         """Drop the failures of starts that are gone."""
-        for key in [key for key in self._failed_s if key not in present]:
-            del self._failed_s[key]
+        presence.drop_absent(self._failed_s, present)
--- a/packages/core/src/fireflypulley/core/gateway/permit_gate.py
+++ b/packages/core/src/fireflypulley/core/gateway/permit_gate.py
@@ -5,6 +5,7 @@
 import enum
 
 from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import presence
 
 
 class PermitReason(enum.StrEnum):
@@ -66,9 +67,7 @@
         self, present: collections.abc.Container[endpoint_limits.Key]
     ) -> None:
         """Drop endpoints that are gone."""
-        for key in list(self._closed_until_s):
-            if key not in present:
-                del self._closed_until_s[key]
+        presence.drop_absent(self._closed_until_s, present)
 
 
 class ReturnTimes:
--- a/packages/core/src/fireflypulley/core/gateway/permit_issuer.py
+++ b/packages/core/src/fireflypulley/core/gateway/permit_issuer.py
@@ -4,6 +4,7 @@
 
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import presence
 
 BURST_S = 0.25
 """Permits of this time, and one more, may be issued at once; a request
@@ -67,6 +68,4 @@
         self, present: collections.abc.Container[endpoint_limits.Key]
     ) -> None:
         """Drop the buckets of endpoints that are gone."""
-        for key in list(self._buckets):
-            if key not in present:
-                del self._buckets[key]
+        presence.drop_absent(self._buckets, present)
