Make client endpoints of addresses in one place

Pools, the tunnels' dialer and the tunnel server each split an address and made an endpoint of it; one function of the transport package does. Behaviour stays.

--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -3,7 +3,6 @@
 import collections
 import collections.abc
 
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -13,6 +12,7 @@
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnels
+from fireflypulley.transport import dialing
 
 CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_PER_ENDPOINT = 24
@@ -53,9 +53,8 @@
         self._reactor = reactor
         self._key = key
         self._paths = paths or Paths()
-        host, port = address.rsplit(":", 1)
-        self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        self._endpoint = dialing.tcp_endpoint(
+            reactor, address, CONNECT_TIMEOUT_S
         )
         self._on_activity = on_activity
         self._idle: collections.deque[outbound.EndpointConnection]
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -15,6 +14,7 @@
 from fireflypulley.gateway import tunnels
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
+from fireflypulley.transport import dialing
 from fireflypulley.transport import sockets
 
 MAX_TUNNELS = 400
@@ -96,9 +96,8 @@
         self, stream: streams.NodeStream, member: fleet.Member
     ) -> None:
         registration = member.registration
-        host, port = registration.address.rsplit(":", 1)
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor, host, int(port), timeout=pools.CONNECT_TIMEOUT_S
+        endpoint = dialing.tcp_endpoint(
+            self._reactor, registration.address, pools.CONNECT_TIMEOUT_S
         )
         now_s = self._reactor.seconds
         factory = protocol.Factory.forProtocol(_EndpointPipe)
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -9,7 +9,6 @@
 import collections.abc
 
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -21,6 +20,7 @@
 from fireflypulley.nodes import keys
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
+from fireflypulley.transport import dialing
 
 OPEN_TIMEOUT_S = 0.6
 """Covers the connection to the peer and that of the peer."""
@@ -109,9 +109,8 @@
     async def _open(
         self, peer: peer_registry.NodeEntry, key: tuple[str, int]
     ) -> streams.NodeStream:
-        host, port = peer.address.rsplit(":", 1)
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor, host, int(port), timeout=OPEN_TIMEOUT_S
+        endpoint = dialing.tcp_endpoint(
+            self._reactor, peer.address, OPEN_TIMEOUT_S
         )
         opening = _Opening(self._hub, messages.TunnelRequest(*key))
         factory = protocol.Factory.forProtocol(
