Say how old the news of an endpoint is, and when the store last failed

A line about an endpoint had neither the age of what the node knew nor what the doubt about the store rested on.

--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -1,6 +1,7 @@
 """Keeps the state of a node up to date with the rows of the store."""
 
 import collections.abc
+import math
 
 from twisted.internet import interfaces
 from twisted.internet import task
@@ -322,6 +323,10 @@
             store_doubted=self.store_doubted,
             in_outage=self.in_outage,
             in_use=len(self._scheduler.fleet.in_use(service, now_s)),
+            rows_age_ms=_milliseconds(
+                self._scheduler.freshness.age_s(row.table, now_s)
+            ),
+            failed_ms=_milliseconds(now_s - self._failed_s),
         )
 
     def _apply_operator(self, row: rows.FollowedRow) -> None:
@@ -379,3 +384,10 @@
             routes=len(entry.document.routes),
             row_version=row_version,
         )
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    """Return whole milliseconds, None where there is no such time."""
+    if seconds is None or math.isinf(seconds):
+        return None
+    return round(seconds * 1000)
