--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -121,3 +121,21 @@
         endpoints.remove(name, 10.0, is_doubted)
     endpoints.expire(10.0 + DRAIN_S - PEER_DELAY_S)
     assert not any(endpoints.get(name) for name in names[:together])
+
+
+# Guards against a violation of DRAIN, as on day turned-away: endpoints that
+# had left were used for longer while the store was taken to be away.
+@pytest.mark.parametrize("is_doubted", [False, True])
+@pytest.mark.parametrize("in_outage", [False, True])
+def test_no_doubt_about_the_store_prolongs_the_use_of_an_endpoint(
+    is_doubted, in_outage
+):
+    names = ["e1", "e2", "e3"]
+    endpoints = _fleet(*names)
+    for name in names:
+        endpoints.remove(name, 10.0, is_doubted, in_outage)
+    late_s = 10.0 + DRAIN_S - PEER_DELAY_S
+    for name in names:
+        member = endpoints.get(name)
+        assert not endpoints.is_in_use(member, late_s)
+        assert not endpoints.is_last_resort(member, late_s)
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -17,6 +17,7 @@
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import row_codec
 
+from . import history_endpoints
 from . import history_store
 from . import history_wires
 
@@ -26,6 +27,11 @@
 """Bound of the rule: time until an acknowledged change is in force."""
 CONTACT_S = 3.0
 """Bound of the rule: time without a fault until a node is in touch."""
+DRAIN_S = 2.0
+"""Bound of the rule: time until an endpoint that left gets nothing."""
+MAX_CALLS_PER_S = 100
+"""A ninth of what the store bears, for one node of nine."""
+SLOW_STEP_S = 0.4
 HISTORY_S = 24.0
 QUIET_S = 8.0
 CONFIGURATION = "configuration"
@@ -33,7 +39,7 @@
 
 
 class Codec(row_codec.RowCodec):
-    """Rows hold the number of a configuration, or an evacuation."""
+    """Rows hold a configuration's number, an evacuation or an endpoint."""
 
     operator_table = history_store.OPERATORS
     endpoint_table = history_store.ENDPOINTS
@@ -47,7 +53,7 @@
         return row_codec.EvacuationEntry(row.key, row.value is not None)
 
     def decode_registration(self, row):
-        raise AssertionError("no endpoints here")
+        return history_endpoints.registration(row)
 
     def decode_rollout_status(self, row):
         raise AssertionError("no rollouts here")
@@ -65,6 +71,8 @@
         self.host = f"127.0.0.{number + 1}"
         self.is_up = True
         self.is_frozen = False
+        self.is_slow = False
+        self.lag_s = 0.0
         self.when_thawed = []
         self.disturbed_s = wires.clock.seconds()
         self.reactor = history_wires.NodeReactor(wires, self)
@@ -98,10 +106,34 @@
     def start(self):
         self.sync.start()
         self.follower.start()
-        ticking = task.LoopingCall(self.sync.send_state)
+        ticking = task.LoopingCall(self._tick)
         ticking.clock = self.reactor
         ticking.start(TICK_S, now=False)
 
+    def _tick(self):
+        self.scheduler.fleet.expire(self.reactor.seconds())
+        self.sync.send_state()
+
+    def advance(self, seconds):
+        """Let time pass; a slow node acts on it now and then only."""
+        self.lag_s += seconds
+        if self.is_frozen:
+            self.lag_s = 0.0
+        elif not self.is_slow or self.lag_s >= SLOW_STEP_S:
+            passed_s, self.lag_s = self.lag_s, 0.0
+            self.reactor.advance(passed_s)
+            self.link.changed()
+
+    def may_use(self, endpoint):
+        """Return whether a request may go to an endpoint."""
+        known = self.scheduler.fleet
+        member = known.get(endpoint.endpoint_id)
+        now_s = self.reactor.seconds()
+        return member is not None and (
+            known.is_in_use(member, now_s)
+            or known.is_last_resort(member, now_s)
+        )
+
     def server_factory(self):
         return self.sync.hub.server_factory()
 
@@ -126,9 +158,14 @@
         self.wires = history_wires.Wires(self.clock)
         self.store = history_store.Store(self.clock)
         self.findings = []
+        self.endpoint_findings = []
         self.log = []
         self.version = 0
         self.starts = 0
+        self.store_disturbed_s = float("-inf")
+        self.endpoints = history_endpoints.Endpoints(
+            self.store, self.clock, self.rng, self._is_stable, self.note
+        )
         for number in range(node_count):
             self.start_node(number)
         for node in self.nodes:
@@ -154,15 +191,18 @@
         """Write as the operator."""
         if self.rng.random() < 0.7:
             self.version += self.rng.randint(1, 3)
-            self.store.write(CONFIGURATION, b"%d" % self.version)
+            self._write(CONFIGURATION, b"%d" % self.version)
             self.note(f"configuration {self.version}")
             return
         domain = self.rng.choice(DOMAINS)
-        known = self.store.rows.get(domain)
+        known = self.store.rows.get((history_store.OPERATORS, domain))
         is_active = known is None or known.value is None
-        self.store.write(domain, b"1" if is_active else None)
+        self._write(domain, b"1" if is_active else None)
         self.note(f"evacuation {domain} {is_active}")
 
+    def _write(self, key, value):
+        self.store.write(history_store.OPERATORS, (key, value))
+
     def restart(self):
         """Kill a node; another process starts in its place."""
         node = self.rng.choice(self.nodes)
@@ -232,6 +272,78 @@
         self.note("compact")
         self.store.compact()
 
+    def compact_late(self):
+        """Hold watches, then drop the history; reads are behind a while."""
+        behind_s = self.rng.choice([0.0, 1.0, 3.0])
+        self.note(f"hold watches, then compact, reads behind {behind_s}")
+        self._disturb_store(1.0 + behind_s)
+        self.store.holds_watches = True
+        self.clock.callLater(1.0, self._release, behind_s)
+
+    def _release(self, behind_s):
+        self.store.holds_watches = False
+        self.store.compact()
+        self.store.reads_behind_s = behind_s
+        for link in list(self.store.links):
+            link.end_calls(history_store.RESET)
+        self.clock.callLater(
+            behind_s, setattr, self.store, "reads_behind_s", 0.0
+        )
+
+    def turn_away(self):
+        """Let the store turn some nodes away, which stay in touch."""
+        share = self.rng.choice([0.4, 0.7, 1.0])
+        mode = self.rng.choice(
+            [history_store.BUSY, history_store.RESET, history_store.SILENT]
+        )
+        for_s = self.rng.choice([0.5, 2.0, 5.0, 9.0])
+        for node in self.nodes:
+            if self.rng.random() < share and not node.link.turned_away:
+                self.note(f"turn {node.name} away, {mode} {for_s}")
+                node.link.turn_away(mode)
+                self.clock.callLater(for_s, node.link.turn_away, "")
+
+    def outage(self):
+        """Let the store be away for all, so that entries lapse."""
+        if self.store.away:
+            return
+        mode = self.rng.choice(
+            [history_store.BUSY, history_store.RESET, history_store.SILENT]
+        )
+        for_s = self.rng.choice([1.0, 3.0, 5.0, 8.0])
+        self.note(f"store away, {mode} {for_s}")
+        self._disturb_store(for_s)
+        self.store.turn_away(mode)
+        self.endpoints.store_lost()
+        self.clock.callLater(for_s, self._end_outage)
+
+    def _end_outage(self):
+        self.note("store is back")
+        self.store.turn_away("")
+        self.endpoints.store_back()
+
+    def leave(self):
+        """Let endpoints of a service leave, perhaps all."""
+        self.endpoints.leave(self.rng.choice([1, 2, 99, 99]))
+
+    def slow(self):
+        """Let a node be slow for a while."""
+        node = self.rng.choice(self.nodes)
+        for_s = self.rng.choice([1.0, 3.0])
+        self.note(f"slow {node.name} {for_s}")
+        self._disturb(node, for_s)
+        node.is_slow = True
+        self.clock.callLater(for_s, setattr, node, "is_slow", False)
+
+    def _disturb_store(self, for_s):
+        until_s = self.clock.seconds() + for_s
+        self.store_disturbed_s = max(self.store_disturbed_s, until_s)
+        for node in self.nodes:
+            self._disturb(node, for_s)
+
+    def _is_stable(self):
+        return self.clock.seconds() - self.store_disturbed_s > CONTACT_S
+
     def _disturb(self, node, for_s):
         until_s = self.clock.seconds() + for_s
         node.disturbed_s = max(node.disturbed_s, until_s)
@@ -245,13 +357,18 @@
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
             for node in self.nodes:
-                if not node.is_frozen:
-                    node.reactor.advance(STEP_S)
-                    node.link.changed()
+                node.advance(STEP_S)
             self.wires.deliver()
+            if not any(map(self._reaches_store, self.nodes)):
+                self._disturb_store(0.0)
             for node in self.nodes:
                 self._check(node)
 
+    def _reaches_store(self, node):
+        is_served = not (node.link.is_cut or node.link.turned_away)
+        is_well = not (node.is_frozen or node.is_slow)
+        return is_served and is_well and node.name not in self.wires.cut
+
     def play(self, kinds):
         """Play a history of changes and faults, then a quiet time."""
         self.run(2.0)
@@ -265,12 +382,21 @@
         self.run(QUIET_S)
 
     def _check(self, node):
+        now_s = self.clock.seconds()
+        is_in_touch = (
+            now_s - node.disturbed_s > CONTACT_S and self._is_stable()
+        )
+        self._check_rows(node, is_in_touch)
+        self._check_configuration(node)
+        if is_in_touch:
+            self._check_endpoints(node)
+
+    def _check_rows(self, node, is_in_touch):
         now_s = self.clock.seconds()
         cache = node.follower.cache
-        claimed = cache.version(history_store.OPERATORS)
-        is_in_touch = now_s - node.disturbed_s > CONTACT_S
-        for key, row in self.store.rows.items():
-            known = cache.get(history_store.OPERATORS, key)
+        for (table, key), row in self.store.rows.items():
+            claimed = cache.version(table)
+            known = cache.get(table, key)
             known_version = known.version if known else 0
             if known_version >= row.version:
                 continue
@@ -281,12 +407,37 @@
             age_s = now_s - self.store.acknowledged_s[row.version]
             if is_in_touch and age_s > APPLY_S:
                 self._find(node, f"lacks {key} after {age_s:.1f} s")
+
+    def _check_configuration(self, node):
         config = node.scheduler.document
-        known = cache.get(history_store.OPERATORS, CONFIGURATION)
+        known = node.follower.cache.get(history_store.OPERATORS, CONFIGURATION)
         if known and (config is None or config.version != int(known.value)):
             self._find(node, "has a configuration that is not in force")
 
+    def _check_endpoints(self, node):
+        """Check that what left gets nothing, and what is there something."""
+        now_s = self.clock.seconds()
+        for one in self.endpoints.started:
+            is_used = node.may_use(one)
+            if one.left_s is None:
+                since_s = now_s - (one.registered_s or now_s)
+                if since_s > APPLY_S and not is_used:
+                    self._find_endpoint(node, one, "not used")
+            elif is_used and one.is_binding and now_s - one.left_s > DRAIN_S:
+                late_s = now_s - one.left_s
+                self._find_endpoint(
+                    node, one, f"used {late_s:.2f} s after it left"
+                )
+
+    def _find_endpoint(self, node, endpoint, text):
+        self._add(
+            self.endpoint_findings, node, f"{endpoint.endpoint_id} {text}"
+        )
+
     def _find(self, node, text):
-        if len(self.findings) < 5:
+        self._add(self.findings, node, text)
+
+    def _add(self, findings, node, text):
+        if len(findings) < 5:
             at_s = self.clock.seconds()
-            self.findings.append(f"{at_s:.2f} {node.name}: {text}")
+            findings.append(f"{at_s:.2f} {node.name}: {text}")
