Count the use of an endpoint from when it may have left

Cause: the 1.5 s of last resort counted from when a node heard of the leaving. One that hears 0.5 s late or more (its watch on a connection that went silent, a relay that stood still, a full read after a gap, or at its start) goes beyond 2.0 s. Change: each row is kept with the earliest time at which the store may have had it. A watch that waited brings news of now; what a call found waiting may be as old as the last answer before it; peers tell the age of what they send (older nodes state none), and a message may have been on its way since the one before it. After two failed calls in a row a removal counts from now, as entries lapse while the store is away and nothing can leave then. Ruled out: clocks (one steady clock a node).

--- a/packages/core/src/fireflypulley/core/gateway/fleet.py
+++ b/packages/core/src/fireflypulley/core/gateway/fleet.py
@@ -6,8 +6,8 @@
 
 LAST_RESORT_FRACTION = 0.75
 """Fraction of the drain time in which an endpoint may still be used after
-it starts to leave or its entry is removed.  The rest allows for nodes
-that are notified later, and for requests in transit."""
+it may have begun to leave.  The rest allows for notifications and requests
+in transit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,9 +40,10 @@
 class Member:
     """A known endpoint; ``leaving`` never becomes false again.
 
-    ``leaving_since_s`` is when it began to leave or its entry was
-    removed; until ``serves_until_s`` it is guaranteed to serve.  Nothing
-    may be sent to it from ``usable_until_s`` on, whatever else is known.
+    ``leaving_since_s`` is the earliest time at which it may have begun to
+    leave, or its entry may have been removed; until ``serves_until_s`` it
+    is guaranteed to serve.  Nothing may be sent to it from
+    ``usable_until_s`` on, whatever else is known.
     """
 
     registration: Registration
@@ -95,25 +96,34 @@
             if member.registration.service == service
         ]
 
-    def put(self, registration: Registration, now_s: float) -> Member:
-        """Add or replace an entry; leaving is final for one start."""
+    def put(
+        self,
+        registration: Registration,
+        now_s: float,
+        since_s: float | None = None,
+    ) -> Member:
+        """Add or replace an entry; leaving is final for one start.
+
+        The entry may have been written at ``since_s`` already, by default
+        at ``now_s``.
+        """
         member = Member(registration)
         member.cold_until_s = now_s + registration.cold_s
         key = registration.key
         member.leaving = registration.leaving or key in self._leaving_s
         if member.leaving:
-            self._note_leaving(member, now_s)
+            self._note_leaving(member, now_s if since_s is None else since_s)
         self._members[registration.endpoint_id] = member
         return member
 
-    def _note_leaving(self, member: Member, now_s: float) -> None:
+    def _note_leaving(self, member: Member, written_s: float) -> None:
         key = member.registration.key
-        since_s = self._leaving_s.setdefault(key, now_s)
+        since_s = self._leaving_s.setdefault(key, written_s)
         self._limit_use(member, since_s)
         leaves_in_s = member.registration.leaves_in_s
         if leaves_in_s is not None:
             member.serves_until_s = min(
-                member.serves_until_s, now_s + leaves_in_s
+                member.serves_until_s, written_s + leaves_in_s
             )
 
     def _limit_use(self, member: Member, since_s: float) -> None:
@@ -123,13 +133,18 @@
         member.usable_until_s = since_s + self._last_resort_s
 
     def remove(
-        self, endpoint_id: str, now_s: float, may_have_lapsed: bool
+        self,
+        endpoint_id: str,
+        now_s: float,
+        may_have_lapsed: bool,
+        since_s: float | None = None,
     ) -> None:
         """Record the removal of an entry.
 
-        The endpoint is taken to have left unannounced; it drains like one
-        that announced it.  If the entry ``may_have_lapsed``, the endpoint
-        is used as before, but no longer than one that has left.
+        The endpoint is taken to have left unannounced, at ``since_s`` or
+        by default now; it drains like one that announced it.  If the entry
+        ``may_have_lapsed``, the endpoint is used as before, but no longer
+        than one that has left.
         """
         member = self._members.get(endpoint_id)
         if member is None:
@@ -139,7 +154,7 @@
             return
         member.removed_s = now_s
         member.may_have_lapsed = may_have_lapsed
-        self._limit_use(member, now_s)
+        self._limit_use(member, now_s if since_s is None else since_s)
 
     def may_receive(self, member: Member, now_s: float) -> bool:
         """Return whether anything may be sent to an endpoint.
--- a/packages/core/src/fireflypulley/core/gateway/rows.py
+++ b/packages/core/src/fireflypulley/core/gateway/rows.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from fireflypulley.core.gateway import row_versions
 
@@ -27,6 +28,7 @@
         self._rows: dict[tuple[str, str], FollowedRow] = {}
         self._versions: dict[str, int] = {}
         self._baselines: dict[str, int] = {}
+        self._since_s: dict[tuple[str, str], float] = {}
 
     def version(self, table: str) -> int:
         """Return the newest version known of a table."""
@@ -70,15 +72,17 @@
         known = self._rows.get((row.table, row.key))
         return known is not None and known.value is None
 
-    def update(self, row: FollowedRow) -> bool:
+    def update(self, row: FollowedRow, since_s: float = -math.inf) -> bool:
         """Apply a row; return whether it is news.
 
-        A row that only a new era of the store numbered anew is not.
+        A row that only a new era of the store numbered anew is not.  The
+        store may have had the row ``since_s``, but not for longer.
         """
         known = self._rows.get((row.table, row.key))
         if known is not None and row.version <= known.version:
             return False
         self._rows[(row.table, row.key)] = row
+        self._since_s[(row.table, row.key)] = since_s
         if known is None or known.value != row.value:
             return True
         return row_versions.era(known.version) == row_versions.era(row.version)
@@ -91,6 +95,15 @@
             if row.table == table and row.version > version
         ]
 
+    def since_s(self, row: FollowedRow) -> float:
+        """Return the earliest time at which the store may have had a row."""
+        return self._since_s.get((row.table, row.key), -math.inf)
+
+    def changed_since_s(self, table: str, version: int, now_s: float) -> float:
+        """Return since when the store may have had what follows a version."""
+        changed = self.since(table, version)
+        return min(map(self.since_s, changed), default=now_s)
+
     def removals(
         self, table: str, listed: set[str], version: int
     ) -> list[FollowedRow]:
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -1,5 +1,6 @@
 """Keeps the state of a node up to date with the rows of the store."""
 
+import collections
 import collections.abc
 import math
 
@@ -27,6 +28,11 @@
 STORE_DOUBTED_S = 3.5
 """After a failed call, the store counts as doubted for this time: missing
 entries may have lapsed without having been removed on purpose."""
+FOUND_WITHIN_S = 0.1
+"""A watch that is answered sooner found rows that were waiting for it."""
+LAPSE_AFTER_FAILURES = 2
+"""Failed calls in a row after which entries may have lapsed.  One alone is
+also what a broken connection looks like."""
 RETURN_GRACE_S = 2.5
 """What an older copy of the store lacks is written again within this time
 after the store came back from it."""
@@ -61,6 +67,7 @@
         self._is_unreachable = False
         self._recovered_s = float("-inf")
         self._returned_s: dict[str, float] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
         self._is_running = False
 
     @property
@@ -132,27 +139,44 @@
                 continue
             try:
                 if is_current and not self._has_settled(table):
-                    after = self.cache.version(table)
-                    result = await self._store.watch(
-                        table, after, self._watch_time_s(table)
-                    )
-                    self.apply_rows(
-                        table, result.rows, result.version, False, after
-                    )
-                    self.note_confirmed(table, row_freshness.STORE)
+                    await self._watch(table)
                 else:
                     result = await self._store.read(table)
                     is_current = self._apply_snapshot(table, result)
                     if not is_current:
                         await self._pause(STALE_READ_RETRY_DELAY_S)
+                self._failures[table] = 0
                 self._note_reachable()
             except base.HistoryLost:
                 decision_log.note("store", state="history-lost", table=table)
                 is_current = False
             except base.Unavailable as problem:
+                self._failures[table] += 1
                 self._note_unreachable(str(problem))
                 await self._pause(RETRY_DELAY_S)
 
+    async def _watch(self, table: str) -> None:
+        """Wait for changes of a table, and apply them."""
+        after = self.cache.version(table)
+        started_s = self._reactor.seconds()
+        result = await self._store.watch(
+            table, after, self._watch_time_s(table)
+        )
+        now_s = self._reactor.seconds()
+        since_s = now_s
+        if now_s - started_s < FOUND_WITHIN_S:
+            since_s = self._confirmed_s(table)
+        self.apply_rows(
+            table, result.rows, result.version, False, after, since_s=since_s
+        )
+        self.note_confirmed(table, row_freshness.STORE)
+
+    def _confirmed_s(self, table: str) -> float:
+        """Return when a table's rows were last known to be the newest."""
+        now_s = self._reactor.seconds()
+        age_s = self._scheduler.freshness.age_s(table, now_s)
+        return -math.inf if age_s is None else now_s - age_s
+
     def _in_grace(self, table: str) -> bool:
         """Return whether a table just came back from an older copy."""
         returned_s = self._returned_s.get(table, float("-inf"))
@@ -219,7 +243,13 @@
                 known=self.cache.version(table),
             )
             return False
-        self.apply_rows(table, snapshot.rows, snapshot.version, True)
+        self.apply_rows(
+            table,
+            snapshot.rows,
+            snapshot.version,
+            True,
+            since_s=self._confirmed_s(table),
+        )
         self.note_confirmed(table, row_freshness.STORE)
         return True
 
@@ -236,9 +266,12 @@
         is_whole: bool,
         after: int | None = None,
         source: str = row_freshness.STORE,
+        since_s: float = -math.inf,
     ) -> None:
         """Apply rows of the store that this node or another node read.
 
+        The store has had them for no longer than ``since_s``.
+
         Unless they are all rows of the table, they must continue from a
         version ``after`` that this node has reached.  If not, an earlier
         batch was lost: the rows count, but the version that this node
@@ -272,7 +305,7 @@
                 removed = self.cache.removals(table, listed, version)
         before = self.cache.version(table)
         for row in sorted([*changed, *removed], key=lambda r: r.version):
-            if self.cache.update(row):
+            if self.cache.update(row, since_s):
                 self._apply(row)
         if is_whole or (after is not None and after <= before):
             self.cache.note_version(table, version)
@@ -298,14 +331,15 @@
 
     def _apply_endpoint(self, row: rows.FollowedRow) -> None:
         now_s = self._reactor.seconds()
+        since_s = self.cache.since_s(row)
         before = self._scheduler.fleet.get(row.key)
         member = before
         if row.value is None:
-            self._scheduler.fleet.remove(row.key, now_s, self.store_doubted)
+            self._remove_endpoint(row, since_s)
             state = "removed"
         else:
             registration = self._row_codec.decode_registration(row)
-            member = self._scheduler.fleet.put(registration, now_s)
+            member = self._scheduler.fleet.put(registration, now_s, since_s)
             state = "leaving" if member.leaving else "in-use"
             if before is not None and before.is_same(member):
                 return
@@ -321,12 +355,19 @@
             store_doubted=self.store_doubted,
             in_outage=self.in_outage,
             in_use=len(self._scheduler.fleet.in_use(service, now_s)),
-            rows_age_ms=_milliseconds(
-                self._scheduler.freshness.age_s(row.table, now_s)
-            ),
+            news_age_ms=_milliseconds(now_s - since_s),
             failed_ms=_milliseconds(now_s - self._failed_s),
         )
 
+    def _remove_endpoint(self, row: rows.FollowedRow, since_s: float) -> None:
+        now_s = self._reactor.seconds()
+        if self._failures[row.table] >= LAPSE_AFTER_FAILURES:
+            # Nothing could leave while the store was away.
+            since_s = now_s
+        self._scheduler.fleet.remove(
+            row.key, now_s, self.store_doubted, since_s
+        )
+
     def _apply_operator(self, row: rows.FollowedRow) -> None:
         entry = self._row_codec.decode_operator_row(row)
         if isinstance(entry, row_codec.ConfigurationEntry):
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -351,6 +351,7 @@
         self, node_id: str, message: messages.Message
     ) -> None:
         now_s = self._reactor.seconds()
+        last_seen_s = self._stream_last_seen_s.get(node_id, now_s)
         self._stream_last_seen_s[node_id] = now_s
         if isinstance(message, messages.States):
             for state in message.states:
@@ -364,6 +365,8 @@
                 message.is_whole,
                 message.after,
                 node_id,
+                # It may have been on its way since the message before it.
+                last_seen_s - message.age_s,
             )
         elif isinstance(message, messages.Facts):
             self._receive_facts(node_id, message.facts, now_s)
--- a/packages/gateway/src/fireflypulley/gateway/row_replication.py
+++ b/packages/gateway/src/fireflypulley/gateway/row_replication.py
@@ -10,6 +10,8 @@
 from fireflypulley.nodes import messages
 
 MAX_ROWS_PER_MESSAGE = 2000
+MAX_AGE_S = 60.0
+"""Age of changes of which a node only knows that they are older."""
 RESEND_AFTER_S = 0.75
 """A batch that a peer has not reported within this time, in which it sends
 three states, is sent again."""
@@ -97,8 +99,10 @@
             changed = self._cache.since(table, after)
             version, changed = _limited(version, changed)
         sent.note(version, now_s)
+        since_s = self._cache.changed_since_s(table, after, now_s)
+        age_s = min(now_s - since_s, MAX_AGE_S)
         message = messages.Rows(
-            table, version, is_whole, tuple(changed), after
+            table, version, is_whole, tuple(changed), after, age_s
         )
         self._hub.send(node_id, message)
 
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -188,7 +188,8 @@
 
     ``is_whole`` means that these are all rows of the table.  If not, they
     are all that changed between the versions ``after`` and ``version``;
-    older nodes do not state ``after``.
+    older nodes do not state ``after``.  The store may have had the changes
+    for ``age_s`` when the message was sent; older nodes state 0.
     """
 
     table: str
@@ -196,6 +197,7 @@
     is_whole: bool
     rows: tuple[rows.FollowedRow, ...]
     after: int | None = None
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -143,3 +143,19 @@
         assert not endpoints.is_in_use(member, late_s)
         assert not endpoints.is_last_resort(member, late_s)
         assert not endpoints.may_receive(member, late_s)
+
+
+# Guards against a violation of DRAIN: a node that hears late counts from
+# when the endpoint may have left.
+@pytest.mark.parametrize("is_announced", [False, True])
+def test_use_counts_from_when_an_endpoint_may_have_left(is_announced):
+    endpoints = _fleet("e1", "e2")
+    heard_s, left_s = 10.0, 9.1
+    if is_announced:
+        endpoints.put(_entry("e1", leaving=True), heard_s, left_s)
+    else:
+        endpoints.remove("e1", heard_s, True, left_s)
+    member = endpoints.get("e1")
+    assert endpoints.may_receive(member, left_s + LAST_RESORT_S - 0.1)
+    assert not endpoints.may_receive(member, left_s + LAST_RESORT_S)
+    assert member.serves_until_s == left_s + DRAIN_S
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -1,6 +1,7 @@
 """How a node tells an outage of the store from failed calls."""
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 
 from fireflypulley.core.gateway import bounds
@@ -8,6 +9,7 @@
 from fireflypulley.core.gateway import rows
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.gateway import follower
+from fireflypulley.platform import base
 
 from . import networks
 
@@ -146,3 +148,34 @@
     assert following.cache.version(networks.OPERATORS) == row_versions.join(
         1, 5
     )
+
+
+class _LateStore:
+    """Answers a watch with rows that it has had for an unknown time."""
+
+    def __init__(self, clock, waits_s):
+        self._clock = clock
+        self._waits_s = waits_s
+
+    async def watch(self, table, after, wait_s):
+        self._clock.advance(self._waits_s)
+        version = row_versions.join(1, 9)
+        row = rows.FollowedRow(table, "a", version, b"1")
+        return base.Snapshot(version, (row,))
+
+
+# Guards against a violation of DRAIN: the time in which an endpoint may be
+# used counted from when the node heard, which may be seconds late.
+@pytest.mark.parametrize(
+    ("waits_s", "age_s"), [(1.0, 0.0), (0.01, 4.01)], ids=["new", "found"]
+)
+def test_rows_that_a_watch_finds_may_be_as_old_as_the_last_answer(
+    following, applied, clock, waits_s, age_s
+):
+    following.note_confirmed(networks.ENDPOINTS, "store")
+    clock.advance(4.0)
+    following._store = _LateStore(clock, waits_s)
+    defer.ensureDeferred(following._watch(networks.ENDPOINTS))
+    (row,) = applied
+    since_s = following.cache.since_s(row)
+    assert clock.seconds() - since_s == pytest.approx(age_s)
