Open no tunnel to an endpoint that has left

Cause: a peer opened a tunnel for a node that had not heard of the leaving, though it knew better. Change: the peer asks the invariant too, and says that the endpoint took no connection, so that no other peer is asked and none is avoided. Test: has_left in test_tunnels.py, red before (the tunnel opened).

--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -66,6 +66,11 @@
         if problem or member is None:
             self._refuse(stream, messages.TunnelResponse(problem))
             return
+        if not self._fleet.may_receive(member, self._reactor.seconds()):
+            # Other peers need not be asked.
+            has_left = messages.TunnelResponse("endpoint has left", True)
+            self._refuse(stream, has_left)
+            return
         background.start(
             self._open(stream, member), tunnel=request.endpoint_id
         )
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -220,6 +220,16 @@
     assert not problem.check(tunnels.NoTunnel)
 
 
+# Guards against a violation of DRAIN through a peer that knows better.
+def test_peers_open_no_tunnel_to_an_endpoint_that_has_left(system, stranded):
+    for node in system.nodes[1:]:
+        now_s = node.reactor.seconds()
+        node.scheduler.fleet.remove(KEY[0], now_s, True, now_s - 1.6)
+    problem = system.acquire(stranded)
+    assert problem.check(tunnels.NoTunnel)
+    assert "has left" in problem.getErrorMessage()
+
+
 @pytest.mark.parametrize("end", ["close", "reset"])
 def test_an_answer_without_a_length_ends_as_at_the_endpoint(
     system, stranded, end
