--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -1,5 +1,6 @@
 """Connections to endpoints through other nodes."""
 
+import dataclasses
 import types
 
 import pytest
@@ -224,7 +225,10 @@
 def test_peers_open_no_tunnel_to_an_endpoint_that_has_left(system, stranded):
     for node in system.nodes[1:]:
         now_s = node.reactor.seconds()
-        node.scheduler.fleet.remove(KEY[0], now_s, True, now_s - 1.6)
+        leaving = dataclasses.replace(
+            _registration(KEY, system.hosts[KEY]), leaving=True
+        )
+        node.scheduler.fleet.put(leaving, now_s, now_s - 1.6)
     problem = system.acquire(stranded)
     assert problem.check(tunnels.NoTunnel)
     assert "has left" in problem.getErrorMessage()
