--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -64,7 +64,8 @@
         self.unreadable = 0
         self._failed_s = float("-inf")
         self._peer_failed_s = float("-inf")
-        self._is_unreachable = False
+        self._unanswered: set[str] = set()
+        self._call_started_s: dict[str, float] = {}
         self._recovered_s = float("-inf")
         self._returned_s: dict[str, float] = {}
         self._failures: collections.Counter[str] = collections.Counter()
@@ -97,7 +98,7 @@
         if not self.store_failed or not self.peers_lost_store():
             return False
         since_recovery_s = self._reactor.seconds() - self._recovered_s
-        return self._is_unreachable or since_recovery_s < RECOVERY_WINDOW_S
+        return bool(self._unanswered) or since_recovery_s < RECOVERY_WINDOW_S
 
     def note_failure(self, problem: str) -> None:
         """Record that a call to the store failed."""
@@ -137,6 +138,7 @@
                 is_current = False
                 await self._pause(FEED_CHECK_INTERVAL_S)
                 continue
+            self._call_started_s[table] = self._reactor.seconds()
             try:
                 if is_current and not self._has_settled(table):
                     await self._watch(table)
@@ -146,19 +148,19 @@
                     if not is_current:
                         await self._pause(STALE_READ_RETRY_DELAY_S)
                 self._failures[table] = 0
-                self._note_reachable()
+                self._note_reachable(table)
             except base.HistoryLost:
                 decision_log.note("store", state="history-lost", table=table)
                 is_current = False
             except base.Unavailable as problem:
                 self._failures[table] += 1
-                self._note_unreachable(str(problem))
+                self._note_unreachable(str(problem), table)
                 await self._pause(RETRY_DELAY_S)
 
     async def _watch(self, table: str) -> None:
         """Wait for changes of a table, and apply them."""
         after = self.cache.version(table)
-        started_s = self._reactor.seconds()
+        started_s = self._call_started_s[table]
         result = await self._store.watch(
             table, after, self._watch_time_s(table)
         )
@@ -220,17 +222,27 @@
     async def _pause(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds)
 
-    def _note_reachable(self) -> None:
-        if self._is_unreachable:
-            self._is_unreachable = False
+    def _note_reachable(self, table: str = "") -> None:
+        """Record an answer about a table; it speaks for no other table."""
+        for call in {table, ""} & self._unanswered:
+            self._unanswered.remove(call)
             self._recovered_s = self._reactor.seconds()
-            decision_log.note("store", state="regained")
+            decision_log.note("store", state="regained", table=call)
 
-    def _note_unreachable(self, problem: str) -> None:
+    def _note_unreachable(self, problem: str, table: str = "") -> None:
+        """Record a failed call, of another part of this node without table."""
         self._failed_s = self._reactor.seconds()
-        if not self._is_unreachable:
-            self._is_unreachable = True
-            decision_log.note("store", state="lost", detail=problem)
+        if table in self._unanswered:
+            return
+        self._unanswered.add(table)
+        started_s = self._call_started_s.get(table, self._failed_s)
+        decision_log.note(
+            "store",
+            state="lost",
+            table=table,
+            waited_ms=_milliseconds(self._failed_s - started_s),
+            detail=problem,
+        )
 
     def _apply_snapshot(self, table: str, snapshot: base.Snapshot) -> bool:
         """Apply a full read; return False if it is older than the cache."""
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -175,6 +175,7 @@
     following.note_confirmed(networks.ENDPOINTS, "store")
     clock.advance(4.0)
     following._store = _LateStore(clock, waits_s)
+    following._call_started_s[networks.ENDPOINTS] = clock.seconds()
     defer.ensureDeferred(following._watch(networks.ENDPOINTS))
     (row,) = applied
     since_s = following.cache.since_s(row)
