Give up calls to the store before a node is in touch again

Cause: a call that is sent while the store is silent is never answered, not even after its return, and a watch was out for up to 6 s. All nodes send theirs at the last change, so all were deaf together. Ruled out: watches that were open before (they are answered), reads that are behind, a flag that one table's answer clears (log only). Change: watches of 1.75 s, given up after 2.63 s; of 0.25 s after a failure until the store has answered for that table.

--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -17,7 +17,12 @@
 from fireflypulley.gateway import row_codec
 from fireflypulley.platform import base
 
-WATCH_TIMEOUT_S = 5.0
+WATCH_TIMEOUT_S = 1.75
+"""A store that falls silent never answers the calls sent meanwhile.  One sent
+at the end of an outage must be given up, and another one answered, before
+the node is in touch again, 3 s after the outage."""
+CHECKING_WATCH_TIMEOUT_S = 0.25
+"""The same until the store has answered after a failure."""
 FEEDING_WATCH_TIMEOUT_S = 1.0
 """The same at a node that feeds others.  They read the store themselves once
 it doubts the store, which is to be soon enough for a change to be in force
@@ -187,7 +192,9 @@
     def _watch_time_s(self, table: str) -> float:
         """Return how long to watch before the next full read is due."""
         timeout_s = WATCH_TIMEOUT_S
-        if self.feeds_others():
+        if table in self._unanswered:
+            timeout_s = CHECKING_WATCH_TIMEOUT_S
+        elif self.feeds_others():
             timeout_s = FEEDING_WATCH_TIMEOUT_S
         if table not in self._returned_s:
             return timeout_s
