Pause between reads that are behind a lost history

Cause: after 410 the table is read at once; a read that is behind equals the cache, counts as current, and the next watch gets 410 again, without any pause: 251 calls a second and table with answers of 4 ms, above what the store bears from nine nodes, which it then turns away. Change: where the history is lost twice at the same version, the next read waits 0.4 s, as after a read that is older than the cache. Test: reads_that_are_behind in test_follower.py, red before.

--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -137,6 +137,7 @@
 
     async def _follow(self, table: str) -> None:
         is_current = False
+        history_lost_at = -1
         while self._is_running:
             if self.cache.version(table) and self.has_relay_feed():
                 # Relays read the store and send its rows to this node.
@@ -157,6 +158,11 @@
             except base.HistoryLost:
                 decision_log.note("store", state="history-lost", table=table)
                 is_current = False
+                version = self.cache.version(table)
+                if version == history_lost_at:
+                    # The read in between was behind: it had nothing newer.
+                    await self._pause(STALE_READ_RETRY_DELAY_S)
+                history_lost_at = version
             except base.Unavailable as problem:
                 self._failures[table] += 1
                 self._note_unreachable(str(problem), table)
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -29,8 +29,6 @@
 """Bound of the rule: time without a fault until a node is in touch."""
 DRAIN_S = 2.0
 """Bound of the rule: time until an endpoint that left gets nothing."""
-MAX_CALLS_PER_S = 100
-"""A ninth of what the store bears, for one node of nine."""
 SLOW_STEP_S = 0.4
 HISTORY_S = 24.0
 QUIET_S = 8.0
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -15,6 +15,9 @@
 
 CONTACT_S = 3.0
 """Bound of the rules: time after an outage until a node is in touch."""
+STORE_ANSWER_S = 0.004
+MAX_CALLS_PER_S = 100
+"""A twentieth of what the store bears: two tables at each of nine nodes."""
 
 
 @pytest.fixture
@@ -217,3 +220,34 @@
     answer = base.Snapshot(row_versions.join(1, 1), ())
     store.answers[1].callback(answer)
     assert store.waits_s[2] == store.waits_s[0]
+
+
+class _ForgetfulStore:
+    """Has dropped its history, and its reads are behind."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.calls = 0
+
+    async def read(self, table):
+        await self._answer()
+        return base.Snapshot(row_versions.join(1, 1), ())
+
+    async def watch(self, table, after, wait_s):
+        await self._answer()
+        raise base.HistoryLost("watch")
+
+    def _answer(self):
+        self.calls += 1
+        return task.deferLater(self._clock, STORE_ANSWER_S)
+
+
+# Guards against a flood of calls that uses up what the store bears, after
+# which nodes are turned away and hear of no change.
+def test_reads_that_are_behind_are_not_repeated_at_once(following, clock):
+    store = following._store = _ForgetfulStore(clock)
+    following._is_running = True
+    defer.ensureDeferred(following._follow(networks.OPERATORS))
+    for _ in range(round(1.0 / STORE_ANSWER_S)):
+        clock.advance(STORE_ANSWER_S)
+    assert store.calls <= MAX_CALLS_PER_S
