--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -251,6 +251,24 @@
     assert listener.end == ("whole" if end == "close" else "cut")
 
 
+# Guards against a head that stops in a tunnel and looks complete.
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("part", [b"HTTP/1.1 2", b"HTTP/1.1 200 OK\r\nA: 1\r"])
+def test_an_answer_that_stops_inside_its_head_is_cut(
+    system, stranded, part, end
+):
+    listener = _send(system, system.acquire(stranded))
+    server = _server(system)
+    server.transport.write(part)
+    system.run(0.1)
+    if end == "close":
+        server.transport.loseConnection()
+    else:
+        server.transport.abortConnection()
+    system.run(0.3)
+    assert (listener.status, listener.end) == (None, "cut")
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_endpoint(system, stranded):
     before = _tunnel_count(system)
     connection = system.acquire(stranded)
