Refuse at once what a stop of the node would cut

Here: no request is taken later than 3 s after SIGTERM (of 8 s), and what runs is ended at 7.5 s with an answer, but a slow route's request taken in these 3 s, or a second attempt begun late, may be cut there. Change: before each attempt a stopping node asks whether requests of the route usually end before it stops. If not, the caller gets 503 and when to ask another node at once, if nothing may have run, else 502; a stream that was to be resumed ends at once, so that its caller can resume it elsewhere.

--- a/packages/core/src/fireflypulley/core/gateway/calls.py
+++ b/packages/core/src/fireflypulley/core/gateway/calls.py
@@ -5,6 +5,9 @@
 
 from fireflypulley.core.gateway import document
 
+RETRY_ELSEWHERE_S = 0.05
+"""Time to wait after a refusal by a node that is stopping."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from twisted.internet import defer
 from twisted.internet import interfaces
@@ -40,6 +41,8 @@
     crash_detector: crash_detector.CrashDetector
     limit_reader: limit_reader.LimitReader
     done: collections.abc.Callable[["Exchange"], None]
+    stops_at_s: collections.abc.Callable[[], float] = lambda: math.inf
+    """When this node ends what still runs, infinite unless it is stopping."""
 
 
 class Exchange(inbound.RequestHandler, outbound.ResponseListener):
@@ -107,6 +110,10 @@
         if request.deadline_s - now_s < MIN_RETRY_TIME_S:
             self._timed_out()
             return
+        if self._would_be_cut(request, now_s):
+            stopping = calls.RefusalReason.STOPPING
+            self._give_up(runs.Refusal(stopping, calls.RETRY_ELSEWHERE_S))
+            return
         run = self._dependencies.scheduler.choose(
             request,
             self._excluded,
@@ -122,6 +129,14 @@
             self._handle_internal_error
         )
 
+    def _would_be_cut(
+        self, request: calls.AdmittedRequest, now_s: float
+    ) -> bool:
+        """Return whether the node stops before an attempt is likely to end."""
+        durations = self._dependencies.scheduler.endpoint_filter.durations
+        expected_s = durations.expected_s(request.route.name) or 0.0
+        return now_s + expected_s > self._dependencies.stops_at_s()
+
     def _handle_internal_error(self, reason: object) -> None:
         """End an attempt whose handling raised an unexpected error."""
         decision_log.note(
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -52,7 +52,6 @@
 START_READ_TIMEOUT_S = 0.5
 """A starting node accepts callers after this time, even without having
 read the store or heard another node."""
-STOPPING_RETRY_AFTER_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,6 +161,7 @@
                 self._limit_changed,
             ),
             self._request_done,
+            lambda: self._stops_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
         self._caller_connections: set[inbound.CallerConnection] = set()
@@ -169,6 +169,7 @@
         self._caller_port: interfaces.IListeningPort | None = None
         self._is_stopping = False
         self._accepts_until_s = float("inf")
+        self._stops_at_s = float("inf")
 
     # Startup and periodic work
 
@@ -373,7 +374,7 @@
         status = calls.STATUS_BY_REFUSAL[reason]
         retry_after_s = None
         if reason is calls.RefusalReason.STOPPING:
-            retry_after_s = STOPPING_RETRY_AFTER_S
+            retry_after_s = calls.RETRY_ELSEWHERE_S
         headers = self._adapters.header_codec.refusal_headers(
             "", retry_after_s
         )
@@ -416,19 +417,15 @@
             "node", state="stopping", open=len(self._open_requests)
         )
         now_s = self._reactor.seconds()
-        accepts_until_s = now_s + BALANCER_DELAY_S
-        self._accepts_until_s = accepts_until_s
-        deadline_s = (
-            now_s + self._config.shutdown_grace_s - ABORT_BEFORE_KILL_S
-        )
-        self._reactor.callLater(
-            STOP_CHECK_INTERVAL_S, self._stop, accepts_until_s, deadline_s
-        )
+        self._accepts_until_s = now_s + BALANCER_DELAY_S
+        grace_s = self._config.shutdown_grace_s
+        self._stops_at_s = now_s + grace_s - ABORT_BEFORE_KILL_S
+        self._reactor.callLater(STOP_CHECK_INTERVAL_S, self._stop)
 
-    def _stop(self, accepts_until_s: float, deadline_s: float) -> None:
+    def _stop(self) -> None:
         now_s = self._reactor.seconds()
         was_closed = self._caller_port is None
-        if now_s >= accepts_until_s:
+        if now_s >= self._accepts_until_s:
             # The shutdown could interrupt the requests of later callers.
             self._close_port()
             for caller in list(self._caller_connections):
@@ -436,10 +433,8 @@
         # Callers may connect until the port is closed, so the node stops
         # at the earliest one check after that, with no caller connected.
         is_done = was_closed and not self._caller_connections
-        if not is_done and now_s < deadline_s:
-            self._reactor.callLater(
-                STOP_CHECK_INTERVAL_S, self._stop, accepts_until_s, deadline_s
-            )
+        if not is_done and now_s < self._stops_at_s:
+            self._reactor.callLater(STOP_CHECK_INTERVAL_S, self._stop)
             return
         for handler in list(self._open_requests):
             handler.abort()
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -1,5 +1,7 @@
 """A scheduler with two endpoints, and a request that the test answers."""
 
+import math
+
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import task
@@ -141,6 +143,7 @@
         self.limit_reports = []
         self.permits = []
         self.permit_requests = []
+        self.stops_at_s = math.inf
         self.sink = Sink()
         dependencies = exchange.Dependencies(
             self.clock,
@@ -156,6 +159,7 @@
                 self.limit_reports.append,
             ),
             self.done.append,
+            lambda: self.stops_at_s,
         )
         request = inbound.IncomingRequest(
             b"POST",
