--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -388,3 +388,18 @@
     probes_s = endpoint_paths.PROBE_INTERVAL_S
     several = endpoint_paths.MIN_FAILED_ENDPOINTS + 1
     assert probes_s * several < endpoint_paths.FAILURE_VALID_S
+
+
+# Guards against requests that are sent through a stopping peer, which cuts
+# them when it ends.
+def test_no_request_goes_on_a_kept_tunnel_of_a_stopping_peer(system, stranded):
+    connection = system.acquire(stranded)
+    listener = _send(system, connection)
+    _server(system).transport.write(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )
+    system.run(0.1)
+    assert listener.end == "whole"
+    system.wires.nodes[connection.peer].tunnel_server.is_stopping = True
+    system.run(0.5)
+    assert not connection.is_usable
