--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -395,11 +395,13 @@
 def test_no_request_goes_on_a_kept_tunnel_of_a_stopping_peer(system, stranded):
     connection = system.acquire(stranded)
     listener = _send(system, connection)
+    connection.note_flushed()
     _server(system).transport.write(
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     )
     system.run(0.1)
     assert listener.end == "whole"
+    assert connection.is_usable
     system.wires.nodes[connection.peer].tunnel_server.is_stopping = True
     system.run(0.5)
     assert not connection.is_usable
