--- a/packages/core/src/fireflypulley/core/gateway/rows.py
+++ b/packages/core/src/fireflypulley/core/gateway/rows.py
@@ -75,8 +75,8 @@
     def update(self, row: FollowedRow, since_s: float = -math.inf) -> bool:
         """Apply a row; return whether it is news.
 
-        A row that only a new era of the store numbered anew is not.  The
-        store may have had the row ``since_s``, but not for longer.
+        A row that only a new era of the store numbered anew is not.
+        ``since_s`` is the earliest time at which the store may have had it.
         """
         known = self._rows.get((row.table, row.key))
         if known is not None and row.version <= known.version:
--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -98,7 +98,8 @@
         """Return whether the store is, or just was, unreachable to all nodes.
 
         If only some nodes can't reach it, the rows that the others read
-        are still correct.
+        are still correct.  It rests on flags that may be seconds old, so it
+        is said in the log and nothing is decided by it.
         """
         if not self.store_failed or not self.peers_lost_store():
             return False
@@ -243,7 +244,7 @@
             decision_log.note("store", state="regained", table=call)
 
     def _note_unreachable(self, problem: str, table: str = "") -> None:
-        """Record a failed call, of another part of this node without table."""
+        """Record a failed call, one of the duties if no table is given."""
         self._failed_s = self._reactor.seconds()
         if table in self._unanswered:
             return
@@ -295,7 +296,8 @@
     ) -> None:
         """Apply rows of the store that this node or another node read.
 
-        The store has had them for no longer than ``since_s``.
+        ``since_s`` is the earliest time at which the store may have had
+        them.
 
         Unless they are all rows of the table, they must continue from a
         version ``after`` that this node has reached.  If not, an earlier
