--- a/packages/gateway/src/fireflypulley/gateway/follower.py
+++ b/packages/gateway/src/fireflypulley/gateway/follower.py
@@ -1,6 +1,5 @@
 """Keeps the state of a node up to date with the rows of the store."""
 
-import collections
 import collections.abc
 import math
 
@@ -15,6 +14,7 @@
 from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import row_codec
+from fireflypulley.gateway import store_health
 from fireflypulley.platform import base
 
 WATCH_TIMEOUT_S = 1.75
@@ -30,19 +30,11 @@
 FEED_CHECK_INTERVAL_S = 0.1
 RETRY_DELAY_S = 0.25
 STALE_READ_RETRY_DELAY_S = 0.4
-STORE_DOUBTED_S = 3.5
-"""After a failed call, the store counts as doubted for this time: missing
-entries may have lapsed without having been removed on purpose."""
 FOUND_WITHIN_S = 0.1
 """A watch that is answered sooner found rows that were waiting for it."""
-LAPSE_AFTER_FAILURES = 2
-"""Failed calls in a row after which entries may have lapsed.  One alone is
-also what a broken connection looks like."""
 RETURN_GRACE_S = 2.5
 """What an older copy of the store lacks is written again within this time
 after the store came back from it."""
-RECOVERY_WINDOW_S = 2.0
-"""Time after an outage within which lapsed entries are registered again."""
 
 
 class Follower:
@@ -63,17 +55,9 @@
         self.on_update: collections.abc.Callable[[str], None] | None = None
         self.has_relay_feed: collections.abc.Callable[[], bool] = lambda: False
         self.feeds_others: collections.abc.Callable[[], bool] = lambda: False
-        self.peers_lost_store: collections.abc.Callable[[], bool] = lambda: (
-            False
-        )
+        self.health = store_health.StoreHealth(reactor)
         self.unreadable = 0
-        self._failed_s = float("-inf")
-        self._peer_failed_s = float("-inf")
-        self._unanswered: set[str] = set()
-        self._call_started_s: dict[str, float] = {}
-        self._recovered_s = float("-inf")
         self._returned_s: dict[str, float] = {}
-        self._failures: collections.Counter[str] = collections.Counter()
         self._is_running = False
 
     @property
@@ -82,38 +66,6 @@
         codec = self._row_codec
         return codec.operator_table, codec.endpoint_table
 
-    @property
-    def store_failed(self) -> bool:
-        """Return whether a call of this node to the store failed recently."""
-        return self._reactor.seconds() - self._failed_s < STORE_DOUBTED_S
-
-    @property
-    def store_doubted(self) -> bool:
-        """Return whether any node recently failed to reach the store."""
-        since_peer_failure_s = self._reactor.seconds() - self._peer_failed_s
-        return self.store_failed or since_peer_failure_s < STORE_DOUBTED_S
-
-    @property
-    def in_outage(self) -> bool:
-        """Return whether the store is, or just was, unreachable to all nodes.
-
-        If only some nodes can't reach it, the rows that the others read
-        are still correct.  It rests on flags that may be seconds old, so it
-        is said in the log and nothing is decided by it.
-        """
-        if not self.store_failed or not self.peers_lost_store():
-            return False
-        since_recovery_s = self._reactor.seconds() - self._recovered_s
-        return bool(self._unanswered) or since_recovery_s < RECOVERY_WINDOW_S
-
-    def note_failure(self, problem: str) -> None:
-        """Record that a call to the store failed."""
-        self._note_unreachable(problem)
-
-    def note_peer_failure(self) -> None:
-        """Record that another node can't reach the store."""
-        self._peer_failed_s = self._reactor.seconds()
-
     def start(self) -> None:
         """Start to follow the tables."""
         self._is_running = True
@@ -145,7 +97,7 @@
                 is_current = False
                 await self._pause(FEED_CHECK_INTERVAL_S)
                 continue
-            self._call_started_s[table] = self._reactor.seconds()
+            self.health.note_call(table)
             try:
                 if is_current and not self._has_settled(table):
                     await self._watch(table)
@@ -154,8 +106,7 @@
                     is_current = self._apply_snapshot(table, result)
                     if not is_current:
                         await self._pause(STALE_READ_RETRY_DELAY_S)
-                self._failures[table] = 0
-                self._note_reachable(table)
+                self.health.note_answer(table)
             except base.HistoryLost:
                 decision_log.note("store", state="history-lost", table=table)
                 is_current = False
@@ -165,20 +116,17 @@
                     await self._pause(STALE_READ_RETRY_DELAY_S)
                 history_lost_at = version
             except base.Unavailable as problem:
-                self._failures[table] += 1
-                self._note_unreachable(str(problem), table)
+                self.health.note_failure(str(problem), table)
                 await self._pause(RETRY_DELAY_S)
 
     async def _watch(self, table: str) -> None:
         """Wait for changes of a table, and apply them."""
         after = self.cache.version(table)
-        started_s = self._call_started_s[table]
         result = await self._store.watch(
             table, after, self._watch_time_s(table)
         )
-        now_s = self._reactor.seconds()
-        since_s = now_s
-        if now_s - started_s < FOUND_WITHIN_S:
+        since_s = self._reactor.seconds()
+        if self.health.waited_s(table) < FOUND_WITHIN_S:
             since_s = self._confirmed_s(table)
         self.apply_rows(
             table, result.rows, result.version, False, after, since_s=since_s
@@ -199,7 +147,7 @@
     def _watch_time_s(self, table: str) -> float:
         """Return how long to watch before the next full read is due."""
         timeout_s = WATCH_TIMEOUT_S
-        if table in self._unanswered:
+        if self.health.is_unanswered(table):
             timeout_s = CHECKING_WATCH_TIMEOUT_S
         elif self.feeds_others():
             timeout_s = FEEDING_WATCH_TIMEOUT_S
@@ -236,28 +184,6 @@
     async def _pause(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds)
 
-    def _note_reachable(self, table: str = "") -> None:
-        """Record an answer about a table; it speaks for no other table."""
-        for call in {table, ""} & self._unanswered:
-            self._unanswered.remove(call)
-            self._recovered_s = self._reactor.seconds()
-            decision_log.note("store", state="regained", table=call)
-
-    def _note_unreachable(self, problem: str, table: str = "") -> None:
-        """Record a failed call, one of the duties if no table is given."""
-        self._failed_s = self._reactor.seconds()
-        if table in self._unanswered:
-            return
-        self._unanswered.add(table)
-        started_s = self._call_started_s.get(table, self._failed_s)
-        decision_log.note(
-            "store",
-            state="lost",
-            table=table,
-            waited_ms=_milliseconds(self._failed_s - started_s),
-            detail=problem,
-        )
-
     def _apply_snapshot(self, table: str, snapshot: base.Snapshot) -> bool:
         """Apply a full read; return False if it is older than the cache."""
         if snapshot.version < self.cache.version(table):
@@ -379,20 +305,20 @@
             service=service,
             version=spec.version if spec else "",
             row_version=row.version,
-            store_doubted=self.store_doubted,
-            in_outage=self.in_outage,
+            store_doubted=self.health.is_doubted,
+            in_outage=self.health.in_outage,
             in_use=len(self._scheduler.fleet.in_use(service, now_s)),
             news_age_ms=_milliseconds(now_s - since_s),
-            failed_ms=_milliseconds(now_s - self._failed_s),
+            failed_ms=_milliseconds(self.health.since_failure_s),
         )
 
     def _remove_endpoint(self, row: rows.FollowedRow, since_s: float) -> None:
         now_s = self._reactor.seconds()
-        if self._failures[row.table] >= LAPSE_AFTER_FAILURES:
+        if self.health.may_have_lapsed(row.table):
             # Nothing could leave while the store was away.
             since_s = now_s
         self._scheduler.fleet.remove(
-            row.key, now_s, self.store_doubted, since_s
+            row.key, now_s, self.health.is_doubted, since_s
         )
 
     def _apply_operator(self, row: rows.FollowedRow) -> None:
@@ -452,8 +378,8 @@
         )
 
 
-def _milliseconds(seconds: float | None) -> int | None:
-    """Return whole milliseconds, None where there is no such time."""
-    if seconds is None or math.isinf(seconds):
+def _milliseconds(seconds: float) -> int | None:
+    """Return whole milliseconds, None for an unlimited time."""
+    if math.isinf(seconds):
         return None
     return round(seconds * 1000)
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -316,7 +316,7 @@
             self._follower.cache.versions(),
             self._scheduler.old_running(),
             self._holds_duty(),
-            self._follower.store_failed,
+            self._follower.health.is_failing,
         )
 
     # hub.HubListener
@@ -425,7 +425,7 @@
         )
         self._usage.update_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
-            self._follower.note_peer_failure()
+            self._follower.health.note_peer_failure()
         elif from_node == node_id:
             self._note_confirmed(state)
         self.duty_claims.note(node_id, state.holds_duty, now_s)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -113,7 +113,7 @@
             adapters.cloud,
             self._usage,
             config.usage_delay_s,
-            self._follower.note_failure,
+            self._follower.health.note_failure,
         )
         self._replica_scaler = replica_scaler.ReplicaScaler(
             reactor, self._scheduler, adapters.cloud
@@ -291,7 +291,7 @@
         self._follower.feeds_others = lambda: sync.feeds_others
         self._connections.paths.tunnels = sync.tunnel_dialer
         sync.hub.receive_tunnel = self._tunnel_server.receive
-        self._follower.peers_lost_store = lambda: sync.peers_lost_store
+        self._follower.health.peers_lost_store = lambda: sync.peers_lost_store
         sync.start()
         await self._membership.refresh_periodically(
             sync.nodes_changed, lambda: sync.is_mesh
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -65,7 +65,7 @@
         "open_requests": open_requests,
         "nodes_alive": registry.alive(now_s),
         "nodes_known": sorted([*registry.node_ids, registry.this.node_id]),
-        "store_doubted": sources.follower.store_doubted,
+        "store_doubted": sources.follower.health.is_doubted,
         "unreadable_rows": sources.follower.unreadable,
         "rows": sources.follower.cache.versions(),
         "rows_confirmed": _freshness(sources.scheduler, now_s),
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -99,7 +99,9 @@
         )
         self.follower.has_relay_feed = lambda: self.sync.has_relay_feed
         self.follower.feeds_others = lambda: self.sync.feeds_others
-        self.follower.peers_lost_store = lambda: self.sync.peers_lost_store
+        self.follower.health.peers_lost_store = lambda: (
+            self.sync.peers_lost_store
+        )
 
     def start(self):
         self.sync.start()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -1,4 +1,4 @@
-"""How a node tells an outage of the store from failed calls."""
+"""How a node keeps up with the rows of the store."""
 
 import pytest
 from twisted.internet import defer
@@ -33,43 +33,11 @@
         networks.RowCodec(),
         scheduler.RequestScheduler("a", bounds.SharedBounds()),
     )
-    store_follower.peers_lost_store = lambda: True
+    store_follower.health.peers_lost_store = lambda: True
     clock.advance(100.0)
     return store_follower
 
 
-def test_the_store_is_in_outage_while_no_node_reaches_it(following):
-    assert not following.in_outage
-    following.note_failure("no answer")
-    assert following.in_outage
-
-
-def test_a_failure_of_one_node_alone_is_no_outage(following):
-    following.peers_lost_store = lambda: False
-    following.note_failure("busy")
-    assert not following.in_outage
-
-
-def test_failures_of_other_nodes_alone_are_no_outage(following):
-    following.note_peer_failure()
-    assert following.store_doubted
-    assert not following.in_outage
-
-
-# Guards against rule DRAIN being broken: an entry that disappears long after
-# an outage was removed, as the store acknowledged; it did not just lapse.
-def test_an_outage_ends_once_lapsed_entries_are_registered_again(
-    following, clock
-):
-    following.note_failure("no answer")
-    following._note_reachable()
-    clock.advance(follower.RECOVERY_WINDOW_S - 0.1)
-    assert following.in_outage
-    clock.advance(0.2)
-    assert following.store_failed
-    assert not following.in_outage
-
-
 def _rows(era, number, *keys, value=b"1"):
     """Return rows of a table in an era, and their version."""
     version = row_versions.join(era, number)
@@ -181,7 +149,7 @@
     following.note_confirmed(networks.ENDPOINTS, "store")
     clock.advance(4.0)
     following._store = _LateStore(clock, waits_s)
-    following._call_started_s[networks.ENDPOINTS] = clock.seconds()
+    following.health.note_call(networks.ENDPOINTS)
     defer.ensureDeferred(following._watch(networks.ENDPOINTS))
     (row,) = applied
     since_s = following.cache.since_s(row)
--- a/tests/gateway/test_peer_sync.py
+++ b/tests/gateway/test_peer_sync.py
@@ -158,7 +158,7 @@
     network.run(3.0)
     node = _non_relay_node(network)
     for name in node.hub.peers:
-        network.nodes[name].follower.note_failure("away")
+        network.nodes[name].follower.health.note_failure("away")
     network.run(0.6)
     assert not node.peer_sync.has_relay_feed
 
@@ -338,7 +338,7 @@
 
 def _lose_store(nodes):
     for node in nodes:
-        node.follower.note_failure("no answer")
+        node.follower.health.note_failure("no answer")
 
 
 def test_a_store_that_no_node_reaches_is_in_outage(network):
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -33,7 +33,7 @@
         peer_registry.NodeEntry("n1", "h:1", "a", 1)
     )
     following = types.SimpleNamespace(
-        store_doubted=False,
+        health=types.SimpleNamespace(is_doubted=False),
         unreadable=2,
         cache=types.SimpleNamespace(versions=lambda: {"t": 7}),
     )
