Drop the time of leaving that nothing reads any more

Since usable_until_s is set where an endpoint leaves, Member.leaving_since_s was written and never read. Behaviour unchanged: what counted from it is computed in the same place.

--- a/packages/core/src/fireflypulley/core/gateway/fleet.py
+++ b/packages/core/src/fireflypulley/core/gateway/fleet.py
@@ -40,10 +40,10 @@
 class Member:
     """A known endpoint; ``leaving`` never becomes false again.
 
-    ``leaving_since_s`` is the earliest time at which it may have begun to
-    leave, or its entry may have been removed; until ``serves_until_s`` it
-    is guaranteed to serve.  Nothing may be sent to it from
-    ``usable_until_s`` on, whatever else is known.
+    Once it leaves or its entry is removed, it is guaranteed to serve until
+    ``serves_until_s``.  Nothing may be sent to it from ``usable_until_s``
+    on, whatever else is known.  Both count from the earliest time at which
+    it may have left.
     """
 
     registration: Registration
@@ -51,7 +51,6 @@
     leaving: bool = False
     removed_s: float | None = None
     may_have_lapsed: bool = False
-    leaving_since_s: float | None = None
     serves_until_s: float = math.inf
     usable_until_s: float = math.inf
 
@@ -128,7 +127,6 @@
 
     def _limit_use(self, member: Member, since_s: float) -> None:
         """Set how long an endpoint serves that leaves since then."""
-        member.leaving_since_s = since_s
         member.serves_until_s = since_s + self._drain_s
         member.usable_until_s = since_s + self._last_resort_s
 
