--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -168,6 +168,15 @@
     return listener
 
 
+def _end(system, server, end):
+    """End an endpoint's connection in order, or reset it."""
+    if end == "close":
+        server.transport.loseConnection()
+    else:
+        server.transport.abortConnection()
+    system.run(0.3)
+
+
 def _tunnel_count(system):
     return sum(node.tunnel_server.open_count for node in system.nodes)
 
@@ -242,11 +251,7 @@
     server = _server(system)
     server.transport.write(b"HTTP/1.1 200 OK\r\n\r\nall")
     system.run(0.1)
-    if end == "close":
-        server.transport.loseConnection()
-    else:
-        server.transport.abortConnection()
-    system.run(0.3)
+    _end(system, server, end)
     assert listener.body == b"all"
     assert listener.end == ("whole" if end == "close" else "cut")
 
@@ -261,11 +266,7 @@
     server = _server(system)
     server.transport.write(part)
     system.run(0.1)
-    if end == "close":
-        server.transport.loseConnection()
-    else:
-        server.transport.abortConnection()
-    system.run(0.3)
+    _end(system, server, end)
     assert (listener.status, listener.end) == (None, "cut")
 
 
