--- a/review/harness.py
+++ b/review/harness.py
@@ -476,6 +476,7 @@
     body: bytes,
     timeout_s: float,
     method: str = "POST",
+    on_head: typing.Callable[[int, dict[str, str]], None] | None = None,
 ) -> Answer:
     """Send a request on a new connection; return what came back."""
     status, headers, content = 0, {}, bytearray()
@@ -491,6 +492,8 @@
         async with asyncio.timeout(timeout_s):
             start, headers = await read_head(reader)
             status = int(start.split(" ")[1])
+            if on_head is not None:
+                on_head(status, headers)
             await _read_body(reader, headers, content)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return Answer(status, headers, bytes(content), False)
