--- a/review/harness.py
+++ b/review/harness.py
@@ -136,6 +136,7 @@
         self.paths: dict[tuple[str, str], str] = {}
         self.usage: list[Json] = []
         self.orders: list[Json] = []
+        self.on_order: typing.Callable[[Json], None] = lambda _: None
         self._changed = asyncio.Event()
 
     async def listen(self, node: str) -> str:
@@ -291,7 +292,11 @@
             "token": int(request.headers["fencing-token"]),
         } | json.loads(request.body)
         self._record.note(f"platform: {path} {json.dumps(call)}")
-        (self.usage if path == "/usage" else self.orders).append(call)
+        if path == "/usage":
+            self.usage.append(call)
+        else:
+            self.orders.append(call)
+            self.on_order(call)
         return 200, {}
 
 
