--- a/review/harness.py
+++ b/review/harness.py
@@ -285,7 +285,9 @@
         )
         return self._answer()
 
-    def _duty(self, node: str, path: str, request: Message) -> tuple[int, Json]:
+    def _duty(
+        self, node: str, path: str, request: Message
+    ) -> tuple[int, Json]:
         call = {
             "from": node,
             "holder": request.headers["duty-holder"],
