--- a/review/2/case.py
+++ b/review/2/case.py
@@ -128,6 +128,7 @@
         "Deadline-Ms": "12000",
         "Key": "key-court",
     }
+    system.record.note(f"client: sends {request_id} to {node.name}")
     answer = await harness.ask(
         node.callers_port, "/transcribe/1", fields, b"hearing", 13.0
     )
--- a/review/harness.py
+++ b/review/harness.py
@@ -605,6 +605,9 @@
         except TimeoutError:
             system.record.note("the script took too long")
             code = NOT_RUN
+        except Exception as problem:
+            system.record.note(f"the script failed: {problem!r}")
+            code = NOT_RUN
         finally:
             await system.stop()
         system.record.note(f"exit code {code}")
