Give each result its own share of the log's lines

Whatever the cause, lines of one kind shared 60 a second, so that with more requests a second at a node a failure could leave no line.

Change: each result or outcome of a kind has its own 60 lines a second, and what was dropped is counted by it. The volume stays bounded by the number of results. Ruled out: no limit for failures (a flood of refusals would fill the log).

--- a/packages/gateway/src/fireflypulley/gateway/decision_log.py
+++ b/packages/gateway/src/fireflypulley/gateway/decision_log.py
@@ -1,7 +1,8 @@
 """Structured, non-blocking logging to standard output.
 
 Lines are dropped and counted while the reader of the log is too slow.
-Each kind of line is rate-limited, so that load can't flood the log.
+Each kind of line is rate-limited, so that load can't flood the log, and
+each result by itself, so that no failure gives way to successes.
 """
 
 import collections
@@ -13,10 +14,21 @@
 from twisted.internet import interfaces
 
 MAX_LINES_PER_S_BY_KIND = 60
+"""Of each result, if lines of the kind tell one."""
+RESULT_FIELDS = ("result", "outcome")
 MAX_UNWRITTEN_BYTES = 1 << 18
 _Message = dict[str, typing.Any]
 
 
+def _share(message: _Message) -> str:
+    """Return the kind of a message, with its result if it tells one."""
+    kind = str(message.get("message_type", "other"))
+    for field in RESULT_FIELDS:
+        if field in message:
+            return f"{kind}/{message[field]}"
+    return kind
+
+
 class DecisionLog:
     """An eliot destination that writes to a file descriptor."""
 
@@ -33,18 +45,18 @@
 
     def __call__(self, message: _Message) -> None:
         """Write a message of eliot, or count it as dropped."""
-        kind = str(message.get("message_type", "other"))
+        share = _share(message)
         second = int(self._reactor.seconds())
         if second != self._second:
             self._second = second
             self._counts.clear()
             self._report_dropped()
-        self._counts[kind] += 1
-        if self._counts[kind] > MAX_LINES_PER_S_BY_KIND:
-            self._dropped[kind] += 1
+        self._counts[share] += 1
+        if self._counts[share] > MAX_LINES_PER_S_BY_KIND:
+            self._dropped[share] += 1
             return
         if not self._write_line(message):
-            self._dropped[kind] += 1
+            self._dropped[share] += 1
 
     def _report_dropped(self) -> None:
         if not self._dropped:
--- a/tests/gateway/test_decision_log.py
+++ b/tests/gateway/test_decision_log.py
@@ -92,3 +92,21 @@
     log = decision_log.DecisionLog(task.Clock(), writing)
     log(_line())
     os.close(writing)
+
+
+# Guards against a failed request that leaves no line, as the lines of
+# successes have used up the second.
+@pytest.mark.parametrize("field", ["result", "outcome"])
+def test_a_flood_of_successes_does_not_hide_a_failure(pipe, field):
+    reading, writing = pipe
+    clock = task.Clock()
+    log = decision_log.DecisionLog(clock, writing)
+    for _ in range(500):
+        log(_line(**{field: "answered"}))
+    log(_line(**{field: "cut"}, id="q1"))
+    assert _lines(reading)[-1]["id"] == "q1"
+    clock.advance(1.0)
+    log(_line("node"))
+    report, _ = _lines(reading)
+    dropped = 500 - decision_log.MAX_LINES_PER_S_BY_KIND
+    assert report["lines"] == {"request/answered": dropped}
