--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -4,7 +4,8 @@
 with another attempt's id or left without a length.  ``POST /faults`` sets
 ``mode`` and ``times``; ``POST /limit`` sets the ``value`` that answers
 name as their limit, null for none; ``POST /fields`` sets further fields
-that all answers bear; ``POST /deadly`` sets the prompt
+that all answers bear; ``POST /silence`` lets all streams stand still for
+``for_s`` and then go on; ``POST /deadly`` sets the prompt
 ``part`` on which the replica crashes when it begins to answer.  ``GET
 /runs`` lists the requests that were run, and ``GET /arrivals`` the times at
 which requests arrived, on the monotonic clock that all processes of a
@@ -73,6 +74,7 @@
         self.arrivals_s: list[float] = []
         self.limit: str | None = None
         self.extra_fields: _Fields = {}
+        self.silent_until_s = 0.0
         self.deadly_part = ""
         self.crashes_s: list[float] = []
         self.state = "ready"
@@ -204,6 +206,10 @@
         elif target == "/fields":
             self._replica.extra_fields = json.loads(self._body)
             self._write(200, {}, b"{}")
+        elif target == "/silence":
+            for_s = float(json.loads(self._body)["for_s"])
+            self._replica.silent_until_s = time.monotonic() + for_s
+            self._write(200, {}, b"{}")
         elif target == "/deadly":
             self._replica.deadly_part = json.loads(self._body)["part"]
             self._write(200, {}, b"{}")
@@ -332,6 +338,8 @@
         event_ids = iter(range(last_event_id + 1, total + 1))
 
         def send_next_event() -> None:
+            if time.monotonic() < self._replica.silent_until_s:
+                return
             event_id = next(event_ids, None)
             if event_id is None:
                 self._stop_stream()
