Let a silent stand-in hold back heads too

Cause of the weak reproduction: a silent stand-in went on to write the heads of new streams, which the nodes count as activity.

--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -4,7 +4,7 @@
 with another attempt's id or left without a length.  ``POST /faults`` sets
 ``mode`` and ``times``; ``POST /limit`` sets the ``value`` that answers
 name as their limit, null for none; ``POST /fields`` sets further fields
-that all answers bear; ``POST /silence`` lets all streams stand still for
+that all answers bear; ``POST /silence`` lets all answers stand still for
 ``for_s`` and then go on; ``POST /deadly`` sets the prompt
 ``part`` on which the replica crashes when it begins to answer.  ``GET
 /runs`` lists the requests that were run, and ``GET /arrivals`` the times at
@@ -252,8 +252,13 @@
             respond = self._respond
             if target.startswith(STREAM_PREFIXES):
                 respond = self._start_stream
+            delay_s = self._replica.silent_until_s - time.monotonic()
             reactor.callLater(
-                PROCESSING_TIME_S, respond, fault, identity_fields, fields
+                max(PROCESSING_TIME_S, delay_s),
+                respond,
+                fault,
+                identity_fields,
+                fields,
             )
 
     def _holds_deadly_part(self, fields: _Fields) -> bool:
