Keep a late attempt until another endpoint has begun to answer

Cause: a decision in the wrong order. The node closed the connection of a silent attempt and only then asked whether another may follow. Each "no" after that lost the answer: an empty retry budget (twenty streams at one endpoint spend a window at once), no sound endpoint (all were silent, so streams were moved from one silent endpoint to the next until the route's attempts were used up), a quarantine, events without ids, no connection, the node's stop. The same order stood in four paths: silence, the late head of a plain answer, a failure status (the endpoint's own failure was replaced by 502), and a broken stream at a stopping node, which reserved the time of a whole answer for one that lacked its last events.

Ruled out: the endpoints (they sent all events after the silence), the stop's end (the cuts fall 0.6 to 1.4 s after the last event, at nodes that were not stopped as well).

Change: a late attempt, or one that failed, is kept beside the next one. The first that goes on serves, the other is closed in that turn.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -212,6 +212,14 @@
         self._retries[service].append(now_s)
         return True
 
+    def refund(self, service: str) -> None:
+        """Take back the last retry that was counted."""
+        self._retries[service].pop()
+
+    def spent(self, service: str, now_s: float) -> int:
+        """Return how many retries were sent within the window."""
+        return self._trim(self._retries[service], now_s)
+
 
 class NodeShareLimiter:
     """Limits requests to an endpoint to the node's part of a rate.
--- a/packages/core/src/fireflypulley/core/gateway/retry_policy.py
+++ b/packages/core/src/fireflypulley/core/gateway/retry_policy.py
@@ -54,6 +54,13 @@
         self.retried[outcome] += 1
         return None
 
+    def refund(
+        self, request: calls.AdmittedRequest, outcome: calls.Outcome
+    ) -> None:
+        """Take back a retry that was allowed and is not made."""
+        self.retried[outcome] -= 1
+        self._budget.refund(request.service.name)
+
     def _fits_budget(
         self,
         request: calls.AdmittedRequest,
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -256,6 +256,29 @@
             self._return_after_s(request, members, now_s),
         )
 
+    def choose_beside(
+        self,
+        request: calls.AdmittedRequest,
+        avoid: frozenset[tuple[str, int]],
+        now_s: float,
+        withheld: int,
+    ) -> runs.Run | runs.Refusal:
+        """Begin an attempt beside one that is late.
+
+        Only an endpoint that is taken for sound is worth it.
+        """
+        members = [
+            member
+            for member in self.endpoint_filter.in_use(request, now_s)
+            if member.registration.key not in avoid
+            and not self.loads.of(member).is_suspected(now_s)
+        ]
+        chosen = self._choose_from(request, members, withheld, now_s)
+        if chosen is None:
+            full = calls.RefusalReason.ENDPOINTS_FULL
+            return runs.Refusal(full, None, "no other sound endpoint")
+        return self._begin(request, *chosen, now_s)
+
     def _return_after_s(
         self,
         request: calls.AdmittedRequest,
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -41,10 +41,11 @@
         run: runs.Run,
         outcome: calls.Outcome,
         detail: str,
+        follows: str,
         refusal: runs.Refusal | None,
         now_s: float,
     ) -> None:
-        """Log an attempt that failed."""
+        """Log an attempt that failed or is late, and what follows."""
         decision_log.note(
             "attempt",
             id=self.request_id,
@@ -52,7 +53,7 @@
             outcome=outcome.value,
             detail=detail,
             after_ms=_ms(now_s - run.began_s),
-            next="stop" if refusal else "again",
+            next=follows,
             **_obstacle_fields(refusal),
             **self._through(),
             **_limit_fields(run),
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -25,8 +25,41 @@
     """Raised for bytes that can't continue the stream."""
 
 
+class Part:
+    """What has arrived of one attempt's answer and was not sent yet."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: header_codec.Headers = []
+        self.held: list[bytes] = []
+        self.held_bytes = 0
+        self.splitter = events.EventSplitter()
+        self.has_events = False
+
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the answer has a length or is chunked."""
+        names = {name for name, _ in self.headers}
+        return not names.isdisjoint(FRAMING_FIELDS)
+
+    def hold(self, data: bytes) -> None:
+        """Keep bytes until they are sent."""
+        self.held.append(data)
+        self.held_bytes += len(data)
+
+    def take_held(self) -> bytes:
+        """Return what is held, which is to be sent now."""
+        held, self.held = self.held, []
+        self.held_bytes = 0
+        return b"".join(held)
+
+
 class ResponseRelay:
-    """The response to one request, from one endpoint or several."""
+    """The response to one request, from one endpoint or several.
+
+    Several attempts may be under way; the caller gets what arrives of the
+    one whose ``part`` is in use.
+    """
 
     def __init__(
         self, codec: header_codec.HeaderCodec, sink: inbound.CallerSink
@@ -34,18 +67,21 @@
         self._header_codec = codec
         self._sink: inbound.CallerSink | None = sink
         self._headers: header_codec.Headers = []
+        self._sent_status = 0
         self._content_type = b""
-        self._held: list[bytes] = []
-        self._held_bytes = 0
-        self._splitter = events.EventSplitter()
-        self._has_events = False
-        self._is_framed = False
         self._has_unnumbered = False
         self._comments = 0
+        self._part = Part()
         self.is_stream = False
-        self.status = 0
         self.head_sent = False
         self.last_event_id: int | None = None
+        self.event_count = 0
+        """The events, without comments, that the caller was sent."""
+
+    @property
+    def status(self) -> int:
+        """Return the status of the response, 0 before its head."""
+        return self._sent_status if self.head_sent else self._part.status
 
     @property
     def is_finished(self) -> bool:
@@ -61,20 +97,21 @@
         """
         if not self.head_sent:
             return True
-        return self._is_event_stream and not self._has_unnumbered
+        is_event_stream = self.is_stream and self._sent_status < 300
+        return is_event_stream and not self._has_unnumbered
 
-    @property
-    def _is_event_stream(self) -> bool:
-        return self.is_stream and self.status < 300
-
-    def start_attempt(self) -> None:
-        """Discard data of the last attempt that has not been sent."""
-        self._held = []
-        self._held_bytes = 0
-        self._splitter = events.EventSplitter()
-        self._has_events = False
-        if not self.head_sent:
-            self.status = 0
+    def is_event_stream(self, part: Part) -> bool:
+        """Return whether an attempt's answer consists of events."""
+        return self.is_stream and part.status < 300
+
+    def start_attempt(self) -> Part:
+        """Use a new part; return it."""
+        self._part = Part()
+        return self._part
+
+    def use(self, part: Part) -> None:
+        """Let the caller get what arrives of another attempt."""
+        self._part = part
 
     def find_head_problem(
         self,
@@ -89,7 +126,7 @@
             return "answer without a seal"
         if response.encoded:
             return "encoded body"
-        if self.head_sent and status != self.status:
+        if self.head_sent and status != self._sent_status:
             return f"status {status} when resuming"
         return ""
 
@@ -99,33 +136,31 @@
             return f"{_content_type(headers)!r} when resuming"
         return ""
 
-    def set_head(self, status: int, headers: header_codec.Headers) -> None:
-        """Set the head; once sent, its header fields don't change."""
-        self.status = status
-        names = {name for name, _ in headers}
-        self._is_framed = not names.isdisjoint(FRAMING_FIELDS)
-        if not self.head_sent:
-            self._headers = list(headers)
-            self._content_type = _content_type(headers)
+    def set_head(
+        self, part: Part, status: int, headers: header_codec.Headers
+    ) -> None:
+        """Set the head of an attempt's answer."""
+        part.status = status
+        part.headers = list(headers)
 
     def receive_data(self, data: bytes) -> bool:
         """Process body bytes; return whether they complete an event.
 
         Raise ``InvalidStream`` if the stream can't continue.
         """
-        if self._is_event_stream:
+        if self.is_event_stream(self._part):
             return self._receive_events(data)
-        self._held.append(data)
-        self._held_bytes += len(data)
-        if self.head_sent or self._held_bytes > MAX_HELD_BYTES:
+        self._part.hold(data)
+        if self.head_sent or self._part.held_bytes > MAX_HELD_BYTES:
             self._flush()
         return False
 
     def _receive_events(self, data: bytes) -> bool:
-        complete = self._splitter.feed(data)
-        if self._splitter.remainder_bytes > events.MAX_EVENT_BYTES:
+        splitter = self._part.splitter
+        complete = splitter.feed(data)
+        if splitter.remainder_bytes > events.MAX_EVENT_BYTES:
             raise InvalidStream("an event without end")
-        if self._splitter.pieces > events.MAX_EVENT_PIECES:
+        if splitter.pieces > events.MAX_EVENT_PIECES:
             raise InvalidStream("an event in too many pieces")
         try:
             for event in complete:
@@ -133,25 +168,25 @@
         except InvalidStream:
             # A resumed stream goes on after the last event that counts,
             # so the caller must get all up to it.
-            if self._held:
+            if self._part.held:
                 self._flush()
             raise
         if complete:
-            self._has_events = True
+            self._part.has_events = True
             self._flush()
         return bool(complete)
 
-    def find_end_problem(self) -> str:
-        """Return why a response that has ended was broken off, or "".
+    def find_end_problem(self, part: Part) -> str:
+        """Return why an answer that has ended was broken off, or "".
 
         A stream that only the end of its connection delimits may have
         been broken off before its first event.
         """
-        if not self._is_event_stream:
+        if not self.is_event_stream(part):
             return ""
-        if self._splitter.remainder.strip():
+        if part.splitter.remainder.strip():
             return "ended inside an event"
-        if not (self._has_events or self._is_framed):
+        if not (part.has_events or part.is_framed):
             return "ended before an event"
         return ""
 
@@ -168,20 +203,22 @@
             raise InvalidStream(f"event without an id after {last_id}")
         elif not event.is_comment:
             self._has_unnumbered = True
-        self._held.append(event.data)
+        self.event_count += not event.is_comment
+        self._part.hold(event.data)
 
     def _flush(self) -> None:
         if self._sink is None:
             return
         self._send_head(self._sink)
-        held, self._held = self._held, []
-        self._sink.data(b"".join(held))
+        self._sink.data(self._part.take_held())
 
     def _send_head(self, sink: inbound.CallerSink) -> None:
         if self.head_sent:
             return
+        status = self._sent_status = self._part.status
+        self._headers = self._part.headers
+        self._content_type = _content_type(self._headers)
         self.head_sent = True
-        status = self.status
         status_unchanged = status not in NOT_EXECUTED_STATUSES
         if not status_unchanged:
             # The endpoint did not state that the request was not executed,
@@ -200,8 +237,8 @@
 
     def finish(self) -> None:
         """Send what is held, and end the response."""
-        if self._splitter.remainder_bytes:
-            self._held.append(self._splitter.remainder)
+        if self._part.splitter.remainder_bytes:
+            self._part.hold(self._part.splitter.remainder)
         self._flush()
         sink = self.detach()
         if sink is not None:
--- a/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
+++ b/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
@@ -40,6 +40,11 @@
             timeout_s = max(MIN_PLAIN_TIMEOUT_S, target_s)
         self._timer = reactor.callLater(timeout_s, self._check)
 
+    def restart(self) -> None:
+        """Check again, after the attempt was found late."""
+        self.stop()
+        self._timer = self._reactor.callLater(CHECK_INTERVAL_S, self._check)
+
     def stop(self) -> None:
         """Cancel the watchdog."""
         if self._timer.active():
@@ -54,6 +59,4 @@
         elif self._run.load.is_unresponsive(self._reactor.seconds()):
             self._on_timeout(calls.Outcome.SILENT)
         else:
-            self._timer = self._reactor.callLater(
-                CHECK_INTERVAL_S, self._check
-            )
+            self.restart()
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -21,6 +21,7 @@
 from fireflypulley.gateway import connector
 from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
+from fireflypulley.gateway import dependencies
 from fireflypulley.gateway import duties
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import follower
@@ -139,7 +140,7 @@
             self._issuing_term() is not None
         )
         self._peer_sync: peer_sync.PeerSync | None = None
-        self._exchange_dependencies = exchange.Dependencies(
+        self._exchange_dependencies = dependencies.Dependencies(
             reactor,
             self._scheduler,
             adapters.header_codec,
@@ -411,7 +412,7 @@
         if self._peer_sync is not None:
             self._peer_sync.publish([fact])
 
-    def _request_done(self, handler: exchange.Exchange) -> None:
+    def _request_done(self, handler: inbound.RequestHandler) -> None:
         self._open_requests.discard(handler)
 
     # Shutdown
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -96,11 +96,11 @@
         world.scheduler.fleet.get(first.endpoint_id)
     ).note_activity(0.0)
     world.clock.advance(response_watchdog.STREAM_TIMEOUT_S + 0.01)
-    assert first.aborted
     second = world.sent[-1]
     assert second.endpoint_id != first.endpoint_id
     second.listener.response_head(200, list(exchanges.SEALED))
     second.listener.response_data(_event(2))
+    assert first.aborted
     second.listener.response_end()
     assert world.sink.body == _event(1) + _event(2)
     assert world.sink.state == "whole"
