Give back a retry that is not sent

Cause: the retry budget was spent when another attempt was allowed, also if then no endpoint had room or took a connection. Now that a late attempt is kept, it asks again, and each time spent one more for nothing, which later callers lacked.

Change: the chooser of a request remembers the retry that was allowed until it is sent, and gives it back if it is not, with the time at which it was counted, so that no window counts fewer than were sent.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -212,9 +212,10 @@
         self._retries[service].append(now_s)
         return True
 
-    def refund(self, service: str) -> None:
-        """Take back the last retry that was counted."""
-        self._retries[service].pop()
+    def refund(self, service: str, spent_s: float) -> None:
+        """Take back a retry that was counted at ``spent_s``."""
+        if spent_s in self._retries[service]:
+            self._retries[service].remove(spent_s)
 
     def spent(self, service: str, now_s: float) -> int:
         """Return how many retries were sent within the window."""
--- a/packages/core/src/fireflypulley/core/gateway/retry_policy.py
+++ b/packages/core/src/fireflypulley/core/gateway/retry_policy.py
@@ -10,6 +10,9 @@
 EXTRA_ARRIVALS = 2
 """Attempts allowed beyond the route's maximum if endpoints refuse to run."""
 RETRY_AFTER_S = 0.3
+FREE = frozenset({calls.Outcome.UNREACHED, calls.Outcome.WITHHELD})
+"""Outcomes of attempts that no byte was sent of, so that the next one is no
+retry."""
 
 
 class RetryPolicy:
@@ -54,12 +57,10 @@
         self.retried[outcome] += 1
         return None
 
-    def refund(
-        self, request: calls.AdmittedRequest, outcome: calls.Outcome
-    ) -> None:
+    def refund(self, grant: runs.Grant) -> None:
         """Take back a retry that was allowed and is not made."""
-        self.retried[outcome] -= 1
-        self._budget.refund(request.service.name)
+        self.retried[grant.outcome] -= 1
+        self._budget.refund(grant.service, grant.granted_s)
 
     def _fits_budget(
         self,
@@ -68,11 +69,8 @@
         nodes: int,
         now_s: float,
     ) -> bool:
-        """Return whether the budget allows the retry.
-
-        If no byte was sent, the next attempt does not count as a retry.
-        """
-        if outcome is calls.Outcome.UNREACHED:
+        """Return whether the budget allows the retry."""
+        if outcome in FREE:
             return True
         return self._budget.spend(request.service.name, nodes, now_s)
 
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -28,6 +28,15 @@
     BUDGET = "retry budget used up"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A retry that was allowed after an attempt ended or was late."""
+
+    service: str
+    outcome: calls.Outcome
+    granted_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """The situation when an endpoint was chosen, for the log.
--- a/packages/gateway/src/fireflypulley/gateway/attempt_chooser.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt_chooser.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import retry_policy
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import attempt
 from fireflypulley.gateway import dependencies
@@ -28,6 +29,8 @@
         self._relay = response_relay
         self._record = request_record
         self.excluded: frozenset[tuple[str, int]] = frozenset()
+        self._unused: runs.Grant | None = None
+        """A retry that was allowed and has not been sent."""
 
     def _now_s(self) -> float:
         return self._dependencies.reactor.seconds()
@@ -81,9 +84,19 @@
             self._record.attempt_counts.withheld,
         )
         if isinstance(run, runs.Refusal):
-            node_scheduler.retry_policy.refund(request, outcome)
+            self.give_back()
         return run
 
+    def note_sent(self) -> None:
+        """Record that a retry that was allowed has been sent."""
+        self._unused = None
+
+    def give_back(self) -> None:
+        """Return a retry that was allowed and is not made."""
+        unused, self._unused = self._unused, None
+        if unused is not None:
+            self._dependencies.scheduler.retry_policy.refund(unused)
+
     def counts_with(self, sent: attempt.Attempt) -> runs.AttemptCounts:
         """Return the counts that include an attempt that goes on."""
         counts = self._record.attempt_counts
@@ -104,10 +117,11 @@
             unknown = calls.RefusalReason.OUTCOME_UNKNOWN
             part = runs.RetryObstacle.PART
             return runs.Refusal(unknown, None, part.value)
-        return self._dependencies.scheduler.may_retry(
-            ended.run.request,
-            outcome,
-            counts,
-            self._now_s(),
-            ended.run.has_begun,
+        now_s = self._now_s()
+        refusal = self._dependencies.scheduler.may_retry(
+            ended.run.request, outcome, counts, now_s, ended.run.has_begun
         )
+        if refusal is None and outcome not in retry_policy.FREE:
+            service = ended.run.request.service.name
+            self._unused = runs.Grant(service, outcome, now_s)
+        return refusal
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -92,6 +92,7 @@
         self.current.begin()
 
     def attempt_sent(self, sent: attempt.Attempt) -> None:
+        self._chooser.note_sent()
         self._record.attempt_counts.arrivals += 1
         if sent.connection is not None:
             self._record.through = sent.connection.peer
@@ -375,6 +376,7 @@
         kept = self.kept
         if kept is not None and not kept.has_failed:
             self._log_failed(ended, outcome, detail, None)
+            self._chooser.give_back()
             self._return_to_kept()
             return
         refusal = self._chooser.find_refusal(
@@ -402,6 +404,7 @@
 
     def _give_up(self, refusal: runs.Refusal) -> None:
         """Let an attempt that was kept serve, else give the request up."""
+        self._chooser.give_back()
         if self.kept is not None:
             self._return_to_kept()
         else:
@@ -425,6 +428,7 @@
 
     def leave(self) -> None:
         """Stop all work, as the caller has left."""
+        self._chooser.give_back()
         for sent in self._under_way:
             sent.abort()
             self._dependencies.scheduler.note_abandoned(sent.run)
--- a/tests/gateway/test_kept_attempts.py
+++ b/tests/gateway/test_kept_attempts.py
@@ -110,7 +110,13 @@
 
 # Guards against a retry that is spent although nothing can be sent.
 @pytest.mark.parametrize(
-    "obstacle", ["no other endpoint", "others are silent", "others are full"]
+    "obstacle",
+    [
+        "no other endpoint",
+        "others are silent",
+        "others are full",
+        "others take no connection",
+    ],
 )
 def test_a_silence_spends_no_retry_where_no_other_may_follow(obstacle):
     world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
@@ -118,6 +124,16 @@
     OBSTACLES[obstacle](world, first)
     world.clock.advance(SILENCE_S)
     assert world.scheduler.retry_budget.spent("s", SILENCE_S) == 0
+    assert not +world.scheduler.retry_policy.retried
+
+
+@pytest.mark.parametrize("obstacle", ["others are full"])
+def test_a_failure_spends_no_retry_where_no_other_may_follow(obstacle):
+    world = exchanges.World(max_attempts=2)
+    first = world.begin()
+    OBSTACLES[obstacle](world, first)
+    exchanges.answer(first, 500, b"oh")
+    assert world.scheduler.retry_budget.spent("s", 0.0) == 0
 
 
 def _fall_silent(**fields):
