Count no run for a late attempt that its endpoint refuses

Callers could be told 502 (may have run) instead of 503, and get no further attempt: a late attempt counts as a run while it is kept, and went on to count when its endpoint said later that it had not run it.

Change: the accounts of a request's attempts move out of attempts.py into a class of their own (AttemptAccounts), which takes that count back.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -8,9 +8,9 @@
 import abc
 
 from fireflypulley.core.gateway import calls
-from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import attempt
+from fireflypulley.gateway import attempt_accounts
 from fireflypulley.gateway import attempt_chooser
 from fireflypulley.gateway import dependencies
 from fireflypulley.gateway import header_codec
@@ -57,11 +57,13 @@
         self.current: attempt.Attempt | None = None
         self.kept: attempt.Attempt | None = None
         """An attempt that may still serve the caller beside the current."""
+        self._accounts = attempt_accounts.AttemptAccounts(
+            shared, request_record
+        )
         self._chooser = attempt_chooser.AttemptChooser(
             shared, response_relay, request_record
         )
         self._is_paused = False
-        self._is_usage_counted = False
 
     def _now_s(self) -> float:
         return self._dependencies.reactor.seconds()
@@ -141,8 +143,7 @@
 
     def _keep(self, sent: attempt.Attempt) -> None:
         """Keep an attempt while another one is made."""
-        self._record.attempt_counts = self._chooser.counts_with(sent)
-        sent.is_counted = True
+        self._accounts.keep(sent)
         self._chooser.excluded |= {sent.key}
         self.kept, self.current = sent, None
 
@@ -152,25 +153,10 @@
         self.current, self.kept = chosen, None
         self._relay.use(chosen.part)
         if other is not None:
-            self._drop(other, is_late=other.is_counted)
+            other.abort()
+            self._accounts.drop(other)
             chosen.watch_again()
 
-    def _drop(self, other: attempt.Attempt, is_late: bool) -> None:
-        """End an attempt that is not needed any more."""
-        other.abort()
-        if is_late:
-            self._end_run(other, self._late_outcome(other))
-            return
-        if other.was_sent:
-            self._record.attempt_counts = self._chooser.counts_with(other)
-            other.is_counted = True
-        self._dependencies.scheduler.note_abandoned(other.run)
-
-    def _late_outcome(self, late: attempt.Attempt) -> calls.Outcome:
-        if late.run.load.is_unresponsive(self._now_s()):
-            return calls.Outcome.SILENT
-        return calls.Outcome.SLOW
-
     def _return_to_kept(self) -> None:
         """Go on with the attempt that was kept, as no other one serves."""
         kept, self.kept = self.kept, None
@@ -213,7 +199,7 @@
             self._end_attempt(sent, calls.Outcome.GARBAGE, problem)
             return
         if not self._relay.is_stream:
-            self._count_usage()
+            self._accounts.count_usage()
         self._relay.set_head(sent.part, status, headers)
         if status >= MIN_FAILURE_STATUS and self._keep_failure(sent):
             return
@@ -236,17 +222,6 @@
         connection = sent.connection
         return connection is not None and connection.is_first_request
 
-    def _count_usage(self) -> None:
-        request = self._record.request
-        if (
-            request is None
-            or request.workspace is None
-            or self._is_usage_counted
-        ):
-            return
-        self._is_usage_counted = True
-        self._dependencies.count_usage(request.workspace.name)
-
     def _keep_failure(self, failed: attempt.Attempt) -> bool:
         """Try another endpoint after a failure, if allowed.
 
@@ -270,7 +245,7 @@
         if other is not None:
             other.abort()
         failed.has_failed = True
-        self._end_run(failed, outcome)
+        self._accounts.end(failed, outcome)
         self._keep(failed)
         self.start()
         return True
@@ -288,8 +263,11 @@
             sent.abort()
             self._end_attempt(sent, calls.Outcome.GARBAGE, str(problem))
             return
-        if has_event:
-            self._note_events(sent, is_begun=self._relay.event_count > count)
+        if not has_event:
+            return
+        if self.kept is not None and self._relay.event_count > count:
+            self._prefer(sent)
+        self._accounts.note_event(sent, self._relay.last_event_id)
 
     def _hold_failure(self, failed: attempt.Attempt, data: bytes) -> None:
         """Keep a part of a failure, which is no use if it is too large."""
@@ -298,17 +276,6 @@
             failed.abort()
             self.kept = None
 
-    def _note_events(self, sent: attempt.Attempt, is_begun: bool) -> None:
-        if is_begun and self.kept is not None:
-            self._prefer(sent)
-        self._count_usage()
-        run = sent.run
-        self._dependencies.scheduler.note_event(
-            run, self._relay.last_event_id, self._now_s()
-        )
-        if run.events == prompt_crashes.PROVEN_EVENTS:
-            self._dependencies.crash_detector.note_answered(run)
-
     def attempt_end(self, sent: attempt.Attempt) -> None:
         if self._relay.is_finished:
             return
@@ -321,7 +288,7 @@
             return
         self._prefer(sent)
         is_failure = self._relay.status >= MIN_FAILURE_STATUS
-        self._end_run(
+        self._accounts.end(
             sent,
             calls.Outcome.FAILED if is_failure else calls.Outcome.COMPLETE,
         )
@@ -334,28 +301,6 @@
 
     # Ends of attempts
 
-    def _end_run(self, ended: attempt.Attempt, outcome: calls.Outcome) -> None:
-        ended.stop_watching()
-        if ended.run.is_over:
-            return
-        counts = self._record.attempt_counts
-        if outcome is calls.Outcome.WITHHELD:
-            counts.withheld += 1
-        elif not ended.is_counted:
-            counts.choices += 1
-        may_have_run = ended.was_sent and not outcome.certainly_not_run
-        if may_have_run and not ended.is_counted:
-            counts.runs += 1
-        ended.is_counted = True
-        self._dependencies.scheduler.note_ended(
-            ended.run, outcome, self._now_s()
-        )
-        if outcome is calls.Outcome.COMPLETE:
-            self._dependencies.metrics.observe_attempt(
-                ended.run, self._now_s()
-            )
-            self._dependencies.crash_detector.note_answered(ended.run)
-
     def _end_attempt(
         self, ended: attempt.Attempt, outcome: calls.Outcome, detail: str
     ) -> None:
@@ -364,10 +309,7 @@
         if self._relay.is_finished or not is_known:
             return
         self._chooser.excluded |= {ended.key}
-        self._end_run(ended, outcome)
-        if outcome is calls.Outcome.CUT and ended.was_sent:
-            self._count_usage()
-            self._dependencies.crash_detector.note_cut(ended.run)
+        self._accounts.end(ended, outcome)
         if ended is self.kept:
             self.kept = None
             self._log_failed(ended, outcome, detail, None)
@@ -419,7 +361,7 @@
                 continue
             sent.abort()
             if sent.was_sent:
-                self._end_run(sent, self._late_outcome(sent))
+                self._accounts.end_late(sent)
             else:
                 self._dependencies.scheduler.note_abandoned(sent.run)
         if self.kept is not None and not self.kept.is_complete:
--- a/tests/gateway/test_kept_attempts.py
+++ b/tests/gateway/test_kept_attempts.py
@@ -218,6 +218,18 @@
     assert world.finished()
 
 
+# Guards against a caller who is told that its request may have run, and
+# gets no further attempt, as an endpoint's late refusal counted as a run.
+def test_a_late_refusal_is_no_run():
+    world, first, second = _be_late()
+    first.listener.response_failed(calls.Outcome.NOT_RUN, "test")
+    second.listener.response_failed(calls.Outcome.NOT_RUN, "test")
+    while world.sink.status is None:
+        world.sent[-1].listener.response_failed(calls.Outcome.NOT_RUN, "t")
+    assert world.sink.status == 503
+    assert world.finished()
+
+
 def test_a_caller_that_leaves_stops_both_attempts():
     world, first, second = _fall_silent()
     world.exchange.caller_left()
