Tell callers that are gone from those that read slowly

Cause: TCP_USER_TIMEOUT (2.5 s) counts the time for which the caller's window is closed, although the caller acknowledges each probe. On Linux 6.18, arm64, a bare pair of sockets shows it: with the option a caller that reads nothing is cut with ETIMEDOUT between 2.5 and 3.0 s, without it the connection stands after 7.5 s, and TCP_INFO shows each probe acknowledged. With a buffer of 16 KiB the window seldom takes a whole segment, so that the same clock runs on though the caller reads.

Ruled out: our idle timer (it is not armed while an answer is under way), the back-pressure of the transport (the kernel takes most of these answers whole).

Change: callers have no user timeout. A watch looks at TCP_INFO while bytes are on their way. A caller is dead if nothing came back for 2.5 s and two packets had no answer (one may stay without: kernels limit how often they acknowledge what is outside the window); it is too slow if its machine took nothing for 30 s. Each end has a typed reason, is counted, and dead and too slow ones are logged. Keep-alive probes (2, was by the timeout) find dead callers that nothing is sent to, after 3 s. Without TCP_INFO there is no error: a pause of the transport that lasts is too slow, and nothing else. A dead caller whose window was closed is found by the next probes, whose intervals grow with the pause, at the latest when it is too slow. The idle timer no longer ends an answer that is still being read.

--- a/packages/gateway/src/fireflypulley/gateway/inbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/inbound.py
@@ -10,8 +10,10 @@
 from twisted.python import failure
 from zope import interface
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
+from fireflypulley.gateway import caller_watch
 from fireflypulley.gateway import header_codec
 from fireflypulley.transport import sockets
 
@@ -140,10 +142,14 @@
     """One connection from a caller."""
 
     def __init__(
-        self, reactor: interfaces.IReactorTime, receiver: RequestReceiver
+        self,
+        reactor: interfaces.IReactorTime,
+        receiver: RequestReceiver,
+        bounds: caller_ends.CallerBounds = caller_ends.CallerBounds(),
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
+        self._bounds = bounds
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEADERS_BYTES
         )
@@ -157,12 +163,18 @@
         self._must_close = False
         self._read_ahead_bytes = 0
         self._timer: interfaces.IDelayedCall | None = None
+        self._watch: caller_watch.CallerWatch
+        self.end_reason: caller_ends.CallerEnd | None = None
+        """Why the connection is closed, None while it is not."""
 
     # Connection
 
     def connectionMade(self) -> None:
         self._is_open = True
-        sockets.set_tcp_options(self.transport)
+        sockets.set_caller_options(self.transport)
+        self._watch = caller_watch.CallerWatch(
+            self._reactor, self.transport, self._bounds, self._abort
+        )
         self.transport.registerProducer(self, True)
         self._receiver.connection_opened(self)
         self._start_timer(self._receiver.limits.header_timeout_s)
@@ -179,15 +191,35 @@
     def _timed_out(self) -> None:
         """Close the connection of a caller that is idle or sends slowly."""
         self._timer = None
-        if self._handler is None:
-            self._close()
+        if self._handler is not None:
+            return
+        if self._reading_since_s is None and self._watch.unread_bytes:
+            # The watch judges callers that have not read the answer yet.
+            self._start_timer(self._receiver.limits.idle_timeout_s)
+            return
+        self._close(caller_ends.CallerEnd.IDLE)
 
-    def _close(self) -> None:
+    def _close(self, reason: caller_ends.CallerEnd) -> None:
         """Close once all data has been written."""
-        self._is_open = False
+        self._end_as(reason)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def _abort(self, reason: caller_ends.CallerEnd) -> None:
+        """Close at once; what is not sent is lost."""
+        self._end_as(reason)
+        self.transport.abortConnection()
+
+    def _end_as(self, reason: caller_ends.CallerEnd) -> None:
+        self._is_open = False
+        if self.end_reason is None or reason in caller_ends.FAILED_CALLERS:
+            self.end_reason = reason
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return the bytes that the caller had not taken, 0 if unknown."""
+        return self._watch.unread_bytes
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
@@ -196,23 +228,26 @@
     def close_idle(self) -> None:
         """Close the connection if it is idle."""
         if self.is_idle and self._is_open:
-            self._close()
+            self._close(caller_ends.CallerEnd.STOPPING)
 
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        self._is_open = False
+        self._end_as(self.end_reason or caller_ends.CallerEnd.LEFT)
         self._stop_timer()
+        self._watch.stop()
         handler, self._handler = self._handler, None
         if handler is not None:
             handler.caller_left()
         self._receiver.connection_closed(self)
 
     def pauseProducing(self) -> None:
+        self._watch.note_paused(True)
         if self._handler is not None:
             self._handler.pause()
 
     def resumeProducing(self) -> None:
+        self._watch.note_paused(False)
         if self._handler is not None:
             self._handler.resume()
 
@@ -229,7 +264,7 @@
         if self._handler is not None:
             self._read_ahead_bytes += len(data)
             if self._read_ahead_bytes > MAX_READ_AHEAD_BYTES:
-                self.transport.abortConnection()
+                self._abort(caller_ends.CallerEnd.MALFORMED)
                 return
         try:
             self._http.receive_data(data)
@@ -281,7 +316,7 @@
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
-            self.transport.write(self._http.send(continue_response))
+            self._write(continue_response)
 
     def _receive_body(self, data: bytes) -> None:
         self._body.append(data)
@@ -305,7 +340,7 @@
 
     def _refuse_malformed(self, problem: h11.RemoteProtocolError) -> None:
         if self._handler is not None or not self._is_open:
-            self.transport.abortConnection()
+            self._abort(caller_ends.CallerEnd.MALFORMED)
             return
         reason = calls.RefusalReason.BAD_REQUEST
         if problem.error_status_hint == 431:
@@ -329,7 +364,7 @@
         """
         if not self.transport.connected:
             return
-        self._is_open = False
+        self._end_as(caller_ends.CallerEnd.MALFORMED)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self._reactor.callLater(
@@ -353,7 +388,9 @@
             self._write(h11.Data(data=data))
 
     def _write(self, event: h11.Event) -> None:
-        self.transport.write(self._http.send(event) or b"")
+        data = self._http.send(event) or b""
+        self._watch.note_written(len(data))
+        self.transport.write(data)
 
     def end(self) -> None:
         self._handler = None
@@ -364,7 +401,7 @@
         if self._must_close:
             return
         if self._http.our_state is not h11.DONE:
-            self._close()
+            self._close(caller_ends.CallerEnd.ANSWERED)
             return
         self._http.start_next_cycle()
         self._start_timer(self._receiver.limits.idle_timeout_s)
@@ -384,8 +421,7 @@
     def abort(self) -> None:
         self._handler = None
         if self._is_open:
-            self._is_open = False
-            self.transport.abortConnection()
+            self._abort(caller_ends.CallerEnd.BROKEN_OFF)
 
 
 class CallerFactory(protocol.Factory):
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -5,6 +5,7 @@
 import aioprometheus
 from aioprometheus import formats
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
@@ -44,6 +45,9 @@
         self._tunnels = self._gauge(
             "tunnels_for_others", "Connections that other nodes use now."
         )
+        self._callers = self._counter(
+            "caller_connections_ended", "Connections of callers, by reason."
+        )
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
@@ -89,6 +93,10 @@
         """Record the duration of a finished request."""
         self._requests.observe({"route": route, "result": result}, took_s)
 
+    def count_caller_end(self, reason: caller_ends.CallerEnd) -> None:
+        """Count a caller's connection that is closed."""
+        self._callers.inc({"reason": reason.value})
+
     def observe_attempt(self, run: runs.Run, now_s: float) -> None:
         """Record the time to the first event, or to the end without one."""
         first_s = run.first_event_s
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import endpoint_limits
@@ -400,6 +401,16 @@
 
     def connection_closed(self, connection: inbound.CallerConnection) -> None:
         self._caller_connections.discard(connection)
+        reason = connection.end_reason
+        if reason is None:
+            return
+        self._metrics.count_caller_end(reason)
+        if reason in caller_ends.FAILED_CALLERS:
+            decision_log.note(
+                "caller",
+                end=reason.value,
+                unread_bytes=connection.unread_bytes,
+            )
 
     def _publish_crashes(
         self, reports: typing.Sequence[prompt_crashes.CrashReport]
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -15,6 +15,10 @@
 probes; with both, a connection is closed ``SILENCE_DETECTED_S`` after the
 last byte either way."""
 SILENCE_DETECTED_S = 2.0
+CALLER_KEEPALIVE_PROBES = 2
+NO_USER_TIMEOUT_MS = 0
+"""A user timeout also counts the time for which a caller that is alive
+keeps its window closed; ``liveness`` finds those that are gone."""
 
 
 def set_tcp_options(transport: typing.Any) -> None:
@@ -30,6 +34,11 @@
     _set_options(transport, WATCH_KEEPALIVE_PROBES, WATCH_USER_TIMEOUT_MS)
 
 
+def set_caller_options(transport: typing.Any) -> None:
+    """Set the options of a connection whose peer may read slowly."""
+    _set_options(transport, CALLER_KEEPALIVE_PROBES, NO_USER_TIMEOUT_MS)
+
+
 def _set_options(
     transport: typing.Any, probes: int, user_timeout_ms: int
 ) -> None:
--- /dev/null
+++ b/tests/gateway/slow_callers.py
@@ -0,0 +1,152 @@
+"""A node's callers over real sockets, which read in their own ways."""
+
+import contextlib
+import dataclasses
+import socket
+import threading
+import time
+
+from twisted.internet import epollreactor
+
+from fireflypulley.core.gateway import document
+from fireflypulley.gateway import inbound
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+EVENTS = 40
+EVENT_INTERVAL_S = 0.06
+TIMEOUT_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Profile:
+    """How a caller reads; it asks for events of ``event_bytes``."""
+
+    event_bytes: int
+    first_pause_s: float = 0.0
+    read_bytes: int = 65536
+    read_interval_s: float = 0.0
+    buffer_bytes: int = 0
+
+
+class Stream(inbound.RequestHandler):
+    """The answer to a request: events, paused like an endpoint's."""
+
+    def __init__(self, reactor, sink, event_bytes):
+        self._reactor = reactor
+        self._sink = sink
+        self._event = b"data: " + b"x" * (event_bytes - 8) + b"\n\n"
+        self.sent = 0
+        self.paused = False
+        self.left = False
+        sink.head(200, [(b"transfer-encoding", b"chunked")])
+        reactor.callLater(0, self._send)
+
+    def _send(self):
+        if self.left:
+            return
+        if self.sent == EVENTS:
+            self._sink.end()
+            return
+        if not self.paused:
+            self._sink.data(self._event)
+            self.sent += 1
+        self._reactor.callLater(EVENT_INTERVAL_S, self._send)
+
+    def caller_left(self):
+        self.left = True
+
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+
+
+class Node(inbound.RequestReceiver):
+    """Answers each request with events, on a reactor of its own."""
+
+    def __init__(self, event_bytes, build):
+        self.reactor = epollreactor.EPollReactor()
+        self.event_bytes = event_bytes
+        self.streams = []
+        self.closed = []
+        factory = inbound.CallerFactory(self.reactor, self)
+        if build is not None:
+            factory.buildProtocol = lambda address: build(self)
+        port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.address = ("127.0.0.1", port.getHost().port)
+
+    limits = document.CallerLimits(2000, 100, 3.0, 15.0)
+
+    @property
+    def is_stopping(self):
+        return False
+
+    def receive(self, request, sink):
+        self.streams.append(Stream(self.reactor, sink, self.event_bytes))
+        return self.streams[-1]
+
+    def refuse(self, sink, reason):
+        raise AssertionError(reason)
+
+    def connection_opened(self, connection):
+        pass
+
+    def connection_closed(self, connection):
+        self.closed.append(connection)
+
+
+@contextlib.contextmanager
+def running(event_bytes, build=None):
+    """Run a node; ``build`` returns the connection of a caller."""
+    node = Node(event_bytes, build)
+    thread = threading.Thread(
+        target=node.reactor.run, args=(False,), daemon=True
+    )
+    thread.start()
+    try:
+        yield node
+    finally:
+        node.reactor.callFromThread(node.reactor.stop)
+        thread.join()
+
+
+def connect(node, profile):
+    """Return the socket of a caller that has sent its request."""
+    caller = socket.socket()
+    if profile.buffer_bytes:
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, profile.buffer_bytes
+        )
+    caller.settimeout(TIMEOUT_S)
+    caller.connect(node.address)
+    caller.sendall(REQUEST)
+    return caller
+
+
+def read(caller, profile):
+    """Return what a caller gets until the answer or its connection ends."""
+    time.sleep(profile.first_pause_s)
+    answer = bytearray()
+    while not answer.endswith(b"\r\n0\r\n\r\n"):
+        data = caller.recv(profile.read_bytes)
+        if not data:
+            break
+        answer += data
+        time.sleep(profile.read_interval_s)
+    return bytes(answer)
+
+
+def call(profile, build=None):
+    """Return a caller's answer."""
+    with running(profile.event_bytes, build) as node:
+        with connect(node, profile) as caller:
+            return read(caller, profile)
+
+
+def wait_for(has_happened):
+    """Wait until something that the node's thread does has happened."""
+    deadline_s = time.monotonic() + TIMEOUT_S
+    while not has_happened():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.05)
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -5,6 +5,7 @@
 from twisted.internet import testing
 
 from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peer_registry
@@ -69,6 +70,7 @@
         self.node = node
         self.is_idle = is_idle
         self.closed = False
+        self.end_reason = caller_ends.CallerEnd.STOPPING
 
     def close_idle(self):
         if self.is_idle:
--- a/tests/transport/test_sockets.py
+++ b/tests/transport/test_sockets.py
@@ -49,3 +49,11 @@
     with socket.socket() as handle:
         sockets.set_tcp_options(Tls(Transport(handle)))
         assert _user_timeout_ms(handle) == sockets.USER_TIMEOUT_MS
+
+
+# Guards against a caller that is cut because its window was closed for long.
+def test_a_caller_has_no_user_timeout():
+    with socket.socket() as handle:
+        sockets.set_caller_options(Transport(handle))
+        assert _user_timeout_ms(handle) == 0
+        assert handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
