Know which answers the node itself does not read

While a caller does not read, the node pauses the endpoint's connection. EndpointLoad went by the bytes that arrive, so an endpoint whose answers were all held back counted as unresponsive after 0.6 s, here and for its peers, and a run's watchdog gave the stream up.

Change (core): a run can be held and released; its endpoint is unresponsive only for requests that are read, from the moment at which reading goes on. The times of a run that was held are no evidence on its version, no duration of its route and no failure of its endpoint. The exchange is to call hold and release; until then nothing changes for callers.

--- a/packages/core/src/fireflypulley/core/gateway/loads.py
+++ b/packages/core/src/fireflypulley/core/gateway/loads.py
@@ -31,13 +31,16 @@
 
     ``waiting_tokens`` are the prompt tokens of requests that have not had
     their first event.  ``unanswered_since_s`` is the time of the last
-    activity while requests are running, else None.  An endpoint that
+    activity while requests are running, else None.  Of ``held`` running
+    requests this node reads nothing, since their callers read too slowly;
+    they don't count as unanswered.  An endpoint that
     ``is_unreachable`` stays suspected until a connection to it succeeds
     or it answers in full.  Until ``paused_until_s`` it wants no requests
     from this node, as it has said itself.
     """
 
     running: int = 0
+    held: int = 0
     waiting_tokens: int = 0
     unanswered_since_s: float | None = None
     suspected_until_s: float = 0.0
@@ -64,17 +67,37 @@
 
     def note_activity(self, now_s: float) -> None:
         """Record that bytes arrived from the endpoint."""
-        self.unanswered_since_s = now_s if self.running else None
+        self.unanswered_since_s = now_s if self._is_read else None
+
+    @property
+    def _is_read(self) -> bool:
+        """Return whether this node reads the answer to any request."""
+        return self.running > self.held
+
+    def hold(self) -> None:
+        """Record that this node stops to read one of the answers."""
+        self.held += 1
+        if not self._is_read:
+            self.unanswered_since_s = None
+
+    def release(self, now_s: float) -> None:
+        """Record that this node reads an answer again."""
+        self.held = max(0, self.held - 1)
+        if self.unanswered_since_s is None and self._is_read:
+            self.unanswered_since_s = now_s
 
     def note_first_event(self, tokens: int) -> None:
         """Subtract the prompt tokens of a request at its first event."""
         self.waiting_tokens = max(0, self.waiting_tokens - tokens)
 
-    def end(self) -> None:
-        """Count the end of a request."""
+    def end(self, is_held: bool = False) -> None:
+        """Count the end of a request, held or not."""
         self.running = max(0, self.running - 1)
-        if not self.running:
+        if is_held:
+            self.held = max(0, self.held - 1)
+        if not self._is_read:
             self.unanswered_since_s = None
+        if not self.running:
             self.waiting_tokens = 0
 
     def succeeded(self) -> None:
--- a/packages/core/src/fireflypulley/core/gateway/runs.py
+++ b/packages/core/src/fireflypulley/core/gateway/runs.py
@@ -46,6 +46,9 @@
     ``permit`` that it got or was refused, the limit and how long ago the
     limit was last named.  ``events`` counts the parts of a stream that
     arrived with whole events, and ``ended_s`` is when the run was over.
+    While a run ``is_held`` this node reads nothing of its answer, since the
+    caller reads too slowly; the times of one that ``was_held`` say nothing
+    about its endpoint.
     """
 
     request: calls.AdmittedRequest
@@ -66,6 +69,26 @@
     is_over: bool = False
     events: int = 0
     ended_s: float = 0.0
+    is_held: bool = False
+    was_held: bool = False
+
+    def hold(self) -> None:
+        """Record that this node stops to read the answer."""
+        if self.is_held or self.is_over:
+            return
+        self.is_held = self.was_held = True
+        self.load.hold()
+
+    def release(self, now_s: float) -> None:
+        """Record that this node reads the answer again."""
+        if not self.is_held or self.is_over:
+            return
+        self.is_held = False
+        self.load.release(now_s)
+
+    def is_unresponsive(self, now_s: float) -> bool:
+        """Return whether the endpoint sends nothing that is read here."""
+        return not self.is_held and self.load.is_unresponsive(now_s)
 
     @property
     def has_begun(self) -> bool:
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -32,6 +32,8 @@
     {calls.Outcome.FAILED, calls.Outcome.SLOW, calls.Outcome.WITHHELD}
 )
 """Outcomes that say nothing about the endpoint's health."""
+_LATE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
+"""Outcomes that a caller who does not read may bring about."""
 
 
 class RequestScheduler:
@@ -357,8 +359,9 @@
             run.first_event_s = now_s
             run.load.note_first_event(run.tokens)
             self._observe(run, False, now_s)
-            self._latencies.first_event(run, now_s)
-        if event_id is not None:
+            if not run.was_held:
+                self._latencies.first_event(run, now_s)
+        if event_id is not None and not run.was_held:
             self._latencies.event(run, event_id, now_s)
 
     def _observe(self, run: runs.Run, failed: bool, now_s: float) -> None:
@@ -368,12 +371,13 @@
         run.observed = True
         request = run.request
         took_s = now_s - run.began_s
+        target_s = request.route.target_latency_s
         self.rollouts.observe(
             request.service.name,
             run.member.registration.version,
             request.route.name,
             failed,
-            not failed and took_s > request.route.target_latency_s,
+            not failed and not run.was_held and took_s > target_s,
         )
 
     def note_ended(
@@ -387,7 +391,7 @@
         self.outcomes[outcome] += 1
         if run.first_event_s is None:
             run.load.note_first_event(run.tokens)
-        run.load.end()
+        run.load.end(run.is_held)
         self._judge(run, outcome, now_s)
 
     def note_abandoned(self, run: runs.Run) -> None:
@@ -397,22 +401,20 @@
         run.is_over = True
         if run.first_event_s is None:
             run.load.note_first_event(run.tokens)
-        run.load.end()
+        run.load.end(run.is_held)
 
     def _judge(
         self, run: runs.Run, outcome: calls.Outcome, now_s: float
     ) -> None:
         request = run.request
+        if run.was_held and outcome in _LATE:
+            return
         if not outcome.certainly_not_run:
             failed = outcome is not calls.Outcome.COMPLETE
             self._observe(run, failed, now_s)
         if outcome is calls.Outcome.COMPLETE:
             run.load.succeeded()
-            if run.first_event_s is None:
-                self._latencies.first_event(run, now_s)
-            self.endpoint_filter.durations.observe(
-                request.route.name, now_s - run.began_s
-            )
+            self._observe_duration(run, now_s)
             self.crash_tracker.answered(request.fingerprint)
         elif outcome is calls.Outcome.NOT_RUN:
             run.load.full_until_s = now_s + FULL_BACKOFF_S
@@ -423,6 +425,16 @@
             lost = outcome is not calls.Outcome.GARBAGE
             run.load.failed(lost, now_s)
 
+    def _observe_duration(self, run: runs.Run, now_s: float) -> None:
+        """Record how long a complete answer took its endpoint."""
+        if run.was_held:
+            return
+        if run.first_event_s is None:
+            self._latencies.first_event(run, now_s)
+        self.endpoint_filter.durations.observe(
+            run.request.route.name, now_s - run.began_s
+        )
+
     def may_retry(
         self,
         request: calls.AdmittedRequest,
