--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -19,6 +19,7 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
+from fireflypulley.gateway import caller_connection
 from fireflypulley.gateway import connector
 from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
@@ -166,7 +167,7 @@
             lambda: self._stops_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
-        self._caller_connections: set[inbound.CallerConnection] = set()
+        self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._caller_port: interfaces.IListeningPort | None = None
         self._is_stopping = False
@@ -216,7 +217,7 @@
         )
 
     def _listen_for_callers(self) -> None:
-        factory = inbound.CallerFactory(self._reactor, self)
+        factory = caller_connection.CallerFactory(self._reactor, self)
         opened = self._callers_socket
         if opened is None:
             self._caller_port = self._listen(self._config.callers, factory)
@@ -396,12 +397,12 @@
         sink.end()
         decision_log.note("request", id="", result=reason.value, status=status)
 
-    def connection_opened(self, connection: inbound.CallerConnection) -> None:
-        self._caller_connections.add(connection)
+    def connection_opened(self, caller: inbound.Caller) -> None:
+        self._caller_connections.add(caller)
 
-    def connection_closed(self, connection: inbound.CallerConnection) -> None:
-        self._caller_connections.discard(connection)
-        reason = connection.end_reason
+    def connection_closed(self, caller: inbound.Caller) -> None:
+        self._caller_connections.discard(caller)
+        reason = caller.end_reason
         if reason is None:
             return
         self._metrics.count_caller_end(reason)
@@ -409,7 +410,7 @@
             decision_log.note(
                 "caller",
                 end=reason.value,
-                unread_bytes=connection.unread_bytes,
+                unread_bytes=caller.unread_bytes,
             )
 
     def _publish_crashes(
--- a/tests/core/gateway/test_held_runs.py
+++ b/tests/core/gateway/test_held_runs.py
@@ -1,8 +1,8 @@
 """Answers that this node does not read, since their callers don't."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
--- a/tests/gateway/slow_callers.py
+++ b/tests/gateway/slow_callers.py
@@ -9,6 +9,7 @@
 from twisted.internet import epollreactor
 
 from fireflypulley.core.gateway import document
+from fireflypulley.gateway import caller_connection
 from fireflypulley.gateway import inbound
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -70,7 +71,7 @@
         self.event_bytes = event_bytes
         self.streams = []
         self.closed = []
-        factory = inbound.CallerFactory(self.reactor, self)
+        factory = caller_connection.CallerFactory(self.reactor, self)
         if build is not None:
             factory.buildProtocol = lambda address: build(self)
         port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
--- a/tests/gateway/test_inbound.py
+++ b/tests/gateway/test_inbound.py
@@ -6,6 +6,7 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
+from fireflypulley.gateway import caller_connection
 from fireflypulley.gateway import inbound
 
 
@@ -102,7 +103,7 @@
 
 def _connect(receiver):
     clock = task.Clock()
-    connection = inbound.CallerConnection(clock, receiver)
+    connection = caller_connection.CallerConnection(clock, receiver)
     transport = Transport()
     connection.makeConnection(transport)
     return clock, connection, transport
@@ -194,7 +195,7 @@
     assert _statuses(transport) == [400]
     assert b"connection: close" in transport.value().lower()
     assert transport.half_closed
-    clock.advance(inbound.LINGER_TIMEOUT_S)
+    clock.advance(caller_connection.LINGER_TIMEOUT_S)
     assert transport.aborted
 
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -4,7 +4,7 @@
 
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import document
-from fireflypulley.gateway import inbound
+from fireflypulley.gateway import caller_connection
 
 from . import slow_callers
 
@@ -42,7 +42,7 @@
     bounds = caller_ends.CallerBounds(stall_s=3.0)
 
     def build(node):
-        return inbound.CallerConnection(node.reactor, node, bounds)
+        return caller_connection.CallerConnection(node.reactor, node, bounds)
 
     profile = slow_callers.Profile(200000)
     with slow_callers.running(profile.event_bytes, build) as node:
