Bound what slow callers cost, and know when an answer has arrived

Cause: what waited for a caller lay in the transport, which paused the endpoint beyond 64 KiB, so that a slow caller held an endpoint's slot for as long as it read; nothing bounded the sum; and a caller that pipelined without reading had its next requests begun. The end of a response said nothing about what the caller got.

Change: a queue before the transport. An answer of up to 256 KiB is taken in whole; beyond that the endpoint is paused. Callers of a node hold 16 MiB at most together: beyond half of it each is paused at once, beyond all of it the answer of which most waits is ended (too slow). The next request of a caller is begun only when nothing waits. CallerSink.end takes a callback that is told once what became of the answer: all of it acknowledged by the caller's machine, or the bytes that were not and why the connection ended. Where the kernel does not tell, it counts as delivered when the transport has taken it. A caller that closes is looked at once more before its socket is closed. The exchange does not use the callback yet.

Changed test: a caller that reads nothing pauses its handler once the bound is reached instead of at the transport's first pause; the test now also checks that the bytes are held and leave in whole afterwards.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -1,6 +1,7 @@
 """Connections from callers: strict parsing, one request at a time."""
 
 import h11
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
@@ -11,6 +12,7 @@
 from fireflypulley.gateway import caller_watch
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import send_queue
 from fireflypulley.transport import sockets
 
 MAX_READ_AHEAD_BYTES = 65536
@@ -19,7 +21,7 @@
 LINGER_TIMEOUT_S = 1.0
 
 
-@interface.implementer(interfaces.IPushProducer)
+@interface.implementer(interfaces.IHalfCloseableProtocol)
 class CallerConnection(protocol.Protocol, inbound.Caller, inbound.CallerSink):
     """One connection from a caller."""
 
@@ -27,11 +29,11 @@
         self,
         reactor: interfaces.IReactorTime,
         receiver: inbound.RequestReceiver,
-        bounds: caller_ends.CallerBounds = caller_ends.CallerBounds(),
+        held: send_queue.HeldBytes,
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
-        self._bounds = bounds
+        self._held = held
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEADERS_BYTES
         )
@@ -46,6 +48,7 @@
         self._read_ahead_bytes = 0
         self._timer: interfaces.IDelayedCall | None = None
         self._watch: caller_watch.CallerWatch
+        self._queue: send_queue.SendQueue
         self.end_reason: caller_ends.CallerEnd | None = None
         """Why the connection is closed, None while it is not."""
 
@@ -55,9 +58,9 @@
         self._is_open = True
         sockets.set_caller_options(self.transport)
         self._watch = caller_watch.CallerWatch(
-            self._reactor, self.transport, self._bounds, self._abort
+            self._reactor, self.transport, self._held.bounds, self._abort
         )
-        self.transport.registerProducer(self, True)
+        self._queue = send_queue.SendQueue(self.transport, self._held, self)
         self._receiver.connection_opened(self)
         self._start_timer(self._receiver.limits.header_timeout_s)
 
@@ -84,8 +87,7 @@
     def _close(self, reason: caller_ends.CallerEnd) -> None:
         """Close once all data has been written."""
         self._end_as(reason)
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self._queue.close(self.transport.loseConnection)
 
     def _abort(self, reason: caller_ends.CallerEnd) -> None:
         """Close at once; what is not sent is lost."""
@@ -110,46 +112,62 @@
         if self.is_idle and self._is_open:
             self._close(caller_ends.CallerEnd.STOPPING)
 
+    def readConnectionLost(self) -> None:
+        """Handle the end of what the caller sends: it has left.
+
+        It may have taken the answer before; the closed socket can't tell.
+        """
+        self._watch.look()
+        self.transport.connectionLost(failure.Failure(error.ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing; the refusal before has been sent."""
+
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        self._end_as(self.end_reason or caller_ends.CallerEnd.LEFT)
+        end = self.end_reason or caller_ends.CallerEnd.LEFT
+        self._end_as(end)
         self._stop_timer()
-        self._watch.stop()
         handler, self._handler = self._handler, None
         if handler is not None:
             handler.caller_left()
+        self._watch.stop(end)
         self._receiver.connection_closed(self)
 
-    def pauseProducing(self) -> None:
-        self._watch.note_paused(True)
+    # send_queue.SendQueueUser
+
+    def queue_filled(self) -> None:
         if self._handler is not None:
             self._handler.pause()
 
-    def resumeProducing(self) -> None:
-        self._watch.note_paused(False)
+    def queue_emptied(self) -> None:
         if self._handler is not None:
             self._handler.resume()
 
-    def stopProducing(self) -> None:
-        """Do nothing; connectionLost follows."""
+    def queue_moved(self, is_paused: bool) -> None:
+        self._watch.note_paused(is_paused)
+        if not is_paused:
+            self._reactor.callLater(0, self._read_next)
+
+    def queue_dropped(self) -> None:
+        self._abort(caller_ends.CallerEnd.TOO_SLOW)
 
     # Reading
 
     def dataReceived(self, data: bytes) -> None:
         if not self._is_open:
             return
-        if self._reading_since_s is None and self._handler is None:
+        if self._reading_since_s is None and not self._is_busy:
             self._begin_reading()
-        if self._handler is not None:
+        if self._is_busy:
             self._read_ahead_bytes += len(data)
             if self._read_ahead_bytes > MAX_READ_AHEAD_BYTES:
                 self._abort(caller_ends.CallerEnd.MALFORMED)
                 return
         try:
             self._http.receive_data(data)
-            if self._handler is None:
-                self._read()
+            self._read()
         except h11.RemoteProtocolError as problem:
             self._refuse_malformed(problem)
 
@@ -157,8 +175,13 @@
         self._reading_since_s = self._reactor.seconds()
         self._start_timer(self._receiver.limits.header_timeout_s)
 
+    @property
+    def _is_busy(self) -> bool:
+        """Return whether the next request waits for the last answer."""
+        return self._handler is not None or self._queue.is_waiting
+
     def _read(self) -> None:
-        while self._handler is None and self._is_open:
+        while not self._is_busy and self._is_open:
             event = self._http.next_event()
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
@@ -245,8 +268,7 @@
         if not self.transport.connected:
             return
         self._end_as(caller_ends.CallerEnd.MALFORMED)
-        self.transport.unregisterProducer()
-        self.transport.loseWriteConnection()
+        self._queue.close(self.transport.loseWriteConnection)
         self._reactor.callLater(
             LINGER_TIMEOUT_S, self.transport.abortConnection
         )
@@ -270,14 +292,19 @@
     def _write(self, event: h11.Event) -> None:
         data = self._http.send(event) or b""
         self._watch.note_written(len(data))
-        self.transport.write(data)
+        self._queue.write(data)
 
-    def end(self) -> None:
+    def end(
+        self, on_delivery: inbound.OnDelivery = inbound.ignore_delivery
+    ) -> None:
         self._handler = None
         self._is_responding = False
         if not self._is_open:
+            end = self.end_reason or caller_ends.CallerEnd.LEFT
+            on_delivery(caller_ends.Delivery(end=end))
             return
         self._write(h11.EndOfMessage())
+        self._watch.expect_delivery(on_delivery)
         if self._must_close:
             return
         if self._http.our_state is not h11.DONE:
@@ -289,9 +316,9 @@
 
     def _read_next(self) -> None:
         """Process data that arrived while a request was being handled."""
-        if not self._is_open or self._handler is not None:
+        if not self._is_open or self._is_busy:
             return
-        if self._http.trailing_data[0]:
+        if self._http.trailing_data[0] and self._reading_since_s is None:
             self._begin_reading()
         try:
             self._read()
@@ -305,7 +332,7 @@
 
 
 class CallerFactory(protocol.Factory):
-    """Builds connections from callers."""
+    """Builds connections from callers, which share what may be held."""
 
     noisy = False
 
@@ -313,9 +340,11 @@
         self,
         reactor: interfaces.IReactorTime,
         receiver: inbound.RequestReceiver,
+        bounds: caller_ends.CallerBounds = caller_ends.CallerBounds(),
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
+        self.held = send_queue.HeldBytes(bounds)
 
     def buildProtocol(self, addr: interfaces.IAddress) -> CallerConnection:
-        return CallerConnection(self._reactor, self._receiver)
+        return CallerConnection(self._reactor, self._receiver, self.held)
--- a/packages/gateway/src/fireflypulley/gateway/inbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/inbound.py
@@ -1,6 +1,7 @@
 """Requests of callers, and what receives and handles them."""
 
 import abc
+import collections.abc
 import dataclasses
 import hashlib
 
@@ -10,6 +11,7 @@
 from fireflypulley.gateway import header_codec
 
 FINGERPRINT_BYTES = 12
+OnDelivery = collections.abc.Callable[[caller_ends.Delivery], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +46,10 @@
         return digest.hexdigest()
 
 
+def ignore_delivery(delivery: caller_ends.Delivery) -> None:
+    """Do nothing about what became of an answer."""
+
+
 class Caller(abc.ABC):
     """The connection of a caller.
 
@@ -76,8 +82,12 @@
         """Send a part of the body."""
 
     @abc.abstractmethod
-    def end(self) -> None:
-        """End the complete response."""
+    def end(self, on_delivery: OnDelivery = ignore_delivery) -> None:
+        """End the complete response.
+
+        ``on_delivery`` is called once, when all of it has reached the
+        caller's machine or can't any more.
+        """
 
     @abc.abstractmethod
     def abort(self) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -48,6 +48,9 @@
         self._callers = self._counter(
             "caller_connections_ended", "Connections of callers, by reason."
         )
+        self._held = self._gauge(
+            "callers_held_bytes", "Bytes that wait for slow callers."
+        )
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
@@ -97,6 +100,10 @@
         """Count a caller's connection that is closed."""
         self._callers.inc({"reason": reason.value})
 
+    def collect_callers(self, held_bytes: int) -> None:
+        """Set the metric of what waits for callers."""
+        self._held.set({}, held_bytes)
+
     def observe_attempt(self, run: runs.Run, now_s: float) -> None:
         """Record the time to the first event, or to the end without one."""
         first_s = run.first_event_s
--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -0,0 +1,161 @@
+"""Bytes that wait until a caller takes more."""
+
+import collections
+import collections.abc
+import typing
+
+from twisted.internet import interfaces
+from zope import interface
+
+from fireflypulley.core.gateway import caller_ends
+
+MAX_PIECE_BYTES = 16384
+TRANSPORT_BYTES = 32768
+"""The transport asks for a pause once it holds more than this."""
+
+_Call = collections.abc.Callable[[], None]
+
+
+class HeldBytes:
+    """The bytes that wait for all callers of a node."""
+
+    def __init__(self, bounds: caller_ends.CallerBounds) -> None:
+        self.bounds = bounds
+        self._queues: set[SendQueue] = set()
+        self.total_bytes = 0
+
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether callers get no more than they need to go on."""
+        return self.total_bytes * 2 > self.bounds.total_held_bytes
+
+    def add(self, queue: "SendQueue", size_bytes: int) -> None:
+        """Record bytes that wait, and drop what costs most if too many."""
+        self._queues.add(queue)
+        self.total_bytes += size_bytes
+        while self.total_bytes > self.bounds.total_held_bytes:
+            max(self._queues, key=_held_bytes).drop()
+
+    def remove(self, queue: "SendQueue", size_bytes: int) -> None:
+        """Record bytes that no longer wait."""
+        self.total_bytes -= size_bytes
+        if not queue.held_bytes:
+            self._queues.discard(queue)
+
+
+def _held_bytes(queue: "SendQueue") -> int:
+    return queue.held_bytes
+
+
+class SendQueueUser(typing.Protocol):
+    """Who writes to a queue."""
+
+    def queue_filled(self) -> None:
+        """Called when no more should be written for now."""
+
+    def queue_emptied(self) -> None:
+        """Called when more may be written again."""
+
+    def queue_moved(self, is_paused: bool) -> None:
+        """Called when the transport takes no more bytes, or more again."""
+
+    def queue_dropped(self) -> None:
+        """Called when what waited was dropped, as the costliest."""
+
+
+@interface.implementer(interfaces.IPushProducer)
+class SendQueue:
+    """What waits for one caller; an answer that fits is taken in whole.
+
+    The user is asked to pause once ``bounds.held_bytes`` wait, or any while
+    the node's callers hold half of what they may hold together.
+    """
+
+    def __init__(
+        self, transport: typing.Any, held: HeldBytes, user: SendQueueUser
+    ) -> None:
+        self._transport = transport
+        self._held = held
+        self._user = user
+        self._pieces: collections.deque[bytes] = collections.deque()
+        self._is_paused = False
+        self._is_full = False
+        self._close_transport: _Call | None = None
+        self._is_dropped = False
+        self.held_bytes = 0
+        transport.bufferSize = TRANSPORT_BYTES
+        transport.registerProducer(self, True)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the transport takes nothing for now."""
+        return self._is_paused
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, now or once the caller takes more."""
+        if self._is_dropped:
+            return
+        for start in range(0, len(data), MAX_PIECE_BYTES):
+            piece = data[start : start + MAX_PIECE_BYTES]
+            if not self._is_paused:
+                self._transport.write(piece)
+                continue
+            self._pieces.append(piece)
+            self.held_bytes += len(piece)
+            self._held.add(self, len(piece))
+            if self._is_dropped:
+                return
+        self._check_full()
+
+    def _check_full(self) -> None:
+        bound_bytes = self._held.bounds.held_bytes
+        if self._held.is_scarce:
+            bound_bytes = 0
+        if self.held_bytes > bound_bytes and not self._is_full:
+            self._is_full = True
+            self._user.queue_filled()
+
+    def pauseProducing(self) -> None:
+        self._is_paused = True
+        self._user.queue_moved(True)
+
+    def resumeProducing(self) -> None:
+        self._is_paused = False
+        while self._pieces and not self._is_paused:
+            piece = self._pieces.popleft()
+            self.held_bytes -= len(piece)
+            self._held.remove(self, len(piece))
+            self._transport.write(piece)
+        if self._is_paused:
+            return
+        self._user.queue_moved(False)
+        if self._close_transport is not None:
+            self._finish_close(self._close_transport)
+        elif self._is_full:
+            self._is_full = False
+            self._user.queue_emptied()
+
+    def stopProducing(self) -> None:
+        """Forget what waits; the connection is lost."""
+        self._clear()
+
+    def close(self, close_transport: _Call) -> None:
+        """Call a method that closes the transport once nothing waits."""
+        self._close_transport = close_transport
+        if not self._pieces:
+            self._finish_close(close_transport)
+
+    def _finish_close(self, close_transport: _Call) -> None:
+        self._transport.unregisterProducer()
+        close_transport()
+
+    def drop(self) -> None:
+        """Drop what waits, so that the answer can't become complete."""
+        self._is_dropped = True
+        self._clear()
+        self._user.queue_dropped()
+
+    def _clear(self) -> None:
+        size_bytes, self.held_bytes = self.held_bytes, 0
+        self._pieces.clear()
+        self._held.remove(self, size_bytes)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -167,6 +167,9 @@
             lambda: self._stops_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
+        self._caller_factory = caller_connection.CallerFactory(
+            reactor, self, config.caller_bounds
+        )
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._caller_port: interfaces.IListeningPort | None = None
@@ -217,7 +220,7 @@
         )
 
     def _listen_for_callers(self) -> None:
-        factory = caller_connection.CallerFactory(self._reactor, self)
+        factory = self._caller_factory
         opened = self._callers_socket
         if opened is None:
             self._caller_port = self._listen(self._config.callers, factory)
@@ -342,6 +345,7 @@
             self._connections.paths.tunnels_opened,
             self._tunnel_server.open_count,
         )
+        self._metrics.collect_callers(self._caller_factory.held.total_bytes)
         self._metrics.collect(
             self._scheduler,
             len(self._open_requests),
--- a/packages/gateway/src/fireflypulley/gateway/settings.py
+++ b/packages/gateway/src/fireflypulley/gateway/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fireflypulley.core.gateway import bounds
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import peer_registry
 
 
@@ -34,3 +35,4 @@
     usage_window_s: float
     usage_delay_s: float | None
     scales_replicas: bool
+    caller_bounds: caller_ends.CallerBounds = caller_ends.CallerBounds()
--- a/tests/gateway/slow_callers.py
+++ b/tests/gateway/slow_callers.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import epollreactor
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import caller_connection
 from fireflypulley.gateway import inbound
@@ -16,6 +17,7 @@
 EVENTS = 40
 EVENT_INTERVAL_S = 0.06
 TIMEOUT_S = 20.0
+BOUNDS = caller_ends.CallerBounds()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,11 +34,13 @@
 class Stream(inbound.RequestHandler):
     """The answer to a request: events, paused like an endpoint's."""
 
-    def __init__(self, reactor, sink, event_bytes):
+    def __init__(self, reactor, sink, event_bytes, on_sent):
         self._reactor = reactor
+        self.on_sent = on_sent
         self._sink = sink
         self._event = b"data: " + b"x" * (event_bytes - 8) + b"\n\n"
         self.sent = 0
+        self.deliveries = []
         self.paused = False
         self.left = False
         sink.head(200, [(b"transfer-encoding", b"chunked")])
@@ -46,11 +50,12 @@
         if self.left:
             return
         if self.sent == EVENTS:
-            self._sink.end()
+            self._sink.end(self.deliveries.append)
             return
         if not self.paused:
             self._sink.data(self._event)
             self.sent += 1
+            self.on_sent()
         self._reactor.callLater(EVENT_INTERVAL_S, self._send)
 
     def caller_left(self):
@@ -66,14 +71,14 @@
 class Node(inbound.RequestReceiver):
     """Answers each request with events, on a reactor of its own."""
 
-    def __init__(self, event_bytes, build):
+    def __init__(self, event_bytes, bounds):
         self.reactor = epollreactor.EPollReactor()
         self.event_bytes = event_bytes
         self.streams = []
         self.closed = []
-        factory = caller_connection.CallerFactory(self.reactor, self)
-        if build is not None:
-            factory.buildProtocol = lambda address: build(self)
+        factory = caller_connection.CallerFactory(self.reactor, self, bounds)
+        self.held = factory.held
+        self.most_held_bytes = 0
         port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.address = ("127.0.0.1", port.getHost().port)
 
@@ -84,8 +89,12 @@
         return False
 
     def receive(self, request, sink):
-        self.streams.append(Stream(self.reactor, sink, self.event_bytes))
-        return self.streams[-1]
+        stream = Stream(self.reactor, sink, self.event_bytes, self._note_held)
+        self.streams.append(stream)
+        return stream
+
+    def _note_held(self):
+        self.most_held_bytes = max(self.most_held_bytes, self.held.total_bytes)
 
     def refuse(self, sink, reason):
         raise AssertionError(reason)
@@ -98,9 +107,9 @@
 
 
 @contextlib.contextmanager
-def running(event_bytes, build=None):
-    """Run a node; ``build`` returns the connection of a caller."""
-    node = Node(event_bytes, build)
+def running(event_bytes, bounds=BOUNDS):
+    """Run a node whose callers may cost as much as the bounds say."""
+    node = Node(event_bytes, bounds)
     thread = threading.Thread(
         target=node.reactor.run, args=(False,), daemon=True
     )
@@ -138,9 +147,9 @@
     return bytes(answer)
 
 
-def call(profile, build=None):
+def call(profile):
     """Return a caller's answer."""
-    with running(profile.event_bytes, build) as node:
+    with running(profile.event_bytes) as node:
         with connect(node, profile) as caller:
             return read(caller, profile)
 
--- a/tests/gateway/test_inbound.py
+++ b/tests/gateway/test_inbound.py
@@ -4,6 +4,7 @@
 from twisted.internet import task
 from twisted.internet import testing
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import caller_connection
@@ -103,7 +104,8 @@
 
 def _connect(receiver):
     clock = task.Clock()
-    connection = caller_connection.CallerConnection(clock, receiver)
+    factory = caller_connection.CallerFactory(clock, receiver)
+    connection = factory.buildProtocol(None)
     transport = Transport()
     connection.makeConnection(transport)
     return clock, connection, transport
@@ -249,10 +251,16 @@
     receiver = Receiver(answer=None)
     _, connection, transport = _connect(receiver)
     connection.dataReceived(GET)
+    sink = receiver.sinks[0]
+    sink.head(200, [(b"transfer-encoding", b"chunked")])
+    sent = transport.value()
     transport.producer.pauseProducing()
+    sink.data(b"x" * caller_ends.CallerBounds().held_bytes)
     assert receiver.handlers[0].paused
+    assert transport.value() == sent
     transport.producer.resumeProducing()
     assert not receiver.handlers[0].paused
+    assert len(transport.value()) > caller_ends.CallerBounds().held_bytes
 
 
 def test_while_stopping_connections_close_after_the_response():
