Take no answer for silent that the node itself holds back

Change: an attempt that is paused holds its run; the watchdog does not find it late, and starts anew when it is read again. Silence of an endpoint beside a held answer is noticed as before, by the answers that are read.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -185,9 +185,11 @@
         """Stop reading the answer."""
         if self.connection is not None:
             self.connection.pause()
+            self.run.hold()
 
     def resume(self) -> None:
         """Continue to read the answer."""
+        self.run.release(self._shared.reactor.seconds())
         if self.connection is not None:
             self.connection.resume()
 
--- a/packages/gateway/src/fireflypulley/gateway/attempt_accounts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt_accounts.py
@@ -85,7 +85,7 @@
     def end_late(self, late: attempt.Attempt) -> None:
         """Record that an attempt was given up as late."""
         outcome = calls.Outcome.SLOW
-        if late.run.load.is_unresponsive(self._now_s()):
+        if late.run.is_unresponsive(self._now_s()):
             outcome = calls.Outcome.SILENT
         self.end(late, outcome)
 
--- a/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
+++ b/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
@@ -19,7 +19,8 @@
     """Watches one attempt.
 
     A stream fails when its endpoint sends nothing to any request; a plain
-    request fails when the head of its response is late.
+    request fails when the head of its response is late.  While the caller
+    does not read, nothing is late.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         if not route.is_stream:
             target_s = route.target_latency_s * PLAIN_TIMEOUT_TARGET_FRACTION
             timeout_s = max(MIN_PLAIN_TIMEOUT_S, target_s)
+        self._timeout_s = timeout_s
         self._timer = reactor.callLater(timeout_s, self._check)
 
     def restart(self) -> None:
@@ -53,10 +55,13 @@
     def _check(self) -> None:
         if self._run.is_over:
             return
+        if self._run.is_held:
+            self._timer = self._reactor.callLater(self._timeout_s, self._check)
+            return
         if not self._run.request.route.is_stream:
             if not self._has_head():
                 self._on_timeout(calls.Outcome.SLOW)
-        elif self._run.load.is_unresponsive(self._reactor.seconds()):
+        elif self._run.is_unresponsive(self._reactor.seconds()):
             self._on_timeout(calls.Outcome.SILENT)
         else:
             self.restart()
