Call a request answered once its caller has the answer

Change: the exchange ends when the caller's machine has acknowledged the whole answer, or its connection ended before. The latter is a result of its own, `undelivered`, with `unsent_bytes` and the reason. Its endpoint's place, the deadline and the request's time end with the endpoint's answer as before: `took_ms` and request_seconds are unchanged, `delivery_ms` is the rest. `trace` names the new result; usage counts runs, and is as it was. An answer lost to a reset within 20 ms after its end may be called undelivered though the caller had read it: a closed socket does not tell.

--- a/packages/cli/src/fireflypulley/cli/request_traces.py
+++ b/packages/cli/src/fireflypulley/cli/request_traces.py
@@ -10,6 +10,7 @@
 _Line = dict[str, typing.Any]
 _LATE_FIRST_EVENT_MS = 500
 _CAUSES = {
+    "undelivered": "the answer was complete and did not reach the caller",
     "stopping": "the node was about to end",
     "no_configuration": "the node had not read a configuration yet",
     "no_route": "the configuration in force has no such route",
--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -195,6 +195,7 @@
                 return
 
     def _receive_head(self, event: h11.Request) -> None:
+        self._watch.look()
         headers = list(event.headers)
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         if size > self._receiver.limits.max_header_bytes:
--- a/packages/gateway/src/fireflypulley/gateway/caller_watch.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_watch.py
@@ -11,7 +11,7 @@
 from fireflypulley.transport import tcp_state
 
 CHECK_INTERVAL_S = 0.5
-FIRST_CHECK_S = 0.05
+FIRST_CHECK_S = 0.02
 """Most answers have reached their callers by then."""
 _OnDelivery = collections.abc.Callable[[caller_ends.Delivery], None]
 
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import interfaces
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import attempts
@@ -72,8 +73,18 @@
     # attempts.AttemptsOwner
 
     def answered(self) -> None:
-        self._relay.finish()
-        self._finish("answered", self._relay.status)
+        self._stop_timer()
+        self._record.answered_s = self._now_s()
+        self._relay.finish(self._delivered)
+
+    def _delivered(self, delivery: caller_ends.Delivery) -> None:
+        """End the request, as its caller has the answer or never will."""
+        self._record.delivery = delivery
+        if delivery.end is None:
+            self._finish("answered", self._relay.status)
+            return
+        detail = f"caller's connection: {delivery.end.value}"
+        self._finish("undelivered", self._relay.status, detail)
 
     def timed_out(self) -> None:
         self._end_now(runs.Refusal(calls.RefusalReason.TIMEOUT))
@@ -123,10 +134,13 @@
         self._relay.refuse(status, headers)
         self._finish(refusal.reason.value, status, refusal.detail)
 
-    def _finish(self, result: str, status: int, detail: str = "") -> None:
+    def _stop_timer(self) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
+
+    def _finish(self, result: str, status: int, detail: str = "") -> None:
+        self._stop_timer()
         self._record.log_end(
             result,
             status,
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
@@ -27,6 +28,10 @@
     last_run: runs.Run | None = None
     through: str = ""
     """The node that the last attempt was sent through, "" if direct."""
+    answered_s: float | None = None
+    """When the answer was complete here, None before."""
+    delivery: caller_ends.Delivery | None = None
+    """What became of that answer, None before."""
     attempt_counts: runs.AttemptCounts = dataclasses.field(
         default_factory=runs.AttemptCounts
     )
@@ -73,7 +78,8 @@
         request = self.request
         workspace = request.workspace if request else None
         config = node_scheduler.document
-        took_s = now_s - self.arrived_s
+        ended_s = now_s if self.answered_s is None else self.answered_s
+        took_s = ended_s - self.arrived_s
         route = request.route.name if request else ""
         node_metrics.observe_request(route, result, took_s)
         decision_log.note(
@@ -90,6 +96,7 @@
             took_ms=_ms(took_s),
             nodes_alive=node_scheduler.nodes_alive,
             **self._last_choice(),
+            **self._delivery_fields(now_s),
             **_rows_age(result, node_scheduler, now_s),
         )
 
@@ -107,6 +114,17 @@
             fields["first_event_ms"] = _ms(run.first_event_s - run.began_s)
         return fields | self._through() | _limit_fields(run)
 
+    def _delivery_fields(self, now_s: float) -> dict[str, object]:
+        """Return how long the caller took for a complete answer."""
+        if self.answered_s is None or self.delivery is None:
+            return {}
+        fields: dict[str, object] = {
+            "delivery_ms": _ms(now_s - self.answered_s)
+        }
+        if self.delivery.end is not None:
+            fields["unsent_bytes"] = self.delivery.unsent_bytes
+        return fields
+
     def _through(self) -> dict[str, object]:
         return {"through": self.through} if self.through else {}
 
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -235,14 +235,17 @@
                 return [(name, value)]
         return [(b"transfer-encoding", b"chunked")]
 
-    def finish(self) -> None:
-        """Send what is held, and end the response."""
+    def finish(self, on_delivery: inbound.OnDelivery) -> None:
+        """Send what is held, and end the response.
+
+        ``on_delivery`` is told whether all of it has reached the caller.
+        """
         if self._part.splitter.remainder_bytes:
             self._part.hold(self._part.splitter.remainder)
         self._flush()
         sink = self.detach()
         if sink is not None:
-            sink.end()
+            sink.end(on_delivery)
 
     def refuse(self, status: int, headers: header_codec.Headers) -> None:
         """Send a response made by this node."""
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -6,6 +6,7 @@
 from twisted.internet import error
 from twisted.internet import task
 
+from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import connector
 from fireflypulley.gateway import crash_detector
@@ -35,6 +36,8 @@
         self.headers = []
         self.body = b""
         self.state = "open"
+        self.is_taken_at_once = True
+        self.on_delivery = None
 
     def head(self, status, headers):
         assert self.status is None
@@ -44,9 +47,13 @@
     def data(self, data):
         self.body += data
 
-    def end(self):
+    def end(self, on_delivery=inbound.ignore_delivery):
         assert self.state == "open"
         self.state = "whole"
+        if self.is_taken_at_once:
+            on_delivery(caller_ends.Delivery())
+        else:
+            self.on_delivery = on_delivery
 
     def abort(self):
         assert self.state == "open"
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -252,8 +252,9 @@
     def head(self, status, headers):
         self.status, self.headers = status, headers
 
-    def end(self):
+    def end(self, on_delivery=inbound.ignore_delivery):
         self.is_whole = True
+        on_delivery(caller_ends.Delivery())
 
 
 def _ask(node):
