--- a/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
+++ b/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
@@ -21,7 +21,8 @@
     """Watches one attempt.
 
     A stream fails when its endpoint sends nothing to any request; a plain
-    request fails when the head of its response is late.
+    request fails when the head of its response is late.  While the caller
+    does not read, nothing is late.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         if not route.is_stream:
             target_s = route.target_latency_s * PLAIN_TIMEOUT_TARGET_FRACTION
             timeout_s = max(MIN_PLAIN_TIMEOUT_S, target_s)
+        self._timeout_s = timeout_s
         self._timer = reactor.callLater(timeout_s, self._check)
 
     def check_again(self) -> None:
@@ -64,10 +66,16 @@
         self._timer = self._reactor.callLater(0.0, self._confirm)
 
     def _watch_on(self) -> None:
-        if self._run.request.route.is_stream and not self._run.is_over:
-            self._timer = self._reactor.callLater(
-                CHECK_INTERVAL_S, self._check
-            )
+        if self._run.is_over:
+            return
+        if self._run.is_held:
+            # What the node does not read has its time from when it does.
+            delay_s = self._timeout_s
+        elif self._run.request.route.is_stream:
+            delay_s = CHECK_INTERVAL_S
+        else:
+            return
+        self._timer = self._reactor.callLater(delay_s, self._check)
 
     def _confirm(self) -> None:
         problem = self._find_problem()
@@ -78,10 +86,10 @@
 
     def _find_problem(self) -> calls.Outcome | None:
         """Return as what the attempt is late, or None."""
-        if self._run.is_over:
+        if self._run.is_over or self._run.is_held:
             return None
         if not self._run.request.route.is_stream:
             return None if self._has_head() else calls.Outcome.SLOW
-        if self._run.load.is_unresponsive(self._reactor.seconds()):
+        if self._run.is_unresponsive(self._reactor.seconds()):
             return calls.Outcome.SILENT
         return None
