Count an endpoint's activity for the load that is in use now

Cause: a pool kept the load object that was there when it was made. When the entry of an endpoint is gone, its load is forgotten once nothing runs there, but its pool stays as long as a connection is open, for example one that reads an answer nobody waits for. If the entry returns under the same start, new requests count in a new load, and activity in the forgotten one: each stream longer than 0.6 s looks silent.

Now a pool gets the load anew whenever it is asked for. tests/gateway/ test_pools.py: one of its two cases fails without the change.

--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -56,7 +56,7 @@
         self._endpoint = dialing.tcp_endpoint(
             reactor, address, CONNECT_TIMEOUT_S
         )
-        self._on_activity = on_activity
+        self.on_activity = on_activity
         self._idle: collections.deque[outbound.EndpointConnection]
         self._idle = collections.deque()
         self._open: set[outbound.EndpointConnection] = set()
@@ -152,7 +152,7 @@
 
     def note_activity(self) -> None:
         """Record that the endpoint has sent data."""
-        self._on_activity()
+        self.on_activity()
 
     def count_unsolicited(self) -> None:
         """Count data that belongs to no request."""
@@ -206,7 +206,10 @@
                 spec.key,
                 self.paths,
             )
-        return self._pools[pool_key]
+        pool = self._pools[pool_key]
+        # The load there when the pool was made may have been forgotten.
+        pool.on_activity = lambda: load.note_activity(self._reactor.seconds())
+        return pool
 
     def tick(self, present: set[tuple[str, int]]) -> None:
         """Close stale connections, and idle ones to endpoints not present."""
