Let decisions and timers go by a steady time

Cause: Twisted's reactors go by time.time (reactor.seconds() of the epoll reactor is the time of day, as a run shows), so each timer, drain time, retry window and silence limit of a node moves when its clock is set; the daemon's clock, whose page says that it does not jump, did so too.

Now a node installs one clock in its reactor at the start: the time of day of that moment plus CLOCK_BOOTTIME since, which no step moves and which counts a suspension. Windows of usage and the fields of log lines stay on the time of day; the lease stays on CLOCK_BOOTTIME, now from the same module.

A node that starts while its clock is off by X keeps that offset until it restarts; facts live for 2 minutes (suspicion) to an hour, and times are compared with those of other nodes nowhere else.

--- a/packages/daemon/src/fireflypulley/daemon/main.py
+++ b/packages/daemon/src/fireflypulley/daemon/main.py
@@ -14,6 +14,7 @@
 from fireflypulley.daemon import app
 from fireflypulley.daemon import logs
 from fireflypulley.daemon import settings
+from fireflypulley.transport import steady_time
 
 
 @cappa.command(name="fireflypulleyd")
@@ -27,6 +28,7 @@
 
 
 def _run(config: settings.Settings) -> int:
+    steady_time.install(reactor)
     logs.open_log(config.node.log_file, config.node.node_id)
     daemon = app.App(reactor, config)
     failed: list[str] = []
--- a/packages/gateway/src/fireflypulley/gateway/duties.py
+++ b/packages/gateway/src/fireflypulley/gateway/duties.py
@@ -19,6 +19,7 @@
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import peer_sync
 from fireflypulley.platform import base
+from fireflypulley.transport import steady_time
 
 TABLE = "fireflypulley-duties"
 KEY = "singleton"
@@ -35,7 +36,7 @@
 
 def boottime_s() -> float:
     """Return a monotonic time that includes time spent suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return steady_time.boottime_s()
 
 
 class DutyManager:
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -6,8 +6,8 @@
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import pools
 
-from . import test_inbound
 from ..core.gateway import builders
+from . import test_inbound
 
 
 class System:
