Let a leaving daemon stay until its handovers are confirmed

Cause of the KNOWN-RED test of a leaving node's stream: the core lets go of a request when its handover is sent, and the caller's fetch from the new node begins when that node has confirmed. In between nothing is open, and the check each 50 ms stopped the node. Beside load the confirmation takes longer than that: the caller is cut about a second after SIGTERM, at event 125 of 900, instead of at the end of the grace, and comes to a node that knows no holder yet, so a new run begins from event 0.

Now handovers that are not confirmed keep the node, as fetches do.

--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -142,7 +142,7 @@
         self._job_frontend = job_frontend.JobFrontend(
             self._loop, self._job_store, self._job_runner, self._frontend
         )
-        handover_manager = handovers.Handovers(
+        self._handovers = handovers.Handovers(
             self._reactor,
             self._loop,
             self._hub,
@@ -153,11 +153,11 @@
             self._fetches,
         )
         self._peer_dispatcher.add_handler(
-            messages.Handover, handover_manager.receive
+            messages.Handover, self._handovers.receive
         )
         self._peer_dispatcher.add_handler(
             messages.HandoverTaken,
-            lambda _, m: handover_manager.receive_taken(m),
+            lambda _, m: self._handovers.receive_taken(m),
         )
 
     # Lifecycle
@@ -206,9 +206,10 @@
 
     def _stop_when_idle(self, leaves_at_s: float) -> None:
         grace_over = self._loop.now_s() >= leaves_at_s
-        idle = self._core.idle and not len(self._fetches)
-        if idle or grace_over:
-            state = "stopped" if idle else "stopped-with-open-requests"
+        if self._is_idle or grace_over:
+            state = "stopped-with-open-requests"
+            if self._is_idle:
+                state = "stopped"
             logs.note("node", self._config.node.node_id, state)
             store.spawn(self._stop())
             return
@@ -216,6 +217,15 @@
             STOP_CHECK_S, self._stop_when_idle, leaves_at_s
         )
 
+    @property
+    def _is_idle(self) -> bool:
+        """Return whether no caller waits for this node.
+
+        The core has let go of a request whose handover is not confirmed.
+        """
+        pending = len(self._fetches) + len(self._handovers)
+        return self._core.idle and not pending
+
     async def _stop(self) -> None:
         self._poller.stop()
         self._tick_loop.stop()
--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -53,6 +53,10 @@
         loop.set_handler(actions.HandOver, self._offer)
         loop.set_handler(actions.HandOverJob, self._offer_job)
 
+    def __len__(self) -> int:
+        """Return the number of handovers that are not confirmed."""
+        return len(self._offers)
+
     def _send(
         self, request_id: str, to_node: str, message: messages.Handover
     ) -> None:
--- a/packages/daemon/src/fireflypulley/daemon/metrics.py
+++ b/packages/daemon/src/fireflypulley/daemon/metrics.py
@@ -96,19 +96,22 @@
         if label:
             text += f" Label: {label}."
         self.help_texts[metric.name] = text
-        self._registry.register(metric)
 
     def _counter(
         self, name: str, text: str, label: str = ""
     ) -> aioprometheus.Counter:
-        metric = aioprometheus.Counter(f"{_PREFIX}{name}_total", text)
+        metric = aioprometheus.Counter(
+            f"{_PREFIX}{name}_total", text, registry=self._registry
+        )
         self._add(metric, text, label)
         return metric
 
     def _gauge(
         self, name: str, text: str, label: str = ""
     ) -> aioprometheus.Gauge:
-        metric = aioprometheus.Gauge(_PREFIX + name, text)
+        metric = aioprometheus.Gauge(
+            _PREFIX + name, text, registry=self._registry
+        )
         self._add(metric, text, label)
         return metric
 
@@ -116,7 +119,10 @@
         self, name: str, text: str, buckets: tuple[float, ...]
     ) -> aioprometheus.Histogram:
         metric = aioprometheus.Histogram(
-            _PREFIX + name, text, buckets=list(buckets)
+            _PREFIX + name,
+            text,
+            registry=self._registry,
+            buckets=list(buckets),
         )
         self._add(metric, text, "")
         return metric
--- a/tests/processes/test_jobs.py
+++ b/tests/processes/test_jobs.py
@@ -2,6 +2,8 @@
 
 import http.client
 import json
+import signal
+import time
 import urllib.parse
 
 import pytest
@@ -155,6 +157,32 @@
     assert found == "".join(engine.token(PROMPT, n) for n in range(900))
 
 
+# Guards against a second run of a stream whose receiver confirmed it late:
+# the leaving node had nothing open meanwhile and stopped.
+def test_a_leaving_node_stays_until_a_late_receiver_confirms(hasty_system):
+    system = hasty_system
+    leaving, *receivers = system.daemons
+    body = {
+        "model": "shorthand",
+        "stream": True,
+        "max_tokens": 900,
+        "messages": [{"role": "user", "content": PROMPT}],
+    }
+
+    def freeze_receivers():
+        time.sleep(0.9)
+        for daemon in receivers:
+            daemon.signal(signal.SIGSTOP)
+        time.sleep(0.8)
+        for daemon in receivers:
+            daemon.signal(signal.SIGCONT)
+        assert leaving.alive
+
+    read_until_cut(
+        system, leaving, "/v1/chat/completions", body, freeze_receivers
+    )
+
+
 def events_text(events: bytes) -> str:
     found = []
     for event in events.split(b"\n\n"):
@@ -165,7 +193,9 @@
     return "".join(found)
 
 
-def read_until_cut(system, daemon, path: str, body: dict) -> bytes:
+def read_until_cut(
+    system, daemon, path: str, body: dict, after_signal=lambda: None
+) -> bytes:
     """Return the whole events that come before the node is gone."""
     host = urllib.parse.urlsplit(daemon.callers).netloc
     connection = http.client.HTTPConnection(host, timeout=30)
@@ -188,5 +218,6 @@
         if len(found) > 2000 and not signalled:
             signalled = True
             daemon.signal(15)
+            after_signal()
     assert b"[DONE]" not in found
     return found[: found.rindex(b"\n\n") + 2]
