--- a/packages/gateway/src/fireflypulley/gateway/inbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/inbound.py
@@ -55,7 +55,12 @@
 
 
 class CallerSink(abc.ABC):
-    """Receives the response to a request."""
+    """Receives the response to a request.
+
+    What does not fit the response so far closes the connection, so that the
+    response is seen as incomplete, and raises ``BrokenResponse``, after the
+    handler has been told.
+    """
 
     @abc.abstractmethod
     def head(self, status: int, headers: header_codec.Headers) -> None:
@@ -74,6 +79,10 @@
         """Close the connection, so that the response is seen as incomplete."""
 
 
+class BrokenResponse(Exception):
+    """Raised for data that does not fit the head of a response."""
+
+
 class RequestHandler(abc.ABC):
     """Handles one request; informed of what its caller does."""
 
@@ -81,6 +90,13 @@
     def caller_left(self) -> None:
         """Called when the caller has closed its connection."""
 
+    def response_broken(self, problem: str) -> None:
+        """Called when the response can't go on; the connection is closed.
+
+        Its data does not fit its head.
+        """
+        self.caller_left()
+
     @abc.abstractmethod
     def pause(self) -> None:
         """Called when the caller reads too slowly for more data."""
@@ -353,14 +369,27 @@
             self._write(h11.Data(data=data))
 
     def _write(self, event: h11.Event) -> None:
-        self.transport.write(self._http.send(event) or b"")
+        try:
+            data = self._http.send(event) or b""
+        except h11.LocalProtocolError as problem:
+            self._break_off(str(problem))
+            raise BrokenResponse(str(problem)) from problem
+        self.transport.write(data)
+
+    def _break_off(self, problem: str) -> None:
+        """Close the connection; nothing in this node waits for the caller."""
+        handler = self._handler
+        self.abort()
+        if handler is not None:
+            handler.response_broken(problem)
 
     def end(self) -> None:
+        if self._is_open:
+            self._write(h11.EndOfMessage())
         self._handler = None
         self._is_responding = False
         if not self._is_open:
             return
-        self._write(h11.EndOfMessage())
         if self._must_close:
             return
         if self._http.our_state is not h11.DONE:
