Let no loop of a gateway node end by an error

Cause: the periodic work was one call of a LoopingCall, which an error in any part ends for ever: no states are sent, no duty is held, nothing expires. The reading of the list of nodes ended with an error that is neither Unavailable nor a conflict, and joining did too, which leaves a node alone. The shutdown was a chain of timers that an error in closing one connection or in ending one request breaks, so the node runs until it is killed.

Now each part of the periodic work, and each step of the shutdown, is guarded: an error is a line, the rest goes on. Joining and the list of nodes start anew after an error, with a line and 0.5 s of pause. The follower of the store did so already; http_client turns ConnectingCancelledError into Unavailable.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -167,6 +167,11 @@
         self._open_requests: set[exchange.Exchange] = set()
         self._caller_connections: set[inbound.CallerConnection] = set()
         self._tick_loop = task.LoopingCall(self._tick)
+        self._tick_loop.clock = reactor
+        self._stop_loop = task.LoopingCall(
+            background.guard(self._stop_if_done, loop="stop")
+        )
+        self._stop_loop.clock = reactor
         self._caller_port: interfaces.IListeningPort | None = None
         self._is_stopping = False
         self._accepts_until_s = float("inf")
@@ -234,6 +239,17 @@
         return port
 
     def _tick(self) -> None:
+        """Run the periodic work; an error in a part leaves the others."""
+        for part in (
+            self._forget_old,
+            self._prober.tick,
+            self._permits.tick,
+            self._send_state,
+            self._tick_duties,
+        ):
+            background.guard(part, loop="tick")()
+
+    def _forget_old(self) -> None:
         now_s = self._reactor.seconds()
         for member in self._scheduler.fleet.expire(now_s):
             self._note_lapsed(member, now_s)
@@ -242,13 +258,10 @@
         self._scheduler.prompt_crashes.forget_old(now_s)
         present = {member.registration.key for member in self._scheduler.fleet}
         self._connections.tick(present)
-        self._prober.tick()
-        self._permits.tick()
+
+    def _send_state(self) -> None:
         if self._peer_sync is not None:
             self._peer_sync.send_state()
-        if not self._is_stopping:
-            self._duties.tick(self._peer_sync)
-            self._tick_duties()
 
     def _note_lapsed(self, member: fleet.Member, now_s: float) -> None:
         kept_s = now_s - (member.removed_s or now_s)
@@ -264,7 +277,10 @@
         )
 
     def _tick_duties(self) -> None:
-        """Run the periodic tasks of the duty holder."""
+        """Compete for the duty, and run the tasks of its holder."""
+        if self._is_stopping:
+            return
+        self._duties.tick(self._peer_sync)
         if self._config.scales_replicas:
             self._replica_scaler.tick(self._find_fence)
         fence = self._find_fence()
@@ -282,7 +298,9 @@
 
     async def _join(self, started_s: float) -> None:
         """Register this node, and keep the list of other nodes up to date."""
-        key = await self._membership.join()
+        key = await background.restart_on_error(
+            self._reactor, self._membership.join, joining=True
+        )
         sync = peer_sync.PeerSync(
             self._reactor,
             self._peer_registry,
@@ -307,8 +325,12 @@
             self._membership.is_first_start,
             self._reactor.seconds(),
         )
-        await self._membership.refresh_periodically(
-            sync.nodes_changed, lambda: sync.is_mesh
+        await background.restart_on_error(
+            self._reactor,
+            lambda: self._membership.refresh_periodically(
+                sync.nodes_changed, lambda: sync.is_mesh
+            ),
+            loop="nodes",
         )
 
     def _issuing_term(self) -> int | None:
@@ -436,16 +458,16 @@
         self._accepts_until_s = now_s + BALANCER_DELAY_S
         grace_s = self._config.shutdown_grace_s
         self._stops_at_s = now_s + grace_s - ABORT_BEFORE_KILL_S
-        self._reactor.callLater(STOP_CHECK_INTERVAL_S, self._stop)
+        self._stop_loop.start(STOP_CHECK_INTERVAL_S, now=False)
 
-    def _stop(self) -> None:
+    def _stop_if_done(self) -> None:
         now_s = self._reactor.seconds()
         was_closed = self._caller_port is None
         if now_s >= self._accepts_until_s:
             # The shutdown could interrupt the requests of later callers.
             self._close_port()
             for caller in list(self._caller_connections):
-                caller.close_idle()
+                background.guard(caller.close_idle, loop="stop")()
         # Callers may connect until the port is closed, so the node stops
         # at the earliest one check after that, with no caller connected
         # and no other node's request under way.
@@ -455,14 +477,13 @@
             and not self._tunnel_server.open_count
         )
         if not is_done and now_s < self._stops_at_s:
-            self._reactor.callLater(STOP_CHECK_INTERVAL_S, self._stop)
             return
+        self._stop_loop.stop()
         for handler in list(self._open_requests):
-            handler.abort()
-        self._tunnel_server.abort_all()
+            background.guard(handler.abort, loop="stop")()
+        background.guard(self._tunnel_server.abort_all, loop="stop")()
         decision_log.note("node", state="stopped")
-        if self._peer_sync is not None:
-            self._peer_sync.send_state()
+        background.guard(self._send_state, loop="stop")()
         self._reactor.callLater(0, self._reactor.stop)
 
     def _close_port(self) -> None:
