Dial the other nodes though one address can't be read

Cause: the heartbeats of a hub and the dialing of missing peers are one LoopingCall; an address without a port, or that no endpoint can be made of, raised there and ended it, so no node was greeted or dialed any more. The node counted as being dialed as well, for ever.

--- a/packages/nodes/src/fireflypulley/nodes/hub.py
+++ b/packages/nodes/src/fireflypulley/nodes/hub.py
@@ -8,6 +8,7 @@
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.internet import task
+from twisted import logger
 
 from fireflypulley.core import topology
 from fireflypulley.nodes import codec
@@ -19,6 +20,8 @@
 DIAL_TIMEOUT_S = 1.0
 MAX_PENDING_MESSAGES = 1000
 
+_LOG = logger.Logger()
+
 _TunnelReceiver = collections.abc.Callable[
     [streams.NodeStream, messages.TunnelRequest], None
 ]
@@ -224,15 +227,24 @@
         node = self._resolve(node_id)
         if node is None or node_id in self._dialing:
             return
+        try:
+            endpoint = self._endpoint(node.address)
+        except ValueError:
+            # Another node's mistake; the other nodes are still dialed.
+            _LOG.failure("Bad address of node {node_id}", node_id=node_id)
+            return
         self._dialing.add(node_id)
-        host, port = node.address.rsplit(":", 1)
-        endpoint = endpoints.clientFromString(
-            self._reactor, self._dial_template.format(host=host, port=port)
-        )
         connecting = endpoint.connect(_Factory(self, purpose, True))
         connecting.addTimeout(DIAL_TIMEOUT_S, self._reactor)
         connecting.addBoth(self._on_dial_result, node_id)
 
+    def _endpoint(self, address: str) -> interfaces.IStreamClientEndpoint:
+        """Return the endpoint of an address; raise ``ValueError``."""
+        host, port = address.rsplit(":", 1)
+        return endpoints.clientFromString(
+            self._reactor, self._dial_template.format(host=host, port=port)
+        )
+
     def _on_dial_result(self, result: object, node_id: str) -> None:
         self._dialing.discard(node_id)
         if not isinstance(result, protocol.Protocol):
--- a/tests/nodes/test_hub.py
+++ b/tests/nodes/test_hub.py
@@ -4,6 +4,7 @@
 
 import pytest
 from twisted.internet import task
+from twisted.internet import testing
 
 from fireflypulley.core import topology
 from fireflypulley.nodes import hub
@@ -96,3 +97,27 @@
     streams.stream_up(call)
     streams.stream_down(call)
     assert not listener.told
+
+
+# Guards against a node that dials and greets nobody any more because one
+# address in its list can't be read.
+def test_a_bad_address_leaves_the_other_nodes():
+    clock = testing.MemoryReactorClock()
+    addresses = {"n2": "no address", "n3": "127.0.0.1:3"}
+    streams = hub.Hub(
+        clock,
+        topology.Node("n1", "h:1", "a"),
+        1,
+        keys.SharedKey(b"key"),
+        "tcp:{host}:{port}",
+        types.SimpleNamespace(),
+        lambda node_id: topology.Node(node_id, addresses[node_id], "a"),
+    )
+    streams.set_wanted_peers(("n2", "n3"))
+    assert [client[:2] for client in clock.tcpClients] == [("127.0.0.1", 3)]
+    streams.start()
+    clock.pump([hub.HEARTBEAT_S] * 3)
+    assert streams._heartbeat_loop.running
+    addresses["n2"] = "127.0.0.1:2"
+    clock.advance(hub.HEARTBEAT_S)
+    assert ("127.0.0.1", 2) in [client[:2] for client in clock.tcpClients]
