Publish a rollout's phase under a condition

Cause: status/rollout/SERVICE was written without a condition. A write of a former holder of the duty that arrives late, after a freeze or a slow call, put its phase over the verdict of the next holder, which holds it for published and writes no more. A verdict that a restored store had lost was not written again either by a node that had published it.

Now the row's version as read or written last is the condition; a conflict is logged and makes the holder read the table again before it writes. What was published is forgotten with each such read, so a lost row is written again.

--- a/packages/gateway/src/fireflypulley/gateway/rollout_controller.py
+++ b/packages/gateway/src/fireflypulley/gateway/rollout_controller.py
@@ -1,5 +1,7 @@
 """Drives rollouts while this node holds the duty."""
 
+import dataclasses
+
 from twisted.internet import interfaces
 
 from fireflypulley.core import facts
@@ -14,7 +16,11 @@
 
 
 class RolloutController:
-    """Advances the phases of rollouts and publishes them for operators."""
+    """Advances the phases of rollouts and publishes them for operators.
+
+    A phase is written over the row that this node has read or written last
+    only, so that a former holder of the duty takes nothing back.
+    """
 
     def __init__(
         self,
@@ -28,6 +34,7 @@
         self._store = store
         self._row_codec = codec
         self._published_phases: dict[str, versions.Phase] = {}
+        self._row_versions: dict[str, int] = {}
         self._publishing: set[str] = set()
         self._retry_after_s: dict[str, float] = {}
         self._fencing = 0
@@ -38,7 +45,8 @@
     def _restore_published(self, fencing: int, now_s: float) -> bool:
         """Return whether the phases that were published have been read.
 
-        Start to read them if the duty has been acquired anew.
+        Start to read them if the duty has been acquired anew, or if another
+        node has written since.
         """
         if fencing != self._fencing:
             self._fencing = fencing
@@ -64,6 +72,12 @@
             self._retry_after_s[""] = now_s + RETRY_DELAY_S
             decision_log.note("rollout", state="unread", detail=str(problem))
             return
+        self._published_phases.clear()
+        self._row_versions = {
+            row.key: row.version
+            for row in snapshot.rows
+            if row.value is not None
+        }
         for row in snapshot.rows:
             try:
                 published = self._row_codec.decode_rollout_status(row)
@@ -138,9 +152,13 @@
         row = self._row_codec.encode_rollout_status(
             rollout.service, rollout.target, phase
         )
+        known_version = self._row_versions.get(row.key, 0)
+        row = dataclasses.replace(row, expected_version=known_version)
         try:
-            await self._store.transact((row,))
-        except base.Unavailable as problem:
+            version = await self._store.transact((row,))
+        except (base.Unavailable, base.RowsConflict) as problem:
+            if isinstance(problem, base.RowsConflict):
+                self._is_restored = False
             retry_s = self._reactor.seconds() + RETRY_DELAY_S
             self._retry_after_s[rollout.rollout_id] = retry_s
             decision_log.note(
@@ -151,4 +169,5 @@
                 detail=str(problem),
             )
             return
+        self._row_versions[row.key] = version
         self._published_phases[rollout.rollout_id] = phase
