Let a daemon's periodic work go on after an error

Cause: the tick of the daemon is a LoopingCall, which an error in the core or in a task ended for ever: no deadline, no lease and no handover after it.

Now the error is a log line and the next tick runs. tests/daemon/ test_shutdown.py: the new case fails without the change.

--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -1,6 +1,7 @@
 """Builds a daemon from its settings, starts it and shuts it down."""
 
 import time
+import traceback
 
 from twisted.internet import endpoints as twisted_endpoints
 from twisted.internet import interfaces
@@ -179,6 +180,14 @@
         logs.note("node", self._config.node.node_id, "started")
 
     def _tick(self) -> None:
+        """Run the periodic work; an error in it is logged."""
+        try:
+            self._run_periodic_work()
+        except Exception:
+            name = self._config.node.node_id
+            logs.note("node", name, "tick-failed", traceback.format_exc())
+
+    def _run_periodic_work(self) -> None:
         now_s = self._reactor.seconds()
         if self._next_tick_s is not None:
             lag_s = max(0.0, now_s - self._next_tick_s)
--- a/tests/daemon/test_shutdown.py
+++ b/tests/daemon/test_shutdown.py
@@ -1,4 +1,4 @@
-"""When a node that shuts down may stop."""
+"""When a node that shuts down may stop, and periodic work that fails."""
 
 import pytest
 from twisted.internet import testing
@@ -153,3 +153,21 @@
     node.app._peer_dispatcher.message_received("n2", end)
     node.advance(2 * app.STOP_CHECK_S + app.TICK_S)
     assert node.has_stopped
+
+
+# Guards against a daemon whose periodic work has ended by an error.
+def test_the_periodic_work_goes_on_after_an_error(node):
+    failures = [KeyError("odd"), KeyError("odd")]
+    handle = node.app._core.handle
+    handled = []
+
+    def fail_at_first(event, now_s):
+        if failures:
+            raise failures.pop()
+        handled.append(event)
+        return handle(event, now_s)
+
+    node.app._core.handle = fail_at_first
+    node.advance(1.0)
+    assert not node.has_stopped
+    assert len(handled) >= 7
