--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -291,20 +291,32 @@
             self._write(h11.Data(data=data))
 
     def _write(self, event: h11.Event) -> None:
-        data = self._http.send(event) or b""
+        try:
+            data = self._http.send(event) or b""
+        except h11.LocalProtocolError as problem:
+            self._break_off(str(problem))
+            raise inbound.BrokenResponse(str(problem)) from problem
         self._watch.note_written(len(data))
         self._queue.write(data)
 
+    def _break_off(self, problem: str) -> None:
+        """Close the connection; nothing in this node waits for the caller."""
+        handler = self._handler
+        self.abort()
+        if handler is not None:
+            handler.response_broken(problem)
+
     def end(
         self, on_delivery: inbound.OnDelivery = inbound.ignore_delivery
     ) -> None:
+        if self._is_open:
+            self._write(h11.EndOfMessage())
         self._handler = None
         self._is_responding = False
         if not self._is_open:
             end = self.end_reason or caller_ends.CallerEnd.LEFT
             on_delivery(caller_ends.Delivery(end=end))
             return
-        self._write(h11.EndOfMessage())
         self._watch.expect_delivery(on_delivery)
         if self._must_close:
             return
--- a/packages/gateway/src/fireflypulley/gateway/inbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/inbound.py
@@ -71,7 +71,12 @@
 
 
 class CallerSink(abc.ABC):
-    """Receives the response to a request."""
+    """Receives the response to a request.
+
+    What does not fit the response so far closes the connection, so that the
+    response is seen as incomplete, and raises ``BrokenResponse``, after the
+    handler has been told.
+    """
 
     @abc.abstractmethod
     def head(self, status: int, headers: header_codec.Headers) -> None:
@@ -94,6 +99,10 @@
         """Close the connection, so that the response is seen as incomplete."""
 
 
+class BrokenResponse(Exception):
+    """Raised for data that does not fit the head of a response."""
+
+
 class RequestHandler(abc.ABC):
     """Handles one request; informed of what its caller does."""
 
@@ -101,6 +110,13 @@
     def caller_left(self) -> None:
         """Called when the caller has closed its connection."""
 
+    def response_broken(self, problem: str) -> None:
+        """Called when the response can't go on; the connection is closed.
+
+        Its data does not fit its head.
+        """
+        self.caller_left()
+
     @abc.abstractmethod
     def pause(self) -> None:
         """Called when the caller reads too slowly for more data."""
