Date requests that waited while a node stood still by its beginning

Cause: a node counts a request when it reads it. A node that was frozen reads what waited for it at once when it goes on, and counted it as sent then, so its ratio paid for up to 14 s of requests in a window of 10 s. A retry that was under way before the freeze arrives after it, and was as old as the freeze by then.

Ruled out: that a node's part grows as others fall silent. A silent node counts for 20 s, so in the halves of 4 s each node counts six throughout; the model breaks the bound with that count constant.

The change: at a standstill (no sign of life for 0.5 s) requests that are read soon after are as old as its beginning, and retries don't age by it. A clock set forward counts as a standstill; after one set back the requests counted so far pay for nothing more.

What callers saw: nothing wrong in their answers; the endpoints got repeats beyond the budget.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -9,6 +9,7 @@
 import collections.abc
 import dataclasses
 
+from fireflypulley.core.gateway import standstill
 from fireflypulley.core import ownership
 
 TURN_TTL_S = 1.0
@@ -162,7 +163,8 @@
     All nodes together may retry ``ratio`` of the requests plus ``slack``;
     a node may use its own ratio and an equal part of the slack.  A node
     that has just started may use little of its part, for which each node
-    leaves that much unused.
+    leaves that much unused.  While a node stands still its requests grow
+    old and its retries don't: one sent before may arrive after.
     """
 
     STARTING_SLACK = 2
@@ -174,6 +176,7 @@
         self._slack = slack
         self._window_s = window_s
         self._slack_from_s = float("-inf")
+        self._standstill = standstill.Standstill()
         self._requests: dict[str, collections.deque[float]]
         self._requests = collections.defaultdict(collections.deque)
         self._retries: dict[str, collections.deque[float]]
@@ -194,13 +197,31 @@
         spent_s = 0.0 if is_first else self._window_s
         self._slack_from_s = started_s + spent_s + JOINING_S
 
+    def tick(self, now_s: float) -> None:
+        """Record that the node runs; called several times a second."""
+        self._pass_standstill(self._standstill.tick(now_s))
+
+    def _pass_standstill(self, stood_s: float) -> None:
+        """Keep the retries as old as they were before a standstill."""
+        if not stood_s:
+            return
+        for times in self._retries.values():
+            _shift(times, stood_s)
+        if stood_s < 0.0:
+            # How old the requests are isn't known after a step back.
+            self._requests.clear()
+            self._slack_from_s += stood_s
+
     def note_request(self, service: str, now_s: float) -> None:
-        """Count a caller's request."""
-        self._requests[service].append(now_s)
+        """Count a caller's request as of when it may have been sent."""
+        self._pass_standstill(self._standstill.observe(now_s))
+        sent_s = self._standstill.earliest_sent_s(now_s)
+        self._requests[service].append(sent_s)
         self._trim(self._requests[service], now_s)
 
     def spend(self, service: str, nodes: int, now_s: float) -> bool:
         """Return whether one more retry may be sent, and count it."""
+        self._pass_standstill(self._standstill.observe(now_s))
         requests = self._trim(self._requests[service], now_s)
         retries = self._trim(self._retries[service], now_s)
         part = self._slack / max(1, nodes)
@@ -213,6 +234,13 @@
         return True
 
 
+def _shift(times: collections.deque[float], by_s: float) -> None:
+    """Add a time to all times of a deque."""
+    shifted = [time_s + by_s for time_s in times]
+    times.clear()
+    times.extend(shifted)
+
+
 class NodeShareLimiter:
     """Limits requests to an endpoint to the node's part of a rate.
 
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -96,7 +96,11 @@
         self._set_limits(now_s)
 
     def set_node_counts(self, alive: int, known: int, now_s: float) -> None:
-        """Set how many nodes are reachable, and how many there are."""
+        """Set how many nodes are reachable, and how many there are.
+
+        Called several times a second.
+        """
+        self.retry_budget.tick(now_s)
         if (alive, known) == (self.nodes_alive, self.nodes_known):
             return
         self.nodes_alive = alive
--- /dev/null
+++ b/tests/core/gateway/fleets.py
@@ -0,0 +1,155 @@
+"""A model of nodes that share bounds, with faults drawn by chance."""
+
+import bisect
+import random
+
+from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import peer_registry
+
+STEP_S = 0.01
+TICK_S = 0.25
+RATIO = 0.2
+SLACK = 20.0
+WINDOW_S = 10.0
+ATTEMPTS = 3
+
+
+def _entry(node_id, started_s):
+    started_ms = round(started_s * 1000) + 1
+    return peer_registry.NodeEntry(node_id, f"{node_id}:1", "a", started_ms)
+
+
+class Node:
+    """A node: what it counts, what waits for it, what it has under way."""
+
+    def __init__(self, node_id):
+        self.node_id = node_id
+        self.thaws_s = 0.0
+        self.clock_offset_s = 0.0
+        self.waiting = []
+        self.under_way_s = []
+        self.heard = []
+
+    def start(self, now_s, entries, is_first):
+        """Start, or start anew without anything that was known."""
+        self.waiting.clear()
+        self.heard.clear()
+        self.under_way_s.clear()
+        self.next_tick_s = now_s
+        self.count = 1
+        self.registry = peer_registry.PeerRegistry(_entry(self.node_id, now_s))
+        clock_s = now_s + self.clock_offset_s
+        for entry in entries:
+            self.registry.put(entry, clock_s)
+        self.budget = limits.RetryBudget(RATIO, SLACK, WINDOW_S)
+        self.budget.begin(clock_s, is_first)
+
+    def freeze(self, now_s, for_s):
+        """Stand still; what is under way arrives afterwards."""
+        self.thaws_s = max(self.thaws_s, now_s + for_s)
+
+    def run(self, now_s, chance):
+        """Read what waits, then tick."""
+        clock_s = now_s + self.clock_offset_s
+        for _ in self.waiting:
+            self._serve(now_s, clock_s, chance)
+        self.waiting.clear()
+        for node_id in self.heard:
+            self.registry.note_seen(node_id, clock_s)
+        self.heard.clear()
+        if now_s < self.next_tick_s:
+            return False
+        self.next_tick_s = now_s + TICK_S
+        self.count = self.registry.node_count(clock_s)
+        self.budget.tick(clock_s)
+        return True
+
+    def _serve(self, now_s, clock_s, chance):
+        self.budget.note_request("s", clock_s)
+        for _ in range(ATTEMPTS - 1):
+            if self.budget.spend("s", self.count, clock_s):
+                self.under_way_s.append(now_s + chance.random() * 0.05)
+
+
+class Fleet:
+    """Nodes whose endpoints fail all, asked by callers at a rate."""
+
+    def __init__(self, seed, nodes, per_s):
+        self.chance = random.Random(seed)
+        self.now_s = 0.0
+        self.per_s = per_s
+        self.sent_s = []
+        self.retries_s = []
+        self.nodes = [Node(f"n{number}") for number in range(nodes)]
+        self.weights = [1.0] * nodes
+        self.cuts = []
+        entries = [_entry(node.node_id, 0.0) for node in self.nodes]
+        for node in self.nodes:
+            node.start(0.0, entries, True)
+
+    def play(self, for_s):
+        """Let time pass."""
+        until_s = self.now_s + for_s
+        while self.now_s < until_s:
+            self.now_s += STEP_S
+            self._send()
+            for node in self.nodes:
+                if node.thaws_s <= self.now_s:
+                    self._run(node)
+
+    def _send(self):
+        if self.chance.random() < self.per_s * STEP_S:
+            self.sent_s.append(self.now_s)
+            chosen = self.chance.choices(self.nodes, self.weights)[0]
+            chosen.waiting.append(self.now_s)
+
+    def _run(self, node):
+        arrived = [one for one in node.under_way_s if one <= self.now_s]
+        for one in arrived:
+            node.under_way_s.remove(one)
+            self.retries_s.append(self.now_s)
+        if not node.run(self.now_s, self.chance):
+            return
+        for other in self.nodes:
+            if other is not node and not self._is_cut(node, other):
+                other.heard.append(node.node_id)
+
+    def _is_cut(self, sender, receiver):
+        self.cuts = [cut for cut in self.cuts if cut[0] > self.now_s]
+        return any(
+            sender in senders and receiver in receivers
+            for _, senders, receivers in self.cuts
+        )
+
+    def cut(self, some, for_s, both_ways=True):
+        """Let nothing pass from some nodes to the others."""
+        others = [node for node in self.nodes if node not in some]
+        until_s = self.now_s + for_s
+        self.cuts.append((until_s, some, others))
+        if both_ways:
+            self.cuts.append((until_s, others, some))
+
+    def restart(self, node):
+        """Kill a node and start it anew."""
+        entries = [other.registry.this for other in self.nodes]
+        node.start(self.now_s, entries, False)
+
+    def excess(self):
+        """Return by how much the worst window lies beyond its bound."""
+        return max(
+            (self._excess(from_s) for from_s in self.retries_s),
+            default=-SLACK,
+        )
+
+    def _excess(self, from_s):
+        retries = _count(self.retries_s, from_s)
+        requests = max(
+            _count(self.sent_s, from_s - back_s)
+            for back_s in (0.0, WINDOW_S / 2, WINDOW_S)
+        )
+        return retries - SLACK - RATIO * requests
+
+
+def _count(times_s, from_s):
+    first = bisect.bisect_left(times_s, from_s)
+    return bisect.bisect_left(times_s, from_s + WINDOW_S) - first
--- /dev/null
+++ b/tests/core/gateway/test_retry_model.py
@@ -0,0 +1,50 @@
+"""The retries of all nodes, in a model with faults drawn by chance."""
+
+import pytest
+
+from . import fleets
+
+PER_S = 40.0
+FREEZES_S = (0.6, 12.0)
+
+
+def _some(fleet):
+    count = fleet.chance.randint(1, len(fleet.nodes))
+    return fleet.chance.sample(fleet.nodes, count)
+
+
+def _freeze(fleet):
+    for_s = fleet.chance.uniform(*FREEZES_S)
+    for node in _some(fleet):
+        node.freeze(fleet.now_s, for_s)
+
+
+def _set_clock(fleet):
+    for node in _some(fleet):
+        node.clock_offset_s += fleet.chance.uniform(-20.0, 20.0)
+
+
+# Guards against nodes that, after they stood still, count the requests that
+# had waited for them as if they had been sent just now.
+@pytest.mark.parametrize("nodes", [6, 9, 12])
+@pytest.mark.parametrize("seed", range(3))
+def test_halves_that_stand_still_in_turn_keep_the_retry_budget(seed, nodes):
+    fleet = fleets.Fleet(seed, nodes, PER_S)
+    fleet.play(15.0)
+    for half in (fleet.nodes[: nodes // 2], fleet.nodes[nodes // 2 :]):
+        for node in half:
+            node.freeze(fleet.now_s, 4.0)
+        fleet.play(4.0)
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_nodes_whose_clocks_are_set_keep_the_retry_budget(seed):
+    fleet = fleets.Fleet(seed, 6, PER_S)
+    fleet.play(15.0)
+    for _ in range(8):
+        fleet.chance.choice((_freeze, _set_clock))(fleet)
+        fleet.play(fleet.chance.uniform(0.2, 8.0))
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -9,6 +9,8 @@
 
 from fireflystandins import gateways
 
+OPEN_CALLS = 400
+
 _numbers = itertools.count(1)
 
 
@@ -44,6 +46,24 @@
             turn = next(self._turns)
             self.call(self.nodes[turn % len(self.nodes)])
 
+    @contextlib.contextmanager
+    def calling_steadily(self, per_s):
+        """Send requests at a rate during the block, answered or not."""
+
+        def send():
+            with concurrent.futures.ThreadPoolExecutor(OPEN_CALLS) as pool:
+                while not self._stopping.wait(1.0 / per_s):
+                    turn = next(self._turns)
+                    pool.submit(self.call, self.nodes[turn % len(self.nodes)])
+
+        sending = threading.Thread(target=send)
+        sending.start()
+        try:
+            yield self
+        finally:
+            self._stopping.set()
+            sending.join()
+
     @contextlib.contextmanager
     def calling(self):
         """Send requests during the block."""
--- a/tests/processes/test_retry_budget.py
+++ b/tests/processes/test_retry_budget.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import contextlib
 import json
+import signal
 import socket
 import time
 
@@ -24,6 +25,8 @@
 PAUSE_S = 0.3
 BURST = 15
 START_TIMEOUT_S = 30.0
+STEADY_PER_S = 40.0
+FROZEN_S = 4.0
 BOUNDS = {
     "retry-budget-ratio": RATIO,
     "retry-window-s": WINDOW_S,
@@ -127,3 +130,34 @@
     retries_s = _retries_s(system)
     assert retries_s
     assert _excess(retries_s, asking.sent_s) <= 0
+
+
+@contextlib.contextmanager
+def _frozen(nodes):
+    """Let nodes stand still during the block."""
+    for node in nodes:
+        node.signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for node in nodes:
+            node.signal(signal.SIGCONT)
+
+
+# Guards against nodes that, after they stood still, count the requests that
+# had waited for them as if they had been sent just now.
+@pytest.mark.parametrize("frozen_s", [FROZEN_S])
+def test_halves_that_stand_still_in_turn_keep_the_budget(system, frozen_s):
+    _start_nodes(system)
+    system.wait_ready()
+    time.sleep(WINDOW_S)
+    asking = callers.Callers(system.nodes, CALLERS, PAUSE_S)
+    with asking.calling_steadily(STEADY_PER_S):
+        time.sleep(WINDOW_S)
+        for half in (system.nodes[: NODES // 2], system.nodes[NODES // 2 :]):
+            with _frozen(half):
+                time.sleep(frozen_s)
+        time.sleep(WINDOW_S)
+    retries_s = _retries_s(system)
+    assert retries_s
+    assert _excess(retries_s, asking.sent_s) <= 0
