Say in one place by how many nodes a bound is shared

Cause: two sides of a partition count only themselves after 20 s, and each then uses the whole slack. A node that waits for the store for longer than a window and two seconds since its start, or that is frozen before it knew the others, counts itself alone and uses the whole slack, too. The cold rate and brittle endpoints had the same count of 20 s.

The change: SharingNodes says by how many nodes the retry budget, the cold rate and brittle endpoints are shared. A node counts others until they were silent for 60 s, many until it has joined, and many again for two seconds after a standstill, in which others may have come. A row of a node that is gone counts once. A count that can be none is refused with a log line. Quotas and permits still go by the nodes in touch and the 20 s: what a longer time costs them is not measured.

What callers saw: nothing; endpoints got repeats beyond the budget.

--- a/packages/core/src/fireflypulley/core/gateway/peer_registry.py
+++ b/packages/core/src/fireflypulley/core/gateway/peer_registry.py
@@ -9,6 +9,10 @@
 """A node that was not seen for this long is dropped."""
 COUNTED_WITHIN_S = 20.0
 """An unreachable node still counts in shared limits for this long."""
+SHARING_WITHIN_S = FORGET_AFTER_S
+"""An unreachable node still has its part of a bound that is kept by parts
+for this long: it may use it beyond a partition.  Longer than the window of
+any such bound."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +33,7 @@
 class _Known:
     entry: NodeEntry
     last_seen_s: float
+    is_sharing: bool = True
 
 
 class PeerRegistry:
@@ -38,6 +43,7 @@
         self.this = this
         self.alive_within_s = ALIVE_WITHIN_S
         self._known: dict[str, _Known] = {}
+        self._gone_ms: dict[str, int] = {}
 
     def put(self, entry: NodeEntry, now_s: float) -> bool:
         """Apply an entry; return whether it is new."""
@@ -48,9 +54,11 @@
             if entry.started_ms <= known.entry.started_ms:
                 return False
             known.entry = entry
+            known.is_sharing = True
             return True
         stale_s = now_s - self.alive_within_s
-        self._known[entry.node_id] = _Known(entry, stale_s)
+        is_sharing = self._gone_ms.get(entry.node_id) != entry.started_ms
+        self._known[entry.node_id] = _Known(entry, stale_s, is_sharing)
         return True
 
     def note_seen(self, node_id: str, now_s: float) -> None:
@@ -58,6 +66,7 @@
         known = self._known.get(node_id)
         if known is not None:
             known.last_seen_s = now_s
+            known.is_sharing = True
 
     def get(self, node_id: str) -> NodeEntry | None:
         """Return a node's entry."""
@@ -92,6 +101,18 @@
         )
         return recent + 1
 
+    def sharing_count(self, now_s: float) -> int:
+        """Return how many nodes may use a part of a bound.
+
+        The row of a node that is gone is read again and again; it counts
+        once.
+        """
+        others = sum(
+            known.is_sharing and now_s - known.last_seen_s < SHARING_WITHIN_S
+            for known in self._known.values()
+        )
+        return others + 1
+
     def silent_for(self, node_id: str, now_s: float) -> float:
         """Return how long ago a node was last seen."""
         known = self._known.get(node_id)
@@ -119,5 +140,6 @@
             if now_s - known.last_seen_s >= FORGET_AFTER_S
         ]
         for node_id in gone:
-            del self._known[node_id]
+            known = self._known.pop(node_id)
+            self._gone_ms[node_id] = known.entry.started_ms
         return gone
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -20,13 +20,12 @@
 from fireflypulley.core.gateway import retry_policy
 from fireflypulley.core.gateway import row_freshness
 from fireflypulley.core.gateway import runs
+from fireflypulley.core.gateway import sharing
 from fireflypulley.core.gateway import versions
 from fireflypulley.core.gateway import workspace_limits
 from fireflypulley.core import ownership
 
 FULL_BACKOFF_S = 0.15
-ASSUMED_NODES = 16
-"""How many nodes share a limit of an endpoint as long as it is not known."""
 
 _NO_VERDICT = frozenset(
     {calls.Outcome.FAILED, calls.Outcome.SLOW, calls.Outcome.WITHHELD}
@@ -70,7 +69,7 @@
         self.freshness = row_freshness.RowFreshness()
         self.nodes_alive = 1
         self.nodes_known = 1
-        self._counted_from_s = float("-inf")
+        self._sharing = sharing.SharingNodes()
         self.refused: collections.Counter[calls.RefusalReason]
         self.refused = collections.Counter()
         self.outcomes: collections.Counter[calls.Outcome]
@@ -95,12 +94,20 @@
         self.applied_s = now_s
         self._set_limits(now_s)
 
-    def set_node_counts(self, alive: int, known: int, now_s: float) -> None:
+    def set_node_counts(
+        self,
+        alive: int,
+        known: int,
+        now_s: float,
+        sharing_count: int | None = None,
+    ) -> None:
         """Set how many nodes are reachable, and how many there are.
 
-        Called several times a second.
+        ``sharing_count`` is by how many nodes a bound is shared if these
+        are more than ``known``.  Called several times a second.
         """
         self.retry_budget.tick(now_s)
+        self._sharing.note(max(known, sharing_count or 0), now_s)
         if (alive, known) == (self.nodes_alive, self.nodes_known):
             return
         self.nodes_alive = alive
@@ -110,7 +117,7 @@
     def begin(self, now_s: float) -> None:
         """Take little of what all nodes share until ``join`` is called."""
         self.retry_budget.begin(now_s)
-        self._counted_from_s = float("inf")
+        self._sharing.begin()
 
     def join(self, started_s: float, is_first: bool, now_s: float) -> None:
         """Share limits with the nodes that are known.
@@ -118,15 +125,7 @@
         At the first start of all nodes they may not know each other yet.
         """
         self.retry_budget.begin(started_s, is_first)
-        self._counted_from_s = now_s
-        if is_first:
-            self._counted_from_s = started_s + limits.JOINING_S
-
-    def _count_sharing(self, now_s: float) -> int:
-        """Return by how many nodes a limit of an endpoint is shared."""
-        if now_s < self._counted_from_s:
-            return max(self.nodes_known, ASSUMED_NODES)
-        return max(self.nodes_known, 1)
+        self._sharing.join(started_s, is_first, now_s)
 
     @property
     def reached_share(self) -> float:
@@ -205,7 +204,7 @@
         load = self.loads.of(candidate.member)
         if max(load.full_until_s, load.paused_until_s) > now_s:
             return False
-        nodes = self._count_sharing(now_s)
+        nodes = self._sharing.count(now_s)
         if not self.brittle.may_send(
             candidate.member, candidate.running, nodes, now_s
         ):
@@ -326,7 +325,7 @@
     ) -> runs.Run:
         load = self.loads.of(member)
         tokens = request.metadata.prompt_tokens or 0
-        nodes = self._count_sharing(now_s)
+        nodes = self._sharing.count(now_s)
         self.brittle.note_sent(member, choice.running, nodes, now_s)
         load.begin(tokens, now_s)
         rate_per_s = request.service.cold_rate_per_s
@@ -455,5 +454,5 @@
                 "like requests that crashed endpoints, not retried",
             )
         return self.retry_policy.refusal(
-            request, outcome, counts, self.nodes_known, now_s
+            request, outcome, counts, self._sharing.count(now_s), now_s
         )
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -12,6 +12,7 @@
 from fireflypulley.core.gateway import overlay
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.core.gateway import sharing
 from fireflypulley.core.gateway import usage
 from fireflypulley.core import topology
 from fireflypulley.gateway import crash_detector
@@ -266,7 +267,11 @@
         now_s = self._reactor.seconds()
         alive = len(self._peer_registry.alive(now_s))
         known = self._peer_registry.node_count(now_s)
-        self._scheduler.set_node_counts(alive, known, now_s)
+        sharing_count = self._peer_registry.sharing_count(now_s)
+        try:
+            self._scheduler.set_node_counts(alive, known, now_s, sharing_count)
+        except sharing.BadCount as problem:
+            decision_log.note("nodes", state="refused", detail=str(problem))
 
     def _forward_states(self) -> None:
         for for_relay in (True, False):
--- a/tests/core/gateway/fleets.py
+++ b/tests/core/gateway/fleets.py
@@ -5,6 +5,7 @@
 
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import sharing
 
 STEP_S = 0.01
 TICK_S = 0.25
@@ -36,7 +37,11 @@
         self.heard.clear()
         self.under_way_s.clear()
         self.next_tick_s = now_s
-        self.count = 1
+        self.is_first = is_first
+        self.started_s = now_s + self.clock_offset_s
+        self.sharing = sharing.SharingNodes()
+        self.sharing.begin()
+        self.is_joined = False
         self.registry = peer_registry.PeerRegistry(_entry(self.node_id, now_s))
         clock_s = now_s + self.clock_offset_s
         for entry in entries:
@@ -60,14 +65,19 @@
         if now_s < self.next_tick_s:
             return False
         self.next_tick_s = now_s + TICK_S
-        self.count = self.registry.node_count(clock_s)
+        self.registry.forget_gone(clock_s)
         self.budget.tick(clock_s)
+        self.sharing.note(self.registry.sharing_count(clock_s), clock_s)
+        if not self.is_joined:
+            self.is_joined = True
+            self.sharing.join(self.started_s, self.is_first, clock_s)
         return True
 
     def _serve(self, now_s, clock_s, chance):
         self.budget.note_request("s", clock_s)
         for _ in range(ATTEMPTS - 1):
-            if self.budget.spend("s", self.count, clock_s):
+            count = self.sharing.count(clock_s)
+            if self.budget.spend("s", count, clock_s):
                 self.under_way_s.append(now_s + chance.random() * 0.05)
 
 
@@ -131,9 +141,19 @@
 
     def restart(self, node):
         """Kill a node and start it anew."""
-        entries = [other.registry.this for other in self.nodes]
+        entries = [
+            other.registry.this for other in self.nodes if other is not node
+        ]
         node.start(self.now_s, entries, False)
 
+    def replace(self, node):
+        """Kill a node, and start one that nobody knows."""
+        node.node_id = f"n{self.now_s:.2f}"
+        self.restart(node)
+        for other in self.nodes:
+            clock_s = self.now_s + other.clock_offset_s
+            other.registry.put(node.registry.this, clock_s)
+
     def excess(self):
         """Return by how much the worst window lies beyond its bound."""
         return max(
--- a/tests/core/gateway/test_peer_registry.py
+++ b/tests/core/gateway/test_peer_registry.py
@@ -63,3 +63,30 @@
     assert registry.put(_node("n1", 2), 1.0)
     assert not registry.put(_node("n1", 1), 1.0)
     assert not registry.put(_node("n2", 9), 1.0)
+
+
+# Guards against two sides of a partition that each take the parts of the
+# other: an unreachable node may use its part.
+def test_an_unreachable_node_keeps_its_part_of_a_bound():
+    registry = _registry()
+    registry.note_seen("n1", 5.0)
+    late_s = 5.0 + 2 * peer_registry.COUNTED_WITHIN_S
+    registry.note_seen("n3", late_s)
+    assert registry.node_count(late_s) == 2
+    assert registry.sharing_count(late_s) == 3
+    gone_s = 5.0 + peer_registry.SHARING_WITHIN_S
+    registry.forget_gone(gone_s)
+    assert registry.sharing_count(gone_s) == 2
+
+
+def test_the_row_of_a_gone_node_counts_once():
+    registry = _registry()
+    gone_s = peer_registry.FORGET_AFTER_S
+    assert registry.forget_gone(gone_s) == ["n1", "n3"]
+    assert registry.put(_node("n1"), gone_s)
+    assert registry.sharing_count(gone_s) == 1
+    assert registry.put(_node("n1", 2), gone_s)
+    assert registry.sharing_count(gone_s) == 2
+    registry.put(_node("n3"), gone_s)
+    registry.note_seen("n3", gone_s)
+    assert registry.sharing_count(gone_s) == 3
--- a/tests/core/gateway/test_retry_model.py
+++ b/tests/core/gateway/test_retry_model.py
@@ -6,6 +6,7 @@
 
 PER_S = 40.0
 FREEZES_S = (0.6, 12.0)
+CUTS_S = (1.0, 40.0)
 
 
 def _some(fleet):
@@ -19,6 +20,24 @@
         node.freeze(fleet.now_s, for_s)
 
 
+def _cut(fleet):
+    for_s = fleet.chance.uniform(*CUTS_S)
+    fleet.cut(_some(fleet), for_s, fleet.chance.random() < 0.5)
+
+
+def _restart(fleet):
+    """Restart some nodes, each once in a window."""
+    for node in _some(fleet):
+        is_old = fleet.now_s - node.started_s >= fleets.WINDOW_S
+        if is_old and node.thaws_s <= fleet.now_s:
+            fleet.restart(node)
+
+
+def _replace(fleet):
+    """Let a node end for ever, and a new one come."""
+    fleet.replace(fleet.chance.choice(fleet.nodes))
+
+
 def _set_clock(fleet):
     for node in _some(fleet):
         node.clock_offset_s += fleet.chance.uniform(-20.0, 20.0)
@@ -39,6 +58,18 @@
     assert fleet.excess() <= 0
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_nodes_that_freeze_restart_and_part_keep_the_retry_budget(seed):
+    fleet = fleets.Fleet(seed, 6, PER_S)
+    fleet.play(15.0)
+    for _ in range(10):
+        fault = fleet.chance.choice((_freeze, _cut, _restart, _replace))
+        fault(fleet)
+        fleet.play(fleet.chance.uniform(0.2, 8.0))
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_nodes_whose_clocks_are_set_keep_the_retry_budget(seed):
     fleet = fleets.Fleet(seed, 6, PER_S)
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -354,3 +354,17 @@
     node.join(0.0, False, 0.0)
     node.set_node_counts(2, 2, 0.0)
     assert _sent_to_cold([node], 2.0) == pytest.approx(4, abs=1)
+
+
+# Guards against a node that, waiting for the store since its start, takes
+# the slack of all nodes.
+def test_a_node_that_never_joined_takes_little_of_the_slack():
+    node = builders.a_scheduler()
+    node.begin(0.0)
+    request = builders.admitted(node, now_s=60.0)
+    counts = runs.AttemptCounts()
+    granted = sum(
+        node.may_retry(request, calls.Outcome.FAILED, counts, 60.0) is None
+        for _ in range(20)
+    )
+    assert granted <= 2
