Let speculative retries use half of what a window allows

Cause: a retry whose endpoint may still go on (silent, slow) cost the budget the same as one for a connection that broke, so a silence of all endpoints spent a window's retries on requests that had an endpoint, and none was left for those that had none.

The change: RetryBudget.spend is told what a retry is spent on. Speculative ones use at most half of what the window allows the node, one at least; the others may use all. Refusals are counted by worth (retries_refused{worth}).

Figures: of 20 retries that a window allows, after 40 silent attempts: 10 are left for broken connections; none with the fraction set to one. What it costs in served callers while endpoints are only silent is not measured.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import dataclasses
+import enum
 
 from fireflypulley.core.gateway import standstill
 from fireflypulley.core import ownership
@@ -157,6 +158,17 @@
             known[name] = total
 
 
+class RetryWorth(enum.Enum):
+    """What a retry is spent on.
+
+    ENDED: the attempt has ended without an answer for the caller.
+    SPECULATIVE: its endpoint may still go on.
+    """
+
+    ENDED = "ended"
+    SPECULATIVE = "speculative"
+
+
 class RetryBudget:
     """Limits a service's retries by this node within a time window.
 
@@ -165,11 +177,16 @@
     that has just started may use little of its part, for which each node
     leaves that much unused.  While a node stands still its requests grow
     old and its retries don't: one sent before may arrive after.
+
+    Speculative retries may use a part only, so that a silence of many
+    endpoints leaves something for the requests that have none.
     """
 
     STARTING_SLACK = 2
     """Retries, so that the first callers are served although an endpoint
     fails."""
+    SPECULATIVE_FRACTION = 0.5
+    """Of what a window allows."""
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
@@ -181,6 +198,9 @@
         self._requests = collections.defaultdict(collections.deque)
         self._retries: dict[str, collections.deque[float]]
         self._retries = collections.defaultdict(collections.deque)
+        self._speculative: dict[str, collections.deque[float]]
+        self._speculative = collections.defaultdict(collections.deque)
+        self.refused: collections.Counter[RetryWorth] = collections.Counter()
 
     def _trim(self, times: collections.deque[float], now_s: float) -> int:
         while times and times[0] <= now_s - self._window_s:
@@ -205,8 +225,9 @@
         """Keep the retries as old as they were before a standstill."""
         if not stood_s:
             return
-        for times in self._retries.values():
-            _shift(times, stood_s)
+        for by_service in (self._retries, self._speculative):
+            for times in by_service.values():
+                _shift(times, stood_s)
         if stood_s < 0.0:
             # How old the requests are isn't known after a step back.
             self._requests.clear()
@@ -219,19 +240,39 @@
         self._requests[service].append(sent_s)
         self._trim(self._requests[service], now_s)
 
-    def spend(self, service: str, nodes: int, now_s: float) -> bool:
+    def spend(
+        self,
+        service: str,
+        nodes: int,
+        now_s: float,
+        worth: RetryWorth = RetryWorth.ENDED,
+    ) -> bool:
         """Return whether one more retry may be sent, and count it."""
         self._pass_standstill(self._standstill.observe(now_s))
+        allowed = self._allowed(service, nodes, now_s)
+        is_speculative = worth is RetryWorth.SPECULATIVE
+        speculative = self._trim(self._speculative[service], now_s)
+        is_over = self._trim(self._retries[service], now_s) + 1 > allowed
+        if is_speculative and not is_over:
+            # One at least, since a part may be a single retry.
+            most = max(1.0, allowed * self.SPECULATIVE_FRACTION)
+            is_over = speculative + 1 > most
+        if is_over:
+            self.refused[worth] += 1
+            return False
+        self._retries[service].append(now_s)
+        if is_speculative:
+            self._speculative[service].append(now_s)
+        return True
+
+    def _allowed(self, service: str, nodes: int, now_s: float) -> float:
+        """Return how many retries this node may send in a window."""
         requests = self._trim(self._requests[service], now_s)
-        retries = self._trim(self._retries[service], now_s)
         part = self._slack / max(1, nodes)
         starting = min(self.STARTING_SLACK, part // 2)
         is_starting = now_s < self._slack_from_s
         slack = starting if is_starting else part - starting
-        if retries + 1 > self._ratio * requests + slack:
-            return False
-        self._retries[service].append(now_s)
-        return True
+        return self._ratio * requests + slack
 
 
 def _shift(times: collections.deque[float], by_s: float) -> None:
--- a/packages/core/src/fireflypulley/core/gateway/retry_policy.py
+++ b/packages/core/src/fireflypulley/core/gateway/retry_policy.py
@@ -11,6 +11,9 @@
 """Attempts allowed beyond the route's maximum if endpoints refuse to run."""
 RETRY_AFTER_S = 0.3
 
+_SPECULATIVE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
+"""Outcomes after which the endpoint may still go on."""
+
 
 class RetryPolicy:
     """Keeps retries within the route's attempts and the retry budget."""
@@ -65,7 +68,10 @@
         """
         if outcome is calls.Outcome.UNREACHED:
             return True
-        return self._budget.spend(request.service.name, nodes, now_s)
+        worth = limits.RetryWorth.ENDED
+        if outcome in _SPECULATIVE:
+            worth = limits.RetryWorth.SPECULATIVE
+        return self._budget.spend(request.service.name, nodes, now_s, worth)
 
     def _exhausted(self, counts: runs.AttemptCounts) -> runs.Refusal:
         if counts.runs:
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -26,6 +26,9 @@
         self._retried = self._counter(
             "retried", "Attempts made again, by the outcome before."
         )
+        self._retries_refused = self._counter(
+            "retries_refused", "Retries without budget, by their worth."
+        )
         self._unreadable = self._counter(
             "unreadable", "Rows that could not be read."
         )
@@ -130,6 +133,8 @@
             self._attempts.set({"outcome": outcome.value}, count)
         for outcome, count in node_scheduler.retry_policy.retried.items():
             self._retried.set({"outcome": outcome.value}, count)
+        for worth, count in node_scheduler.retry_budget.refused.items():
+            self._retries_refused.set({"worth": worth.value}, count)
         self._unreadable.set({}, unreadable)
         config = node_scheduler.document
         self._version.set({}, config.version if config else 0)
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -157,6 +157,28 @@
     assert budget.spend("s", 1, 10.0)
 
 
+# Guards against a silence of all endpoints that spends a window's retries,
+# so that requests whose connection broke get none.
+def test_speculative_retries_leave_a_part_to_the_others():
+    budget = limits.RetryBudget(0.2, 12.0, 10.0)
+    for _ in range(50):
+        budget.note_request("s", 0.0)
+    speculative = limits.RetryWorth.SPECULATIVE
+    guesses = [budget.spend("s", 1, 1.0, speculative) for _ in range(40)]
+    others = [budget.spend("s", 1, 1.0) for _ in range(40)]
+    assert sum(guesses) == 10
+    assert sum(others) == 10
+    assert budget.refused[speculative] == 30
+    assert budget.refused[limits.RetryWorth.ENDED] == 30
+
+
+def test_without_speculative_retries_the_others_use_all():
+    budget = limits.RetryBudget(0.0, 12.0, 10.0)
+    assert sum(budget.spend("s", 1, 1.0) for _ in range(40)) == 10
+    speculative = limits.RetryWorth.SPECULATIVE
+    assert not budget.spend("s", 1, 1.0, speculative)
+
+
 def test_cold_endpoints_get_the_rate_from_all_nodes_together():
     """Ten nodes send for ten seconds as fast as allowed."""
     pacers = [limits.NodeShareLimiter() for _ in range(10)]
