Refuse what peers can't have admitted

Cause: a total below nought in a peer's report filled this node's bucket of the workspace, an infinite one emptied it for ever, and one that is no number made every comparison false. An honest node could report less than nought after a refund of what was admitted before its workspace had a limit.

The change: totals that are no amount up to 1e15 are refused as a whole with a log line that names the peer; own totals stay at nought or above.

The log line itself has no test yet.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -9,6 +9,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 
 from fireflypulley.core.gateway import standstill
 from fireflypulley.core import ownership
@@ -19,11 +20,17 @@
 MIN_RATE_PER_S = 0.1
 """An endpoint is sent a request at least this often by all nodes, since
 only its answers show that its limit has ended."""
+MAX_TOTAL = 1e15
+"""What a node admits since its start is no more."""
 INITIAL_FRACTION = 0.25
 """Initial level as a fraction of the burst; a starting node does not know
 what was spent before."""
 
 
+class BadTotals(ValueError):
+    """Totals that no node can have admitted."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
     """A workspace's limit: a rate and a burst."""
@@ -103,7 +110,9 @@
         """Refund the charge of a request that did not run."""
         bucket = self._buckets.get(name)
         if bucket is not None:
-            self._own[name] = self._own.get(name, 0.0) - amount
+            # It may have been admitted before the workspace had a limit.
+            own = self._own.get(name, 0.0) - amount
+            self._own[name] = max(0.0, own)
             bucket.level += amount
 
     def left(self, name: str) -> float:
@@ -143,8 +152,12 @@
         """Charge what another node has admitted since its last report.
 
         The first report of a node's start is not charged; later reports
-        are compared with it.
+        are compared with it.  Raise ``BadTotals``, and charge nothing, if
+        a total is no amount.
         """
+        for name, total in totals.items():
+            if not (math.isfinite(total) and 0.0 <= total <= MAX_TOTAL):
+                raise BadTotals(f"{name}: {total}")
         known = self._peer_totals.get((node_id, incarnation))
         if known is None:
             self._peer_totals[(node_id, incarnation)] = dict(totals)
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -7,6 +7,7 @@
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import duty_claims
+from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import overlay
@@ -437,9 +438,14 @@
             node_id, self._reported_loads(node_id), now_s
         )
         self._scheduler.update_old_running(node_id, state.old_running, now_s)
-        self._scheduler.limits.limiter.update_peer(
-            node_id, incarnation, state.spent, now_s
-        )
+        try:
+            self._scheduler.limits.limiter.update_peer(
+                node_id, incarnation, state.spent, now_s
+            )
+        except limits.BadTotals as problem:
+            decision_log.note(
+                "peer", peer=node_id, state="refused", detail=str(problem)
+            )
         self._usage.update_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
             self._follower.health.note_peer_failure()
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -51,6 +51,22 @@
     assert limiter.spend("w", 1, 0.0) > 0.0
 
 
+# Guards against a peer's report that fills the bucket of this node, or
+# empties it for ever.
+@pytest.mark.parametrize(
+    "total", [-1e6, 1e300, float("nan"), float("inf"), float("-inf")]
+)
+@pytest.mark.parametrize("is_known", [False, True])
+def test_a_report_of_no_amount_is_refused(total, is_known):
+    limiter = _limiter()
+    assert limiter.spend("w", 60, 0.0) == 0.0
+    if is_known:
+        limiter.update_peer("n2", 1, {"w": 10.0}, 0.0)
+    with pytest.raises(limits.BadTotals):
+        limiter.update_peer("n2", 1, {"w": total}, 0.0)
+    assert limiter.left("w") == 40.0
+
+
 def test_a_request_that_did_not_run_is_refunded():
     limiter = _limiter()
     limiter.spend("w", 100, 0.0)
@@ -59,6 +75,14 @@
     assert limiter.own_totals == {"w": 100.0}
 
 
+def test_a_refund_leaves_no_total_below_nought():
+    limiter = limits.SharedLimiter()
+    assert limiter.spend("w", 5, 0.0) == 0.0
+    limiter.set_limits({"w": limits.Limit(10.0, 100.0)}, 0.0)
+    limiter.refund("w", 5)
+    assert limiter.own_totals == {"w": 0.0}
+
+
 def test_what_peers_spend_counts_before_this_node_spends():
     limiter = _limiter()
     limiter.update_peer("n2", 1, {}, 0.0)
