Give a node the retries of a start once in a window

Cause: a node that starts may use two retries of its part, which all nodes leave unused for one restart in a window. One that is killed again and again used them at each start.

The change: the node's row in the store tells when it had started before; a start within a window and two seconds of that one has nothing of the slack for a window, its ratio only. So has a node that has not joined yet.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -206,6 +206,7 @@
         self._slack = slack
         self._window_s = window_s
         self._slack_from_s = float("-inf")
+        self._has_starting_slack = True
         self._standstill = standstill.Standstill()
         self._requests: dict[str, collections.deque[float]]
         self._requests = collections.defaultdict(collections.deque)
@@ -220,13 +221,22 @@
             times.popleft()
         return len(times)
 
-    def begin(self, started_s: float, is_first: bool = False) -> None:
+    def begin(
+        self,
+        started_s: float,
+        is_first: bool = False,
+        previous_s: float = float("-inf"),
+    ) -> None:
         """Withhold the slack from a node that has started.
 
         The node does not know how many nodes there are, nor what it, or
         the others as fewer nodes, have spent.  ``is_first`` tells that
-        there was nobody to spend anything before.
+        there was nobody to spend anything before; ``previous_s`` is when
+        the node had started before.  A node that starts more than once in
+        a window has the retries of a start once.
         """
+        again_s = previous_s + self._window_s + JOINING_S
+        self._has_starting_slack = started_s >= again_s
         spent_s = 0.0 if is_first else self._window_s
         self._slack_from_s = started_s + spent_s + JOINING_S
 
@@ -283,8 +293,9 @@
         requests = self._trim(self._requests[service], now_s)
         part = self._slack / max(1, nodes)
         starting = min(self.STARTING_SLACK, part // 2)
-        is_starting = now_s < self._slack_from_s
-        slack = starting if is_starting else part - starting
+        slack = part - starting
+        if now_s < self._slack_from_s:
+            slack = starting if self._has_starting_slack else 0.0
         return self._ratio * requests + slack
 
 
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -116,15 +116,22 @@
 
     def begin(self, now_s: float) -> None:
         """Take little of what all nodes share until ``join`` is called."""
-        self.retry_budget.begin(now_s)
+        self.retry_budget.begin(now_s, previous_s=now_s)
         self._sharing.begin()
 
-    def join(self, started_s: float, is_first: bool, now_s: float) -> None:
+    def join(
+        self,
+        started_s: float,
+        is_first: bool,
+        now_s: float,
+        previous_s: float = float("-inf"),
+    ) -> None:
         """Share limits with the nodes that are known.
 
         At the first start of all nodes they may not know each other yet.
+        ``previous_s`` is when this node had started before.
         """
-        self.retry_budget.begin(started_s, is_first)
+        self.retry_budget.begin(started_s, is_first, previous_s)
         self._sharing.join(started_s, is_first, now_s)
 
     @property
--- a/packages/gateway/src/fireflypulley/gateway/membership.py
+++ b/packages/gateway/src/fireflypulley/gateway/membership.py
@@ -39,6 +39,9 @@
         self._store = store
         self._is_listed = False
         self._has_run = False
+        self.since_previous_s = float("inf")
+        """How long before this start the node had started, as far as its
+        row tells; known once it has joined."""
         self.is_first_start = False
         """Whether no node has run before those that start with this one;
         known once it has joined."""
@@ -131,5 +134,7 @@
                 self._is_listed = True
             elif entry.node_id == this.node_id:
                 self._has_run = True
+                since_ms = this.started_ms - entry.started_ms
+                self.since_previous_s = max(0.0, since_ms / 1000)
             has_changed = self._peer_registry.put(entry, now_s) or has_changed
         return key, has_changed
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -306,6 +306,7 @@
             started_s,
             self._membership.is_first_start,
             self._reactor.seconds(),
+            started_s - self._membership.since_previous_s,
         )
         await self._membership.refresh_periodically(
             sync.nodes_changed, lambda: sync.is_mesh
--- a/tests/core/gateway/fleets.py
+++ b/tests/core/gateway/fleets.py
@@ -30,6 +30,7 @@
         self.waiting = []
         self.under_way_s = []
         self.heard = []
+        self.started_s = float("-inf")
 
     def start(self, now_s, entries, is_first):
         """Start, or start anew without anything that was known."""
@@ -38,6 +39,7 @@
         self.under_way_s.clear()
         self.next_tick_s = now_s
         self.is_first = is_first
+        previous_s = self.started_s
         self.started_s = now_s + self.clock_offset_s
         self.sharing = sharing.SharingNodes()
         self.sharing.begin()
@@ -47,17 +49,19 @@
         for entry in entries:
             self.registry.put(entry, clock_s)
         self.budget = limits.RetryBudget(RATIO, SLACK, WINDOW_S)
-        self.budget.begin(clock_s, is_first)
+        self.budget.begin(clock_s, is_first, previous_s)
 
     def freeze(self, now_s, for_s):
         """Stand still; what is under way arrives afterwards."""
         self.thaws_s = max(self.thaws_s, now_s + for_s)
 
-    def run(self, now_s, chance):
+    def run(self, now_s, chance, is_failing):
         """Read what waits, then tick."""
         clock_s = now_s + self.clock_offset_s
         for _ in self.waiting:
-            self._serve(now_s, clock_s, chance)
+            self.budget.note_request("s", clock_s)
+            if is_failing:
+                self._retry(now_s, clock_s, chance)
         self.waiting.clear()
         for node_id in self.heard:
             self.registry.note_seen(node_id, clock_s)
@@ -73,8 +77,7 @@
             self.sharing.join(self.started_s, self.is_first, clock_s)
         return True
 
-    def _serve(self, now_s, clock_s, chance):
-        self.budget.note_request("s", clock_s)
+    def _retry(self, now_s, clock_s, chance):
         for _ in range(ATTEMPTS - 1):
             count = self.sharing.count(clock_s)
             if self.budget.spend("s", count, clock_s):
@@ -93,6 +96,7 @@
         self.nodes = [Node(f"n{number}") for number in range(nodes)]
         self.weights = [1.0] * nodes
         self.cuts = []
+        self.fails_from_s = 0.0
         entries = [_entry(node.node_id, 0.0) for node in self.nodes]
         for node in self.nodes:
             node.start(0.0, entries, True)
@@ -118,7 +122,8 @@
         for one in arrived:
             node.under_way_s.remove(one)
             self.retries_s.append(self.now_s)
-        if not node.run(self.now_s, self.chance):
+        is_failing = self.now_s >= self.fails_from_s
+        if not node.run(self.now_s, self.chance, is_failing):
             return
         for other in self.nodes:
             if other is not node and not self._is_cut(node, other):
--- a/tests/core/gateway/test_retry_model.py
+++ b/tests/core/gateway/test_retry_model.py
@@ -79,3 +79,28 @@
         fleet.play(fleet.chance.uniform(0.2, 8.0))
     fleet.play(12.0)
     assert fleet.excess() <= 0
+
+
+# Guards against nodes that use the ratio of requests of different windows:
+# callers leave half of the nodes after these have spent theirs.
+def test_load_that_moves_as_endpoints_fail_keeps_the_retry_budget():
+    fleet = fleets.Fleet(0, 6, PER_S)
+    fleet.fails_from_s = 15.0
+    fleet.play(16.0)
+    fleet.weights = [1.0, 1.0, 1.0, 0.0, 0.0, 0.0]
+    fleet.play(25.0)
+    assert fleet.excess() <= 0
+
+
+# Guards against a node that is killed again and again and has the retries
+# of a start each time.
+@pytest.mark.parametrize("pause_s", [1.5, 3.0])
+def test_nodes_that_restart_repeatedly_keep_the_retry_budget(pause_s):
+    fleet = fleets.Fleet(0, 6, PER_S)
+    fleet.play(15.0)
+    for _ in range(6):
+        for node in fleet.nodes:
+            fleet.restart(node)
+        fleet.play(pause_s)
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -71,6 +71,13 @@
     assert not _joined(*others).is_first_start
 
 
+# Guards against a node that is killed again and again and has the retries
+# of a start each time.
+def test_a_node_knows_from_its_row_when_it_had_started():
+    assert _joined(_node("n1", 3.0)).since_previous_s == 3.0
+    assert _joined(_node("n2", 3.0)).since_previous_s == float("inf")
+
+
 def test_a_node_that_has_not_joined_may_have_run_before():
     registry = peer_registry.PeerRegistry(THIS)
     starting = membership.Membership(task.Clock(), registry, Store(()))
