--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -8,7 +8,10 @@
 import collections
 import collections.abc
 import dataclasses
+import enum
+import math
 
+from fireflypulley.core.gateway import standstill
 from fireflypulley.core import ownership
 
 TURN_TTL_S = 1.0
@@ -17,11 +20,17 @@
 MIN_RATE_PER_S = 0.1
 """An endpoint is sent a request at least this often by all nodes, since
 only its answers show that its limit has ended."""
+MAX_TOTAL = 1e15
+"""What a node admits since its start is no more."""
 INITIAL_FRACTION = 0.25
 """Initial level as a fraction of the burst; a starting node does not know
 what was spent before."""
 
 
+class BadTotals(ValueError):
+    """Totals that no node can have admitted."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
     """A workspace's limit: a rate and a burst."""
@@ -101,7 +110,9 @@
         """Refund the charge of a request that did not run."""
         bucket = self._buckets.get(name)
         if bucket is not None:
-            self._own[name] = self._own.get(name, 0.0) - amount
+            # It may have been admitted before the workspace had a limit.
+            own = self._own.get(name, 0.0) - amount
+            self._own[name] = max(0.0, own)
             bucket.level += amount
 
     def left(self, name: str) -> float:
@@ -141,8 +152,12 @@
         """Charge what another node has admitted since its last report.
 
         The first report of a node's start is not charged; later reports
-        are compared with it.
+        are compared with it.  Raise ``BadTotals``, and charge nothing, if
+        a total is no amount.
         """
+        for name, total in totals.items():
+            if not (math.isfinite(total) and 0.0 <= total <= MAX_TOTAL):
+                raise BadTotals(f"{name}: {total}")
         known = self._peer_totals.get((node_id, incarnation))
         if known is None:
             self._peer_totals[(node_id, incarnation)] = dict(totals)
@@ -156,71 +171,150 @@
             known[name] = total
 
 
+class RetryWorth(enum.Enum):
+    """What a retry is spent on.
+
+    ENDED: the attempt has ended without an answer for the caller.
+    SPECULATIVE: its endpoint may still go on.
+    """
+
+    ENDED = "ended"
+    SPECULATIVE = "speculative"
+
+
 class RetryBudget:
     """Limits a service's retries by this node within a time window.
 
     All nodes together may retry ``ratio`` of the requests plus ``slack``;
     a node may use its own ratio and an equal part of the slack.  A node
     that has just started may use little of its part, for which each node
-    leaves that much unused.
+    leaves that much unused.  While a node stands still its requests grow
+    old and its retries don't: one sent before may arrive after.
+
+    Speculative retries may use a part only, so that a silence of many
+    endpoints leaves something for the requests that have none.
     """
 
     STARTING_SLACK = 2
     """Retries, so that the first callers are served although an endpoint
     fails."""
+    SPECULATIVE_FRACTION = 0.5
+    """Of what a window allows."""
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._slack_from_s = float("-inf")
+        self._has_starting_slack = True
+        self._standstill = standstill.Standstill()
         self._requests: dict[str, collections.deque[float]]
         self._requests = collections.defaultdict(collections.deque)
         self._retries: dict[str, collections.deque[float]]
         self._retries = collections.defaultdict(collections.deque)
+        self._speculative: dict[str, collections.deque[float]]
+        self._speculative = collections.defaultdict(collections.deque)
+        self.refused: collections.Counter[RetryWorth] = collections.Counter()
 
     def _trim(self, times: collections.deque[float], now_s: float) -> int:
         while times and times[0] <= now_s - self._window_s:
             times.popleft()
         return len(times)
 
-    def begin(self, started_s: float, is_first: bool = False) -> None:
+    def begin(
+        self,
+        started_s: float,
+        is_first: bool = False,
+        previous_s: float = float("-inf"),
+    ) -> None:
         """Withhold the slack from a node that has started.
 
         The node does not know how many nodes there are, nor what it, or
         the others as fewer nodes, have spent.  ``is_first`` tells that
-        there was nobody to spend anything before.
+        there was nobody to spend anything before; ``previous_s`` is when
+        the node had started before.  A node that starts more than once in
+        a window has the retries of a start once.
         """
+        again_s = previous_s + self._window_s + JOINING_S
+        self._has_starting_slack = started_s >= again_s
         spent_s = 0.0 if is_first else self._window_s
         self._slack_from_s = started_s + spent_s + JOINING_S
 
+    def tick(self, now_s: float) -> None:
+        """Record that the node runs; called several times a second."""
+        self._pass_standstill(self._standstill.tick(now_s))
+
+    def _pass_standstill(self, stood_s: float) -> None:
+        """Keep the retries as old as they were before a standstill."""
+        if not stood_s:
+            return
+        for by_service in (self._retries, self._speculative):
+            for times in by_service.values():
+                _shift(times, stood_s)
+        if stood_s < 0.0:
+            # How old the requests are isn't known after a step back.
+            self._requests.clear()
+            self._slack_from_s += stood_s
+
     def note_request(self, service: str, now_s: float) -> None:
-        """Count a caller's request."""
-        self._requests[service].append(now_s)
+        """Count a caller's request as of when it may have been sent."""
+        self._pass_standstill(self._standstill.observe(now_s))
+        sent_s = self._standstill.earliest_sent_s(now_s)
+        self._requests[service].append(sent_s)
         self._trim(self._requests[service], now_s)
 
-    def spend(self, service: str, nodes: int, now_s: float) -> bool:
+    def spend(
+        self,
+        service: str,
+        nodes: int,
+        now_s: float,
+        worth: RetryWorth = RetryWorth.ENDED,
+    ) -> bool:
         """Return whether one more retry may be sent, and count it."""
-        requests = self._trim(self._requests[service], now_s)
-        retries = self._trim(self._retries[service], now_s)
-        part = self._slack / max(1, nodes)
-        starting = min(self.STARTING_SLACK, part // 2)
-        is_starting = now_s < self._slack_from_s
-        slack = starting if is_starting else part - starting
-        if retries + 1 > self._ratio * requests + slack:
+        self._pass_standstill(self._standstill.observe(now_s))
+        allowed = self._allowed(service, nodes, now_s)
+        is_speculative = worth is RetryWorth.SPECULATIVE
+        speculative = self._trim(self._speculative[service], now_s)
+        is_over = self._trim(self._retries[service], now_s) + 1 > allowed
+        if is_speculative and not is_over:
+            # One at least, since a part may be a single retry.
+            most = max(1.0, allowed * self.SPECULATIVE_FRACTION)
+            is_over = speculative + 1 > most
+        if is_over:
+            self.refused[worth] += 1
             return False
         self._retries[service].append(now_s)
+        if is_speculative:
+            self._speculative[service].append(now_s)
         return True
 
     def refund(self, service: str, spent_s: float) -> None:
         """Take back a retry that was counted at ``spent_s``."""
-        if spent_s in self._retries[service]:
-            self._retries[service].remove(spent_s)
+        for times in (self._retries[service], self._speculative[service]):
+            if spent_s in times:
+                times.remove(spent_s)
 
     def spent(self, service: str, now_s: float) -> int:
         """Return how many retries were sent within the window."""
         return self._trim(self._retries[service], now_s)
 
+    def _allowed(self, service: str, nodes: int, now_s: float) -> float:
+        """Return how many retries this node may send in a window."""
+        requests = self._trim(self._requests[service], now_s)
+        part = self._slack / max(1, nodes)
+        starting = min(self.STARTING_SLACK, part // 2)
+        slack = part - starting
+        if now_s < self._slack_from_s:
+            slack = starting if self._has_starting_slack else 0.0
+        return self._ratio * requests + slack
+
+
+def _shift(times: collections.deque[float], by_s: float) -> None:
+    """Add a time to all times of a deque."""
+    shifted = [time_s + by_s for time_s in times]
+    times.clear()
+    times.extend(shifted)
+
 
 class NodeShareLimiter:
     """Limits requests to an endpoint to the node's part of a rate.
--- a/packages/core/src/fireflypulley/core/gateway/retry_policy.py
+++ b/packages/core/src/fireflypulley/core/gateway/retry_policy.py
@@ -14,6 +14,9 @@
 """Outcomes of attempts that no byte was sent of, so that the next one is no
 retry."""
 
+_SPECULATIVE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
+"""Outcomes after which the endpoint may still go on."""
+
 
 class RetryPolicy:
     """Keeps retries within the route's attempts and the retry budget."""
@@ -72,7 +75,10 @@
         """Return whether the budget allows the retry."""
         if outcome in FREE:
             return True
-        return self._budget.spend(request.service.name, nodes, now_s)
+        worth = limits.RetryWorth.ENDED
+        if outcome in _SPECULATIVE:
+            worth = limits.RetryWorth.SPECULATIVE
+        return self._budget.spend(request.service.name, nodes, now_s, worth)
 
 
 def _refuse(
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -7,11 +7,13 @@
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import duty_claims
+from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import overlay
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.core.gateway import sharing
 from fireflypulley.core.gateway import usage
 from fireflypulley.core import topology
 from fireflypulley.gateway import crash_detector
@@ -266,7 +268,11 @@
         now_s = self._reactor.seconds()
         alive = len(self._peer_registry.alive(now_s))
         known = self._peer_registry.node_count(now_s)
-        self._scheduler.set_node_counts(alive, known, now_s)
+        sharing_count = self._peer_registry.sharing_count(now_s)
+        try:
+            self._scheduler.set_node_counts(alive, known, now_s, sharing_count)
+        except sharing.BadCount as problem:
+            decision_log.note("nodes", state="refused", detail=str(problem))
 
     def _forward_states(self) -> None:
         for for_relay in (True, False):
@@ -432,9 +438,14 @@
             node_id, self._reported_loads(node_id), now_s
         )
         self._scheduler.update_old_running(node_id, state.old_running, now_s)
-        self._scheduler.limits.limiter.update_peer(
-            node_id, incarnation, state.spent, now_s
-        )
+        try:
+            self._scheduler.limits.limiter.update_peer(
+                node_id, incarnation, state.spent, now_s
+            )
+        except limits.BadTotals as problem:
+            decision_log.note(
+                "peer", peer=node_id, state="refused", detail=str(problem)
+            )
         self._usage.update_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
             self._follower.health.note_peer_failure()
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -330,6 +330,7 @@
             started_s,
             self._membership.is_first_start,
             self._reactor.seconds(),
+            started_s - self._membership.since_previous_s,
         )
         await background.restart_on_error(
             self._reactor,
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -51,6 +51,22 @@
     assert limiter.spend("w", 1, 0.0) > 0.0
 
 
+# Guards against a peer's report that fills the bucket of this node, or
+# empties it for ever.
+@pytest.mark.parametrize(
+    "total", [-1e6, 1e300, float("nan"), float("inf"), float("-inf")]
+)
+@pytest.mark.parametrize("is_known", [False, True])
+def test_a_report_of_no_amount_is_refused(total, is_known):
+    limiter = _limiter()
+    assert limiter.spend("w", 60, 0.0) == 0.0
+    if is_known:
+        limiter.update_peer("n2", 1, {"w": 10.0}, 0.0)
+    with pytest.raises(limits.BadTotals):
+        limiter.update_peer("n2", 1, {"w": total}, 0.0)
+    assert limiter.left("w") == 40.0
+
+
 def test_a_request_that_did_not_run_is_refunded():
     limiter = _limiter()
     limiter.spend("w", 100, 0.0)
@@ -59,6 +75,14 @@
     assert limiter.own_totals == {"w": 100.0}
 
 
+def test_a_refund_leaves_no_total_below_nought():
+    limiter = limits.SharedLimiter()
+    assert limiter.spend("w", 5, 0.0) == 0.0
+    limiter.set_limits({"w": limits.Limit(10.0, 100.0)}, 0.0)
+    limiter.refund("w", 5)
+    assert limiter.own_totals == {"w": 0.0}
+
+
 def test_what_peers_spend_counts_before_this_node_spends():
     limiter = _limiter()
     limiter.update_peer("n2", 1, {}, 0.0)
@@ -157,6 +181,28 @@
     assert budget.spend("s", 1, 10.0)
 
 
+# Guards against a silence of all endpoints that spends a window's retries,
+# so that requests whose connection broke get none.
+def test_speculative_retries_leave_a_part_to_the_others():
+    budget = limits.RetryBudget(0.2, 12.0, 10.0)
+    for _ in range(50):
+        budget.note_request("s", 0.0)
+    speculative = limits.RetryWorth.SPECULATIVE
+    guesses = [budget.spend("s", 1, 1.0, speculative) for _ in range(40)]
+    others = [budget.spend("s", 1, 1.0) for _ in range(40)]
+    assert sum(guesses) == 10
+    assert sum(others) == 10
+    assert budget.refused[speculative] == 30
+    assert budget.refused[limits.RetryWorth.ENDED] == 30
+
+
+def test_without_speculative_retries_the_others_use_all():
+    budget = limits.RetryBudget(0.0, 12.0, 10.0)
+    assert sum(budget.spend("s", 1, 1.0) for _ in range(40)) == 10
+    speculative = limits.RetryWorth.SPECULATIVE
+    assert not budget.spend("s", 1, 1.0, speculative)
+
+
 def test_cold_endpoints_get_the_rate_from_all_nodes_together():
     """Ten nodes send for ten seconds as fast as allowed."""
     pacers = [limits.NodeShareLimiter() for _ in range(10)]
--- /dev/null
+++ b/tests/core/gateway/test_retry_model.py
@@ -0,0 +1,106 @@
+"""The retries of all nodes, in a model with faults drawn by chance."""
+
+import pytest
+
+from . import fleets
+
+PER_S = 40.0
+FREEZES_S = (0.6, 12.0)
+CUTS_S = (1.0, 40.0)
+
+
+def _some(fleet):
+    count = fleet.chance.randint(1, len(fleet.nodes))
+    return fleet.chance.sample(fleet.nodes, count)
+
+
+def _freeze(fleet):
+    for_s = fleet.chance.uniform(*FREEZES_S)
+    for node in _some(fleet):
+        node.freeze(fleet.now_s, for_s)
+
+
+def _cut(fleet):
+    for_s = fleet.chance.uniform(*CUTS_S)
+    fleet.cut(_some(fleet), for_s, fleet.chance.random() < 0.5)
+
+
+def _restart(fleet):
+    """Restart some nodes, each once in a window."""
+    for node in _some(fleet):
+        is_old = fleet.now_s - node.started_s >= fleets.WINDOW_S
+        if is_old and node.thaws_s <= fleet.now_s:
+            fleet.restart(node)
+
+
+def _replace(fleet):
+    """Let a node end for ever, and a new one come."""
+    fleet.replace(fleet.chance.choice(fleet.nodes))
+
+
+def _set_clock(fleet):
+    for node in _some(fleet):
+        node.clock_offset_s += fleet.chance.uniform(-20.0, 20.0)
+
+
+# Guards against nodes that, after they stood still, count the requests that
+# had waited for them as if they had been sent just now.
+@pytest.mark.parametrize("nodes", [6, 9, 12])
+@pytest.mark.parametrize("seed", range(3))
+def test_halves_that_stand_still_in_turn_keep_the_retry_budget(seed, nodes):
+    fleet = fleets.Fleet(seed, nodes, PER_S)
+    fleet.play(15.0)
+    for half in (fleet.nodes[: nodes // 2], fleet.nodes[nodes // 2 :]):
+        for node in half:
+            node.freeze(fleet.now_s, 4.0)
+        fleet.play(4.0)
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_nodes_that_freeze_restart_and_part_keep_the_retry_budget(seed):
+    fleet = fleets.Fleet(seed, 6, PER_S)
+    fleet.play(15.0)
+    for _ in range(10):
+        fault = fleet.chance.choice((_freeze, _cut, _restart, _replace))
+        fault(fleet)
+        fleet.play(fleet.chance.uniform(0.2, 8.0))
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_nodes_whose_clocks_are_set_keep_the_retry_budget(seed):
+    fleet = fleets.Fleet(seed, 6, PER_S)
+    fleet.play(15.0)
+    for _ in range(8):
+        fleet.chance.choice((_freeze, _set_clock))(fleet)
+        fleet.play(fleet.chance.uniform(0.2, 8.0))
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
+
+
+# Guards against nodes that use the ratio of requests of different windows:
+# callers leave half of the nodes after these have spent theirs.
+def test_load_that_moves_as_endpoints_fail_keeps_the_retry_budget():
+    fleet = fleets.Fleet(0, 6, PER_S)
+    fleet.fails_from_s = 15.0
+    fleet.play(16.0)
+    fleet.weights = [1.0, 1.0, 1.0, 0.0, 0.0, 0.0]
+    fleet.play(25.0)
+    assert fleet.excess() <= 0
+
+
+# Guards against a node that is killed again and again and has the retries
+# of a start each time.
+@pytest.mark.parametrize("pause_s", [1.5, 3.0])
+def test_nodes_that_restart_repeatedly_keep_the_retry_budget(pause_s):
+    fleet = fleets.Fleet(0, 6, PER_S)
+    fleet.play(15.0)
+    for _ in range(6):
+        for node in fleet.nodes:
+            fleet.restart(node)
+        fleet.play(pause_s)
+    fleet.play(12.0)
+    assert fleet.excess() <= 0
