Play seeded strikes to real processes and judge what callers saw

The stand-in replica builds its protocols by a method and takes a kind, so that the endpoint of the soak extends it.

--- a/standins/fireflystandins/__main__.py
+++ b/standins/fireflystandins/__main__.py
@@ -1,6 +1,12 @@
-"""Starts one stand-in: ``python -m fireflystandins KIND ADDRESS``."""
+"""Starts one stand-in: ``python -m fireflystandins KIND ADDRESS``.
+
+``python -m fireflystandins soak`` plays disruptions to real processes.
+"""
 
 import argparse
+import sys
+
+import cappa
 
 from fireflystandins import engine
 from fireflystandins import forwarder
@@ -8,10 +14,20 @@
 from fireflystandins import replica
 from fireflystandins import rowstore
 from fireflystandins import service
+from fireflystandins.soak import command
+from fireflystandins.soak import endpoint
 from fireflystandins import web
 
 
-KINDS = ("platform", "engine", "service", "rows", "replica", "forwarder")
+KINDS = (
+    "platform",
+    "engine",
+    "service",
+    "rows",
+    "replica",
+    "forwarder",
+    "soak-endpoint",
+)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -25,6 +41,7 @@
     parser.add_argument("--cold", action="store_true")
     parser.add_argument("--replica-id", default="i-1")
     parser.add_argument("--service", default="s")
+    parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--zone", default="a")
     parser.add_argument("--version", default="v1")
     parser.add_argument("--target", default="127.0.0.1:9101")
@@ -33,22 +50,28 @@
 
 
 def main() -> None:
-    """Run a stand-in until it is stopped."""
+    """Run a stand-in until it is stopped, or a soak."""
+    if sys.argv[1:2] == ["soak"]:
+        cappa.invoke(command.Soak, argv=sys.argv[2:])
+        return
     options = _parser().parse_args()
     if options.kind == "forwarder":
         forwarder.serve(options.address, options.target)
         return
-    if options.kind == "replica":
-        replica.serve(
-            replica.Identity(
-                options.replica_id,
-                options.service,
-                options.zone,
-                options.version,
-                options.address,
-                options.store,
-            )
+    if options.kind in ("replica", "soak-endpoint"):
+        kind = replica.Replica
+        if options.kind == "soak-endpoint":
+            kind = endpoint.SoakReplica
+        identity = replica.Identity(
+            options.replica_id,
+            options.service,
+            options.zone,
+            options.version,
+            options.address,
+            options.store,
+            options.slots,
         )
+        replica.serve(identity, kind)
         return
     if options.kind == "rows":
         handler = rowstore.RowStore().handle
--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -100,6 +100,10 @@
         """Forget a connection."""
         self._connections.discard(connection)
 
+    def build_protocol(self) -> "ReplicaProtocol":
+        """Return the protocol of a new connection."""
+        return ReplicaProtocol(self)
+
     def crash(self) -> None:
         """Cut all connections and start anew after a while."""
         if self._port is None:
@@ -129,15 +133,17 @@
             "sequence": self._sequence,
             "born": self._started_ms,
         }
-        write = {
-            "table": "servers",
-            "part": "",
-            "key": identity.replica_id,
-            "value": rowstore.encode_value(json.dumps(entry).encode()),
-        }
+        value = rowstore.encode_value(json.dumps(entry).encode())
+        self._put({"write": [self._row_key() | {"value": value}]})
+
+    def _row_key(self) -> web.Json:
+        key = self.identity.replica_id
+        return {"table": "servers", "part": "", "key": key}
+
+    def _put(self, body: web.Json) -> None:
         call = urllib.request.Request(
-            f"http://{identity.store}/put",
-            json.dumps({"write": [write]}).encode(),
+            f"http://{self.identity.store}/put",
+            json.dumps(body).encode(),
             {"Content-Type": "application/json"},
         )
         urllib.request.urlopen(call, timeout=1.0).close()
@@ -408,12 +414,12 @@
         self._replica = replica
 
     def buildProtocol(self, addr: object) -> ReplicaProtocol:
-        return ReplicaProtocol(self._replica)
+        return self._replica.build_protocol()
 
 
-def serve(identity: Identity) -> None:
+def serve(identity: Identity, kind: type[Replica] = Replica) -> None:
     """Listen, register and run until stopped."""
-    replica = Replica(identity)
+    replica = kind(identity)
     reactor.callWhenRunning(replica.start)
     print(f"listening on {identity.address}", flush=True)
     reactor.run()
--- /dev/null
+++ b/standins/fireflystandins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Plays seeded disruptions to real processes and checks the rules."""
--- /dev/null
+++ b/standins/fireflystandins/soak/command.py
@@ -0,0 +1,97 @@
+"""Command line: ``python -m fireflystandins soak``."""
+
+import asyncio
+import dataclasses
+import pathlib
+import sys
+import tempfile
+import typing
+
+import cappa
+import pydantic
+
+from fireflystandins.soak import checks
+from fireflystandins.soak import evidence
+from fireflystandins.soak import plan
+from fireflystandins.soak import report
+from fireflystandins.soak import system
+
+EXIT_BROKEN = 1
+EXIT_INPUT = 2
+_Judged = list[tuple[checks.Checker, checks.Verdict]]
+
+
+def play(
+    folder: pathlib.Path, played: plan.Plan
+) -> tuple[evidence.Evidence, _Judged]:
+    """Play a plan in a folder and judge what was seen."""
+    with system.running(folder, played) as running:
+        seen = asyncio.run(system.play(running))
+        running.collect_runs()
+    return seen, [(one, one.judge(seen)) for one in checks.create()]
+
+
+@cappa.command(name="soak")
+@dataclasses.dataclass
+class Soak:
+    """Play seeded disruptions to real processes and check the rules."""
+
+    seed: typing.Annotated[int, cappa.Arg(long="--seed")] = 1
+    seeds: typing.Annotated[
+        int, cappa.Arg(long="--seeds", help="How many, from --seed on.")
+    ] = 1
+    nodes: typing.Annotated[int, cappa.Arg(long="--nodes")] = 4
+    lasts_s: typing.Annotated[float, cappa.Arg(long="--lasts-s")] = 45.0
+    in_turn: typing.Annotated[
+        bool,
+        cappa.Arg(long="--in-turn", help="Stop six nodes one by one."),
+    ] = False
+    plan_file: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long="--plan", help="A saved plan to play instead."),
+    ] = None
+    out: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long="--out", help="Folder for plans and logs."),
+    ] = None
+
+    def __call__(self) -> None:
+        """Play each plan; exit with 1 if a rule was broken."""
+        out = self.out or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        broken = [
+            played.seed
+            for played in self._plans()
+            if self._has_break(out / f"seed-{played.seed}", played)
+        ]
+        print(f"{self.seeds} played, broken: {broken or 'none'}")
+        if broken:
+            raise cappa.Exit(code=EXIT_BROKEN)
+
+    def _plans(self) -> list[plan.Plan]:
+        if self.plan_file is None:
+            numbers = range(self.seed, self.seed + self.seeds)
+            return [self._build(number) for number in numbers]
+        try:
+            return [plan.load(self.plan_file)]
+        except (OSError, pydantic.ValidationError) as problem:
+            print(problem, file=sys.stderr)
+            raise cappa.Exit(code=EXIT_INPUT)
+
+    def _build(self, seed: int) -> plan.Plan:
+        if self.in_turn:
+            return plan.stops_in_turn(seed, plan.Load(), silent=True)
+        return plan.build(seed, self.nodes, self.lasts_s)
+
+    def _has_break(self, folder: pathlib.Path, played: plan.Plan) -> bool:
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / "plan.json"
+        played.save(path)
+        seen, judged = play(folder, played)
+        print(f"seed {played.seed}, {len(played.strikes)} strikes")
+        print(report.table(judged))
+        breaks = [one for _, verdict in judged for one in verdict.breaks]
+        for one in breaks[: report.MAX_BREAKS_SHOWN]:
+            print(report.describe(seen, one, folder))
+        if breaks:
+            print(f"again: python -m fireflystandins soak --plan {path}")
+        return bool(breaks)
--- /dev/null
+++ b/standins/fireflystandins/soak/evidence.py
@@ -0,0 +1,114 @@
+"""What callers, endpoints and the operator saw in a run.
+
+All moments are seconds of the monotonic clock that the processes share.
+"""
+
+import collections.abc
+import dataclasses
+import functools
+import json
+import math
+import pathlib
+
+from fireflystandins.soak import callers
+from fireflystandins.soak import plan
+
+_Kinds = collections.abc.Set[plan.Kind]
+
+
+@dataclasses.dataclass
+class Happening:
+    """A strike as it was performed."""
+
+    strike: plan.Strike
+    began_s: float
+    ended_s: float = math.inf
+    exit_code: int | None = None
+
+
+@dataclasses.dataclass
+class Run:
+    """A run of a request at an endpoint; ``how`` it ended, whole or lost."""
+
+    request_id: str
+    endpoint: str
+    began_s: float
+    how: str = ""
+    ended_s: float = math.inf
+    events: int = 0
+
+
+@dataclasses.dataclass
+class Evidence:
+    """All that was seen."""
+
+    plan: plan.Plan
+    answers: list[callers.Answer] = dataclasses.field(default_factory=list)
+    happenings: list[Happening] = dataclasses.field(default_factory=list)
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    leaves: dict[str, float] = dataclasses.field(default_factory=dict)
+    """When the entry of an endpoint was removed."""
+    exits: dict[str, float] = dataclasses.field(default_factory=dict)
+    own_ends: list[tuple[str, float, int]] = dataclasses.field(
+        default_factory=list
+    )
+    """Nodes that ended by themselves: name, moment, exit code."""
+    samples: dict[str, list[tuple[float, int, int]]] = dataclasses.field(
+        default_factory=dict
+    )
+    """By process: the moment, resident bytes, open descriptors."""
+
+    @functools.cached_property
+    def _runs_by_id(self) -> dict[str, list[Run]]:
+        by_id: dict[str, list[Run]] = {}
+        for run in self.runs:
+            by_id.setdefault(run.request_id, []).append(run)
+        return by_id
+
+    def runs_of(self, request_id: str) -> list[Run]:
+        """Return the runs of a request."""
+        return self._runs_by_id.get(request_id, [])
+
+    def performed(self, kind: plan.Kind) -> list[Happening]:
+        """Return the strikes of a kind."""
+        return [one for one in self.happenings if one.strike.kind is kind]
+
+    def was_disturbed(
+        self, from_s: float, to_s: float, kinds: _Kinds, target: str = ""
+    ) -> bool:
+        """Return whether a strike overlaps a span, on a target if named."""
+        return any(
+            one.strike.kind in kinds
+            and one.strike.target in (target or one.strike.target,)
+            and one.began_s <= to_s
+            and one.ended_s >= from_s
+            for one in self.happenings
+        )
+
+    def broke_off(self, run: Run, ended_s: float) -> bool:
+        """Return whether an endpoint may have ended a run by itself."""
+        exited_s = self.exits.get(run.endpoint, math.inf)
+        failed = frozenset({plan.Kind.FAIL})
+        has_exited = run.began_s <= exited_s <= ended_s and run.how != "whole"
+        return has_exited or self.was_disturbed(run.began_s, ended_s, failed)
+
+    def read_endpoint(self, name: str, log: pathlib.Path) -> None:
+        """Add what an endpoint wrote of its runs and its end."""
+        open_runs: dict[str, list[Run]] = {}
+        for line in log.read_text().splitlines():
+            if not line.startswith("{"):
+                continue
+            fields = json.loads(line)
+            at_s = fields["at_s"]
+            if "left" in fields:
+                self.leaves[name] = at_s
+            elif "exited" in fields:
+                self.exits[name] = at_s
+            elif "run" in fields:
+                run = Run(fields["run"], name, at_s)
+                self.runs.append(run)
+                open_runs.setdefault(run.request_id, []).append(run)
+            elif open_runs.get(fields["end"]):
+                run = open_runs[fields["end"]].pop(0)
+                run.how, run.ended_s = fields["how"], at_s
+                run.events = fields["events"]
--- /dev/null
+++ b/standins/fireflystandins/soak/plan.py
@@ -0,0 +1,178 @@
+"""A plan: the system, its callers and the strikes, as data from a seed."""
+
+import enum
+import pathlib
+import random
+
+import pydantic
+import pydantic.dataclasses
+
+DOMAINS = "aabbcd"
+SETTLE_S = 4.0
+"""No strike comes earlier after the start of the callers."""
+
+
+class Kind(enum.StrEnum):
+    """What a strike does to its target."""
+
+    STOP = "stop"
+    KILL = "kill"
+    PAUSE = "pause"
+    STORE = "store"
+    SILENCE = "silence"
+    LEAVE = "leave"
+    FAIL = "fail"
+
+
+@pydantic.dataclasses.dataclass(frozen=True)
+class Strike:
+    """One strike; its moment counts from the start of the callers.
+
+    ``for_s`` is how long a pause, a silence or a fault of the store lasts,
+    or how long an endpoint that leaves serves on.  ``how`` is the fault of
+    the store or of an endpoint, or how an endpoint exits.
+    """
+
+    at_s: float
+    kind: Kind
+    target: str = ""
+    for_s: float = 0.0
+    how: str = ""
+    times: int = 1
+
+
+@pydantic.dataclasses.dataclass(frozen=True)
+class Load:
+    """The callers of one node: how many, how fast, and the streams asked.
+
+    ``styles`` are drawn from for each caller.
+    """
+
+    callers: int = 8
+    pause_s: float = 0.3
+    styles: tuple[str, ...] = ("whole", "whole", "slow", "early", "leaving")
+    events: int = 42
+    event_ms: int = 55
+    event_bytes: int = 65
+    routes: tuple[str, ...] = ("resumed", "stream", "fetch", "file")
+    unframed_share: float = 0.2
+    slow_pause_s: float = 0.05
+    """A slow caller rests this long after each part of 4 KiB."""
+
+
+@pydantic.dataclasses.dataclass(frozen=True)
+class Plan:
+    """All that a run does."""
+
+    seed: int
+    nodes: int
+    endpoints: int
+    lasts_s: float
+    load: Load
+    strikes: tuple[Strike, ...]
+    grace_s: int = 8
+
+    def save(self, path: pathlib.Path) -> None:
+        """Write the plan to a file."""
+        path.write_bytes(_ADAPTER.dump_json(self, indent=1))
+
+
+_ADAPTER = pydantic.TypeAdapter(Plan)
+
+
+def load(path: pathlib.Path) -> Plan:
+    """Return the plan in a file; raise ``pydantic.ValidationError``."""
+    return _ADAPTER.validate_json(path.read_bytes())
+
+
+def node_names(plan: Plan) -> list[str]:
+    """Return the names of the nodes."""
+    return [f"node{number}" for number in range(1, plan.nodes + 1)]
+
+
+def endpoint_names(plan: Plan) -> list[str]:
+    """Return the names of the endpoints that stream."""
+    return [f"s{number}" for number in range(1, plan.endpoints + 1)]
+
+
+def domain(number: int) -> str:
+    """Return the failure domain of the node or endpoint of a number."""
+    return DOMAINS[(number - 1) % len(DOMAINS)]
+
+
+def build(
+    seed: int, nodes: int = 6, lasts_s: float = 45.0, endpoints: int = 6
+) -> Plan:
+    """Return the plan of a seed: strikes in series, some overlapping."""
+    chance = random.Random(seed)
+    names = [f"node{number}" for number in range(1, nodes + 1)]
+    sources = [f"s{number}" for number in range(1, endpoints + 1)]
+    strikes: list[Strike] = []
+    at_s = SETTLE_S
+    while at_s < lasts_s - 12:
+        strikes.extend(_draw(chance, at_s, names, sources))
+        at_s += chance.choice((1.0, 4.0, 10.0))
+    return Plan(
+        seed,
+        nodes,
+        endpoints,
+        lasts_s,
+        Load(
+            callers=chance.choice((4, 8, 12)),
+            pause_s=chance.choice((0.1, 0.3)),
+            event_bytes=chance.choice((65, 65, 2000)),
+        ),
+        tuple(strikes),
+    )
+
+
+def _draw(
+    chance: random.Random, at_s: float, names: list[str], sources: list[str]
+) -> list[Strike]:
+    at_s = round(at_s + chance.random(), 2)
+    node, source = chance.choice(names), chance.choice(sources)
+    for_s = round(chance.uniform(0.5, 4.0), 2)
+    kind = chance.choice((Kind.STOP, Kind.STOP, *Kind))
+    if kind is Kind.STORE:
+        how = chance.choice(("busy", "silent", "lost", "compacted"))
+        return [Strike(at_s, kind, "store", for_s, how)]
+    if kind is Kind.SILENCE:
+        return [Strike(at_s, kind, source, 1.4)]
+    if kind is Kind.LEAVE:
+        how = chance.choice(("order", "reset"))
+        return [Strike(at_s, kind, source, 2.0 + for_s, how)]
+    if kind is Kind.FAIL:
+        how = chance.choice(("shed", "errors", "reset", "crossed"))
+        return [Strike(at_s, kind, source, how=how, times=20)]
+    return [Strike(at_s, kind, node, for_s)]
+
+
+def stops_in_turn(
+    seed: int,
+    load: Load,
+    between_s: float = 10.0,
+    silent: bool = False,
+    leaving: bool = True,
+    how: str = "order",
+) -> Plan:
+    """Return case 2 of the incident: endpoints leave, each node is stopped.
+
+    Before each SIGTERM three endpoints leave within a second and serve on
+    for longer than the time in which nodes must stop asking them.
+    """
+    chance = random.Random(seed)
+    strikes: list[Strike] = []
+    for turn, number in enumerate((5, 6, 4, 1, 3, 2)):
+        at_s = SETTLE_S + turn * between_s
+        names = chance.sample(range(1, 12), 3)
+        for step, source in enumerate(names):
+            moment_s = round(at_s - 2 + step * 0.4, 2)
+            if leaving:
+                strikes.append(
+                    Strike(moment_s, Kind.LEAVE, f"s{source}", 4.0, how)
+                )
+        if silent:
+            other = chance.randrange(1, 12)
+            strikes.append(Strike(at_s - 1, Kind.SILENCE, f"s{other}", 1.4))
+        strikes.append(Strike(at_s, Kind.STOP, f"node{number}"))
+    return Plan(seed, 6, 11, SETTLE_S + 6 * between_s, load, tuple(strikes))
--- /dev/null
+++ b/standins/fireflystandins/soak/system.py
@@ -0,0 +1,270 @@
+"""Runs a plan's processes, performs its strikes and collects evidence."""
+
+import asyncio
+import collections.abc
+import contextlib
+import pathlib
+import random
+import signal
+import subprocess
+import time
+import typing
+
+from fireflystandins import gateways
+from fireflystandins import local
+from fireflystandins.soak import callers
+from fireflystandins.soak import evidence
+from fireflystandins.soak import plan
+
+BOUNDS: dict[str, typing.Any] = {
+    "retry-budget-ratio": 0.2,
+    "retry-window-s": 10,
+    "budget-slack": 19,
+    "drain-ms": 2000,
+}
+RESTART_S = 0.5
+REPLACED_S = 1.0
+LEAVE_TIMEOUT_S = 5.0
+SAMPLE_INTERVAL_S = 1.0
+KIND = "soak-endpoint"
+
+
+class SoakSystem(gateways.GatewaySystem):
+    """The processes of a plan."""
+
+    def __init__(self, folder: pathlib.Path, played: plan.Plan) -> None:
+        super().__init__(folder)
+        self._plan = played
+        self._replaced = 0
+        self._by_source: dict[str, local.Process] = {}
+        """The process that has the place of an endpoint now."""
+        self._endpoints: dict[str, local.Process] = {}
+        self.evidence = evidence.Evidence(played)
+        self._expected_ends: set[int] = set()
+
+    def start(self) -> None:
+        """Start all processes and wait until the nodes know them."""
+        self.start_store(_configuration())
+        for number in range(1, self._plan.endpoints + 1):
+            domain = plan.domain(number)
+            self._start_endpoint(f"s{number}", "speech", domain)
+        for number in range(1, 4):
+            domain = plan.domain(number * 2)
+            self._start_endpoint(f"r{number}", "registry", domain)
+        bounds = BOUNDS | {"grace-s": self._plan.grace_s}
+        for number, name in enumerate(plan.node_names(self._plan), start=1):
+            self.start_node(name, plan.domain(number), **bounds)
+        self.wait_ready()
+
+    def _start_endpoint(
+        self, name: str, service: str, domain: str, endpoint_id: str = ""
+    ) -> None:
+        endpoint_id = endpoint_id or name
+        process = self._standin(
+            KIND,
+            endpoint_id,
+            *("--replica-id", endpoint_id, "--service", service),
+            *("--zone", domain, "--store", self.store, "--slots", "64"),
+        )
+        address = process.address
+        local.wait_for(endpoint_id, lambda: self.runs(address) is not None)
+        self.replicas[endpoint_id] = process
+        self._by_source[name] = process
+        self._endpoints[endpoint_id] = process
+
+    # Strikes; each is called in a thread of its own.
+
+    def perform(self, strike: plan.Strike) -> evidence.Happening:
+        """Perform a strike and return when it has ended."""
+        happening = evidence.Happening(strike, time.monotonic())
+        self.evidence.happenings.append(happening)
+        getattr(self, f"_{strike.kind.value}")(strike, happening)
+        happening.ended_s = time.monotonic()
+        return happening
+
+    def _node(self, name: str) -> gateways.Node:
+        return next(node for node in self.nodes if node.name == name)
+
+    def _restart(
+        self, node: gateways.Node, happening: evidence.Happening
+    ) -> None:
+        happening.exit_code = node.popen.wait()
+        time.sleep(RESTART_S)
+        self.restart_node(node)
+        with contextlib.suppress(local.ConditionNotMet):
+            local.wait_for(node.name, lambda: self.is_ready(node), 8.0)
+
+    def _stop(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        node = self._node(strike.target)
+        if not node.alive or not self._claim(node):
+            return
+        popen = node.popen
+        node.signal(signal.SIGTERM)
+        deadline_s = happening.began_s + self._plan.grace_s
+        while popen.poll() is None and time.monotonic() < deadline_s:
+            time.sleep(0.01)
+        if popen.poll() is None:
+            popen.kill()
+        self._restart(node, happening)
+
+    def _kill(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        node = self._node(strike.target)
+        if node.alive and self._claim(node):
+            node.popen.kill()
+            self._restart(node, happening)
+
+    def _pause(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        node = self._node(strike.target)
+        if not node.alive:
+            return
+        node.signal(signal.SIGSTOP)
+        time.sleep(strike.for_s)
+        node.signal(signal.SIGCONT)
+
+    def _claim(self, process: local.Process) -> bool:
+        """Return whether a process is not being ended already."""
+        is_first = process.popen.pid not in self._expected_ends
+        self._expected_ends.add(process.popen.pid)
+        return is_first
+
+    def _store(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        self.set_faults(self.store, mode=strike.how)
+        time.sleep(strike.for_s)
+        self.set_faults(self.store, mode="")
+
+    def _silence(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        self._order(strike, "silence", for_s=strike.for_s)
+        time.sleep(strike.for_s)
+
+    def _fail(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        self._order(strike, "faults", mode=strike.how, times=strike.times)
+        time.sleep(1.0)
+        self._order(strike, "faults", mode="", times=0)
+
+    def _leave(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> None:
+        process = self._by_source[strike.target]
+        if not process.alive or not self._claim(process):
+            return
+        order = {"serve_s": strike.for_s, "how": strike.how}
+        self._order(strike, "leave", **order)
+        try:
+            process.popen.wait(strike.for_s + LEAVE_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+        del self.replicas[process.name]
+        time.sleep(REPLACED_S)
+        self._replaced += 1
+        domain = plan.domain(int(strike.target[1:]))
+        name = f"{strike.target}n{self._replaced}"
+        self._start_endpoint(strike.target, "speech", domain, name)
+
+    def _order(
+        self, strike: plan.Strike, path: str, **fields: typing.Any
+    ) -> None:
+        process = self._by_source[strike.target]
+        if process.alive:
+            with contextlib.suppress(OSError):
+                local.http("POST", f"http://{process.address}/{path}", fields)
+
+    # Evidence
+
+    def sample(self) -> None:
+        """Note the memory and the descriptors of all nodes, and own ends."""
+        now_s = time.monotonic()
+        for node in self.nodes:
+            pid = node.popen.pid
+            code = node.popen.poll()
+            if code is not None and pid not in self._expected_ends:
+                self._expected_ends.add(pid)
+                self.evidence.own_ends.append((node.name, now_s, code))
+            with contextlib.suppress(OSError):
+                self._sample_process(f"{node.name}/{pid}", pid, now_s)
+
+    def _sample_process(self, key: str, pid: int, now_s: float) -> None:
+        process = pathlib.Path("/proc") / str(pid)
+        pages = int((process / "statm").read_text().split()[1])
+        descriptors = sum(1 for _ in (process / "fd").iterdir())
+        row = (now_s, pages * 4096, descriptors)
+        self.evidence.samples.setdefault(key, []).append(row)
+
+    def collect_runs(self) -> None:
+        """Read what the endpoints wrote of their runs."""
+        for name, process in self._endpoints.items():
+            self.evidence.read_endpoint(name, process.log)
+
+
+def _configuration() -> typing.Any:
+    config = gateways.configuration()
+    for entry in config["routes"]:
+        entry["timeout-ms"] = callers.DEADLINE_MS
+    for entry in config["services"]:
+        entry["max-connections"] = 512
+    return config
+
+
+async def play(system: SoakSystem) -> evidence.Evidence:
+    """Run the callers and the strikes of the system's plan."""
+    played = system.evidence.plan
+    chance = random.Random(played.seed)
+    record = system.evidence.answers
+    people = [
+        callers.Caller(
+            index * len(system.nodes) + number,
+            node.name,
+            node.callers,
+            played.load,
+            random.Random(chance.random()),
+            record,
+        )
+        for number, node in enumerate(system.nodes)
+        for index in range(played.load.callers)
+    ]
+    loop = asyncio.get_running_loop()
+    began_s = time.monotonic()
+    running = [loop.create_task(caller.run()) for caller in people]
+    strikes = [
+        loop.create_task(_strike(system, strike)) for strike in played.strikes
+    ]
+    while time.monotonic() < began_s + played.lasts_s:
+        await asyncio.to_thread(system.sample)
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+    for caller in people:
+        caller.stopping = True
+    await asyncio.gather(*strikes)
+    await asyncio.wait(running, timeout=callers.ANSWER_TIMEOUT_S + 1)
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
+    return system.evidence
+
+
+async def _strike(system: SoakSystem, strike: plan.Strike) -> None:
+    await asyncio.sleep(strike.at_s)
+    await asyncio.to_thread(system.perform, strike)
+
+
+@contextlib.contextmanager
+def running(
+    folder: pathlib.Path, played: plan.Plan
+) -> collections.abc.Generator[SoakSystem, None, None]:
+    """Yield a started system whose processes are killed at the end."""
+    system = SoakSystem(folder, played)
+    try:
+        system.start()
+        yield system
+    finally:
+        system.stop()
