--- a/tests/gateway/test_decision_log.py
+++ b/tests/gateway/test_decision_log.py
@@ -92,3 +92,14 @@
     log = decision_log.DecisionLog(task.Clock(), writing)
     log(_line())
     os.close(writing)
+
+
+# Guards against a failure that no line of any node names because sound
+# answers had used up the second's lines (case 2 of the incident).
+def test_a_failure_is_logged_beyond_the_rate_of_sound_answers(pipe):
+    reading, writing = pipe
+    log = decision_log.DecisionLog(task.Clock(), writing)
+    for index in range(decision_log.MAX_LINES_PER_S_BY_KIND):
+        log(_line(id=f"q{index}", result="answered"))
+    log(_line(id="failed", result="cut"))
+    assert "failed" in [line["id"] for line in _lines(reading)]
--- /dev/null
+++ b/tests/processes/test_early_ends.py
@@ -0,0 +1,30 @@
+"""Answers that end early around a stop of their node."""
+
+import pytest
+
+from fireflystandins.soak import command
+from fireflystandins.soak import plan
+from fireflystandins.soak import report
+
+
+pytestmark = pytest.mark.processes
+
+SLOW = plan.Load(
+    callers=8,
+    pause_s=0.1,
+    styles=("slow",),
+    event_bytes=3000,
+    routes=("resumed",),
+    unframed_share=0.0,
+    slow_pause_s=0.2,
+)
+"""Callers that read 4 KiB five times a second, at one node."""
+
+
+# Guards against answers that a node logs as answered and that end in a
+# reset at a caller that reads slowly (case 2 of the incident, seed 8).
+def test_a_slow_caller_gets_its_whole_answer_around_a_stop(tmp_path):
+    strike = plan.Strike(6.0, plan.Kind.STOP, "node1")
+    played = plan.Plan(8, 1, 2, 16.0, SLOW, (strike,))
+    seen, _ = command.play(tmp_path, played)
+    assert report.early_ends(seen, tmp_path) == []
