--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -143,6 +143,7 @@
         return [Strike(at_s, kind, source, 2.0 + for_s, how)]
     if kind is Kind.FAIL:
         how = chance.choice(("shed", "errors", "reset", "crossed"))
+        source = chance.choice((*sources, "r1", "r2", "r3"))
         return [Strike(at_s, kind, source, how=how, times=20)]
     return [Strike(at_s, kind, node, for_s)]
 
--- a/standins/fireflystandins/soak/report.py
+++ b/standins/fireflystandins/soak/report.py
@@ -13,6 +13,7 @@
 MAX_BREAKS_SHOWN = 5
 AROUND_S = 1.0
 MAX_LINES = 12
+_FREQUENT = ('"message_type":"request"', '"message_type":"rows"')
 
 
 def table(
@@ -40,7 +41,7 @@
 
 
 def find_around(folder: pathlib.Path, node: str, at_s: float) -> list[str]:
-    """Return a node's lines around a moment, without those of requests."""
+    """Return a node's lines around a moment, but for frequent kinds."""
     offset_s = time.time() - time.monotonic()
     lines = []
     path = folder / f"{node}.log"
@@ -48,7 +49,7 @@
         return []
     for line in path.read_text(errors="replace").splitlines():
         found = re.search(r'"timestamp":([\d.]+)', line)
-        if '"message_type":"request"' in line or found is None:
+        if found is None or any(kind in line for kind in _FREQUENT):
             continue
         if abs(float(found[1]) - offset_s - at_s) <= AROUND_S:
             lines.append(line)
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,194 @@
+"""Each checker speaks on a record that breaks its rule, and only then."""
+
+import pytest
+
+from fireflystandins.soak import callers
+from fireflystandins.soak import checks
+from fireflystandins.soak import evidence
+from fireflystandins.soak import plan
+
+BEGAN_S = 100.0
+
+
+def _strike(kind, target="node1", began_s=BEGAN_S, ended_s=106.0, **fields):
+    strike = plan.Strike(5.0, kind, target)
+    return evidence.Happening(strike, began_s, ended_s, **fields)
+
+
+def _stop(**fields):
+    return _strike(plan.Kind.STOP, exit_code=0, **fields)
+
+
+def _events(count, request_id="c1", first=1):
+    return b"".join(
+        b"id: %d\ndata: %s xxx\n\n" % (number, request_id.encode())
+        for number in range(first, first + count)
+    )
+
+
+def _answer(route="resumed", how="whole", sent_s=99.0, ended_s=102.0, **more):
+    fields = {
+        "status": 200,
+        "seal": "seal-s1",
+        "names": "c1",
+        "body": _events(3),
+    } | more
+    request_id = fields.pop("request_id", "c1")
+    return callers.Answer(
+        request_id, "node1", route, "whole", sent_s, ended_s, how=how, **fields
+    )
+
+
+def _run(request_id="c1", endpoint="s1", began_s=99.1, **fields):
+    ended = {"how": "whole", "ended_s": 101.9, "events": 3}
+    return evidence.Run(request_id, endpoint, began_s, **(ended | fields))
+
+
+def _seen(answers, runs=(), happenings=(), **fields):
+    load = plan.Load(events=3)
+    played = plan.Plan(1, 2, 2, 40.0, load, ())
+    return evidence.Evidence(
+        played, list(answers), list(happenings), list(runs), **fields
+    )
+
+
+def _breaks(checker, seen):
+    verdict = checker.judge(seen)
+    assert verdict.checked > 0
+    return [one.text for one in verdict.breaks]
+
+
+@pytest.mark.parametrize("checker", checks.create(), ids=lambda one: one.rule)
+def test_a_sound_record_breaks_no_rule(checker):
+    sound = _seen([_answer()], [_run()], [_stop()])
+    assert checker.judge(sound).breaks == []
+
+
+@pytest.mark.parametrize("how", ["reset", "closed", "late"])
+def test_lost_speaks_of_an_early_end_around_a_stop(how):
+    seen = _seen([_answer(how=how)], [_run()], [_stop()])
+    assert len(_breaks(checks.Lost(), seen)) == 1
+
+
+def test_lost_speaks_of_a_request_that_ran_and_got_no_status():
+    answer = _answer(how="closed", status=0, body=b"")
+    seen = _seen([answer], [_run()], [_stop()])
+    assert len(_breaks(checks.Lost(), seen)) == 1
+
+
+def test_lost_speaks_beside_disruption_of_the_store_alone():
+    store = _strike(plan.Kind.STORE, "store")
+    seen = _seen([_answer(how="reset")], [_run()], [_stop(), store])
+    assert len(_breaks(checks.Lost(), seen)) == 1
+
+
+def test_lost_speaks_beside_a_silence():
+    silence = _strike(plan.Kind.SILENCE, "s1")
+    seen = _seen([_answer(how="reset")], [_run()], [_stop(), silence])
+    assert len(_breaks(checks.Lost(), seen)) == 1
+
+
+@pytest.mark.parametrize(
+    ("answer", "run", "strike", "exits"),
+    [
+        ({}, {}, _strike(plan.Kind.KILL, "node2"), {}),
+        ({}, {}, _strike(plan.Kind.PAUSE), {}),
+        ({}, {}, _strike(plan.Kind.FAIL, "s1"), {}),
+        ({"sent_s": 93.0}, {}, None, {}),
+        ({"ended_s": 107.4}, {"ended_s": 107.3}, None, {}),
+        ({}, {"how": "lost"}, None, {"s1": 101.0}),
+    ],
+    ids=["kill", "pause", "failing", "deadline", "late-work", "exited"],
+)
+def test_lost_excuses(answer, run, strike, exits):
+    happenings = [_stop(), *([strike] if strike else [])]
+    answers = [_answer(how="reset", **answer)]
+    seen = _seen(answers, [_run(**run)], happenings, exits=exits)
+    assert _breaks(checks.Lost(), seen) == []
+
+
+def test_lost_does_not_excuse_an_endpoint_that_wrote_all_and_exited():
+    answers, runs = [_answer(how="reset")], [_run()]
+    seen = _seen(answers, runs, [_stop()], exits={"s1": 101.95})
+    assert len(_breaks(checks.Lost(), seen)) == 1
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        _events(1) + _events(1, first=3),
+        _events(2) + _events(2, first=2),
+        _events(2),
+    ],
+    ids=["missing", "twice", "too-few"],
+)
+def test_order_speaks_of_events(body):
+    assert len(_breaks(checks.Order(), _seen([_answer(body=body)]))) == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"names": "c2"},
+        {"seal": ""},
+        {"body": _events(2) + _events(1, "c2", 3)},
+        {"route": "fetch", "body": b"answer to c2"},
+        {"how": "invalid", "status": 0},
+    ],
+    ids=["id", "seal", "event", "body", "bytes"],
+)
+def test_mixed_speaks_of_another_answer(answer):
+    assert len(_breaks(checks.Mixed(), _seen([_answer(**answer)]))) == 1
+
+
+@pytest.mark.parametrize("route", ["stream", "file"])
+def test_twice_speaks_of_a_second_run(route):
+    runs = [_run(), _run(endpoint="s2", began_s=100.0)]
+    assert len(_breaks(checks.Twice(), _seen([_answer(route)], runs))) == 1
+
+
+def test_twice_allows_a_repeat_of_what_may_repeat():
+    answers = [_answer(), _answer("file", request_id="c2")]
+    runs = [_run(), _run(endpoint="s2", began_s=100.0)]
+    assert _breaks(checks.Twice(), _seen(answers, runs)) == []
+
+
+@pytest.mark.parametrize(("repeats", "expected"), [(21, 0), (30, 1)])
+def test_repeats_speaks_beyond_the_share_and_the_slack(repeats, expected):
+    names = [f"c{number}" for number in range(30)]
+    answers = [_answer(request_id=name) for name in names]
+    runs = [_run(name) for name in names]
+    runs += [_run(name, "s2", 100.0) for name in names[:repeats]]
+    breaks = _breaks(checks.Repeats(), _seen(answers, runs))
+    assert len(breaks) == expected
+
+
+@pytest.mark.parametrize(("late_s", "expected"), [(1.9, 0), (2.2, 1)])
+def test_drain_speaks_of_late_requests(late_s, expected):
+    runs = [_run(began_s=BEGAN_S + late_s)]
+    seen = _seen([_answer()], runs, leaves={"s1": BEGAN_S})
+    assert len(_breaks(checks.Drain(), seen)) == expected
+
+
+def test_drain_excuses_disruption_of_the_store():
+    store = _strike(plan.Kind.STORE, "store", ended_s=BEGAN_S + 1)
+    runs = [_run(began_s=BEGAN_S + 3)]
+    seen = _seen([_answer()], runs, [store], leaves={"s1": BEGAN_S})
+    assert _breaks(checks.Drain(), seen) == []
+
+
+def test_own_ends_speaks_of_a_process_that_ended():
+    seen = _seen([], own_ends=[("node1", 5.0, 1)], samples={"node1/7": []})
+    assert len(_breaks(checks.OwnEnds(), seen)) == 1
+
+
+@pytest.mark.parametrize("code", [-9, 1])
+def test_own_ends_speaks_of_a_stop_out_of_order(code):
+    stop = _strike(plan.Kind.STOP, exit_code=code)
+    assert len(_breaks(checks.OwnEnds(), _seen([], (), [stop]))) == 1
+
+
+@pytest.mark.parametrize("row", [(1.0, 301 << 20, 9), (1.0, 1 << 20, 4101)])
+def test_growth_speaks_beyond_the_limits(row):
+    seen = _seen([], samples={"node1/7": [(0.0, 1 << 20, 9), row]})
+    assert len(_breaks(checks.Growth(), seen)) == 1
