Show that a read request is dropped as idle connections are closed

What callers see: a close in order and no answer to a request that had been read, only callers that send early. Plans of the soak strike closer together and at all at once.

--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -10,6 +10,11 @@
 DOMAINS = "aabbcd"
 SETTLE_S = 4.0
 """No strike comes earlier after the start of the callers."""
+SILENCE_S = 1.4
+GAPS_S = (0.5, 2.0, 6.0)
+"""Between strikes; shorter than most of them last, so that they overlap."""
+ALL_SHARE = 0.25
+"""Share of stops and silences that strike all nodes or endpoints at once."""
 
 
 class Kind(enum.StrEnum):
@@ -111,7 +116,7 @@
     at_s = SETTLE_S
     while at_s < lasts_s - 12:
         strikes.extend(_draw(chance, at_s, names, sources))
-        at_s += chance.choice((1.0, 4.0, 10.0))
+        at_s += chance.choice(GAPS_S)
     return Plan(
         seed,
         nodes,
@@ -122,7 +127,7 @@
             pause_s=chance.choice((0.1, 0.3)),
             event_bytes=chance.choice((65, 65, 2000)),
         ),
-        tuple(strikes),
+        tuple(sorted(strikes, key=lambda strike: strike.at_s)),
     )
 
 
@@ -136,8 +141,10 @@
     if kind is Kind.STORE:
         how = chance.choice(("busy", "silent", "lost", "compacted"))
         return [Strike(at_s, kind, "store", for_s, how)]
+    strikes_all = chance.random() < ALL_SHARE
     if kind is Kind.SILENCE:
-        return [Strike(at_s, kind, source, 1.4)]
+        struck = sources if strikes_all else [source]
+        return [Strike(at_s, kind, name, SILENCE_S) for name in struck]
     if kind is Kind.LEAVE:
         how = chance.choice(("order", "reset"))
         return [Strike(at_s, kind, source, 2.0 + for_s, how)]
@@ -145,7 +152,8 @@
         how = chance.choice(("shed", "errors", "reset", "crossed"))
         source = chance.choice((*sources, "r1", "r2", "r3"))
         return [Strike(at_s, kind, source, how=how, times=20)]
-    return [Strike(at_s, kind, node, for_s)]
+    struck = names if strikes_all and kind is Kind.STOP else [node]
+    return [Strike(at_s, kind, name, for_s) for name in struck]
 
 
 def stops_in_turn(
@@ -174,6 +182,8 @@
                 )
         if silent:
             other = chance.randrange(1, 12)
-            strikes.append(Strike(at_s - 1, Kind.SILENCE, f"s{other}", 1.4))
+            strikes.append(
+                Strike(at_s - 1, Kind.SILENCE, f"s{other}", SILENCE_S)
+            )
         strikes.append(Strike(at_s, Kind.STOP, f"node{number}"))
     return Plan(seed, 6, 11, SETTLE_S + 6 * between_s, load, tuple(strikes))
--- a/tests/gateway/test_inbound.py
+++ b/tests/gateway/test_inbound.py
@@ -285,3 +285,16 @@
     assert transport.value().startswith(b"HTTP/1.1 100 ")
     connection.dataReceived(b"ab")
     assert receiver.requests[0].body == b"ab"
+
+
+# Guards against a request that was read while the one before was answered,
+# and that ends without an answer as a stopping node closes idle connections.
+def test_a_connection_with_a_request_that_was_read_is_not_idle():
+    receiver = Receiver(answer=None)
+    clock, connection, transport = _connect(receiver)
+    connection.dataReceived(GET + GET)
+    _reply(receiver.sinks[0], b"ok")
+    connection.close_idle()
+    clock.advance(0)
+    assert len(receiver.requests) == 2
+    assert not transport.disconnecting
