Strike the links between nodes and the store in the soak

Each node reaches the store through a proxy on loopback that can fall silent, lose answers or break connections off.

--- a/standins/fireflystandins/gateways.py
+++ b/standins/fireflystandins/gateways.py
@@ -194,8 +194,14 @@
             for run in self.runs(process.address)
         ]
 
-    def start_node(self, name: str, zone: str = "a", **bounds: Json) -> Node:
-        """Start a node with its own settings file."""
+    def start_node(
+        self, name: str, zone: str = "a", store: str = "", **bounds: Json
+    ) -> Node:
+        """Start a node with its own settings file.
+
+        ``store`` is the address at which it reaches the store, if another.
+        """
+        store = store or self.store
         ports = [local.free_port() for _ in range(2)]
         nodes_port = _free_pair()
         path = self.folder / f"{name}.json"
@@ -216,9 +222,9 @@
                         "usage-delay-s": 6,
                     }
                     | bounds,
-                    "platform": {"address": self.store},
+                    "platform": {"address": store},
                     "cloud-api": {
-                        "address": self.store,
+                        "address": store,
                         "duties": ["metering", "autoscale"],
                     },
                 }
--- a/standins/fireflystandins/soak/checks.py
+++ b/standins/fireflystandins/soak/checks.py
@@ -15,7 +15,7 @@
 from fireflystandins.soak import plan
 
 CONTACT_S = 3.0
-UNPLANNED = frozenset({plan.Kind.KILL, plan.Kind.PAUSE})
+UNPLANNED = frozenset({plan.Kind.KILL, plan.Kind.PAUSE, plan.Kind.LINK})
 STREAM_ROUTES = frozenset({"stream", "resumed"})
 REPEATABLE_ROUTES = frozenset({"resumed", "fetch"})
 _UNJUDGED = frozenset({"left", "crossed", ""})
--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -27,15 +27,17 @@
     SILENCE = "silence"
     LEAVE = "leave"
     FAIL = "fail"
+    LINK = "link"
 
 
 @pydantic.dataclasses.dataclass(frozen=True)
 class Strike:
     """One strike; its moment counts from the start of the callers.
 
-    ``for_s`` is how long a pause, a silence or a fault of the store lasts,
-    or how long an endpoint that leaves serves on.  ``how`` is the fault of
-    the store or of an endpoint, or how an endpoint exits.
+    ``for_s`` is how long a pause, a silence or a fault of the store or of a
+    node's link to it lasts, or how long an endpoint that leaves serves on.
+    ``how`` is the fault of the store, of a link or of an endpoint, or how an
+    endpoint exits.
     """
 
     at_s: float
@@ -142,6 +144,9 @@
         how = chance.choice(("busy", "silent", "lost", "compacted"))
         return [Strike(at_s, kind, "store", for_s, how)]
     strikes_all = chance.random() < ALL_SHARE
+    if kind is Kind.LINK:
+        how = chance.choice(("silent", "unanswered", "reset"))
+        return [Strike(at_s, kind, node, for_s, how)]
     if kind is Kind.SILENCE:
         struck = sources if strikes_all else [source]
         return [Strike(at_s, kind, name, SILENCE_S) for name in struck]
--- a/standins/fireflystandins/soak/system.py
+++ b/standins/fireflystandins/soak/system.py
@@ -15,6 +15,7 @@
 from fireflystandins.soak import callers
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
+from fireflystandins.soak import proxy
 
 BOUNDS: dict[str, typing.Any] = {
     "retry-budget-ratio": 0.2,
@@ -33,8 +34,15 @@
 class SoakSystem(gateways.GatewaySystem):
     """The processes of a plan."""
 
-    def __init__(self, folder: pathlib.Path, played: plan.Plan) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        played: plan.Plan,
+        links: proxy.ProxyThread,
+    ) -> None:
         super().__init__(folder)
+        self._links = links
+        self._link_of: dict[str, proxy.Proxy] = {}
         self._plan = played
         self._replaced = 0
         self._by_source: dict[str, local.Process] = {}
@@ -54,7 +62,9 @@
             self._start_endpoint(f"r{number}", "registry", domain)
         bounds = BOUNDS | {"grace-s": self._plan.grace_s}
         for number, name in enumerate(plan.node_names(self._plan), start=1):
-            self.start_node(name, plan.domain(number), **bounds)
+            link, address = self._links.add(self.store)
+            self._link_of[name] = link
+            self.start_node(name, plan.domain(number), address, **bounds)
         self.wait_ready()
 
     def _start_endpoint(
@@ -157,6 +167,15 @@
         self.set_faults(self.store, mode="")
         return True
 
+    def _link(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        link = self._link_of[strike.target]
+        self._links.strike(link, strike.how)
+        time.sleep(strike.for_s)
+        self._links.strike(link, "")
+        return True
+
     def _silence(
         self, strike: plan.Strike, happening: evidence.Happening
     ) -> bool:
@@ -288,9 +307,10 @@
     folder: pathlib.Path, played: plan.Plan
 ) -> collections.abc.Generator[SoakSystem, None, None]:
     """Yield a started system whose processes are killed at the end."""
-    system = SoakSystem(folder, played)
-    try:
-        system.start()
-        yield system
-    finally:
-        system.stop()
+    with proxy.ProxyThread().running() as links:
+        system = SoakSystem(folder, played, links)
+        try:
+            system.start()
+            yield system
+        finally:
+            system.stop()
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -21,6 +21,7 @@
     plan.Strike(10.0, plan.Kind.STOP, "node2"),
     plan.Strike(16.0, plan.Kind.KILL, "node3"),
     plan.Strike(20.0, plan.Kind.PAUSE, "node1", 1.0),
+    plan.Strike(23.0, plan.Kind.LINK, "node2", 2.0, "unanswered"),
     plan.Strike(24.0, plan.Kind.LEAVE, "s2", 3.0, "reset"),
 )
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -94,11 +94,20 @@
         ({}, {}, _strike(plan.Kind.KILL, "node2"), {}),
         ({}, {}, _strike(plan.Kind.PAUSE), {}),
         ({}, {}, _strike(plan.Kind.FAIL, "s1"), {}),
+        ({}, {}, _strike(plan.Kind.LINK), {}),
         ({"sent_s": 93.0}, {}, None, {}),
         ({"ended_s": 107.4}, {"ended_s": 107.3}, None, {}),
         ({}, {"how": "lost"}, None, {"s1": 101.0}),
     ],
-    ids=["kill", "pause", "failing", "deadline", "late-work", "exited"],
+    ids=[
+        "kill",
+        "pause",
+        "failing",
+        "link",
+        "deadline",
+        "late-work",
+        "exited",
+    ],
 )
 def test_lost_excuses(answer, run, strike, exits):
     happenings = [_stop(), *([strike] if strike else [])]
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,69 @@
+"""Links deliver, fall silent, lose answers and break off."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from fireflystandins.soak import proxy
+
+
+@contextlib.contextmanager
+def _echo():
+    """Yield the address of a server that sends back what it gets."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+
+        def serve():
+            with contextlib.suppress(OSError):
+                while True:
+                    there, _ = listening.accept()
+                    threading.Thread(
+                        target=_send_back, args=(there,), daemon=True
+                    ).start()
+
+        threading.Thread(target=serve, daemon=True).start()
+        yield f"127.0.0.1:{listening.getsockname()[1]}"
+
+
+def _send_back(there):
+    with there, contextlib.suppress(OSError):
+        while data := there.recv(100):
+            there.sendall(data)
+
+
+@pytest.fixture
+def link():
+    """Yield the links, one proxy and a connection through it."""
+    with _echo() as address, proxy.ProxyThread().running() as links:
+        one, through = links.add(address)
+        host, port = through.rsplit(":", 1)
+        with socket.create_connection((host, int(port))) as here:
+            here.settimeout(0.3)
+            yield links, one, here
+
+
+def test_a_link_delivers(link):
+    _, _, here = link
+    here.sendall(b"one")
+    assert here.recv(100) == b"one"
+
+
+@pytest.mark.parametrize("mode", ["silent", "unanswered"])
+def test_a_struck_link_delivers_once_it_heals(link, mode):
+    links, one, here = link
+    links.strike(one, mode)
+    here.sendall(b"one")
+    with pytest.raises(TimeoutError):
+        here.recv(100)
+    links.strike(one, "")
+    assert here.recv(100) == b"one"
+
+
+def test_a_reset_link_breaks_its_connections_off(link):
+    links, one, here = link
+    here.sendall(b"one")
+    assert here.recv(100) == b"one"
+    links.strike(one, "reset")
+    with pytest.raises(ConnectionResetError):
+        here.recv(100)
