--- a/tests/processes/test_early_ends.py
+++ b/tests/processes/test_early_ends.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fireflystandins.soak import checks
 from fireflystandins.soak import command
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
@@ -28,3 +29,30 @@
     played = plan.Plan(8, 1, 2, 16.0, SLOW, (strike,))
     seen, _ = command.play(tmp_path, played)
     assert report.early_ends(seen, tmp_path) == []
+
+
+MANY = plan.Load(
+    callers=40,
+    pause_s=0.05,
+    styles=("whole",),
+    routes=("resumed",),
+    events=80,
+    event_ms=50,
+    unframed_share=0.0,
+)
+"""Streams of 4 s, more of them at once than may be repeated."""
+
+
+# Guards against streams that a node ends around its stop because all their
+# endpoints sent nothing for 1.4 s (the incident, plan 702 of the soak).
+def test_a_silence_ends_no_stream_around_a_stop(tmp_path):
+    silences = [
+        plan.Strike(8.5, plan.Kind.SILENCE, f"s{number}", plan.SILENCE_S)
+        for number in (1, 2, 3)
+    ]
+    stop = plan.Strike(8.6, plan.Kind.STOP, "node1")
+    played = plan.Plan(702, 3, 3, 18.0, MANY, (*silences, stop))
+    seen, _ = command.play(tmp_path, played)
+    verdict = checks.Lost().judge(seen)
+    assert verdict.checked > 0
+    assert [one.text for one in verdict.breaks] == []
