Close a caller's connection once it has taken the answer

Cause: a node that stops, or that ends a connection for another reason, closed the socket when the last byte was with the kernel. What the caller sent after that was answered with a reset, and the caller lost what it had not read yet; the node could also exit before.

Change: the connection is closed for writing, and for reading once the caller's machine has acknowledged all. The watch ends callers that are dead or too slow meanwhile, and a stop waits for the others until the end of its grace, as it waits for each open connection.

tests/gateway/test_slow_callers.py: a caller with a small buffer that sends another request before it reads the last answer of a stopping node got a reset before (1 of 1), and gets the whole answer after.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -85,9 +85,27 @@
         self._close(caller_ends.CallerEnd.IDLE)
 
     def _close(self, reason: caller_ends.CallerEnd) -> None:
-        """Close once all data has been written."""
+        """Close once the caller has taken all data."""
         self._end_as(reason)
-        self._queue.close(self.transport.loseConnection)
+        self._queue.close(self._close_when_taken)
+
+    def _close_when_taken(self) -> None:
+        """Close for writing at once, and for reading when all has arrived.
+
+        What a caller sends to a closed socket resets the connection, and
+        the caller loses what it has not read.
+        """
+        self._watch.look()
+        if not self._watch.unread_bytes:
+            self.transport.loseConnection()
+            return
+        self.transport.loseWriteConnection()
+        self._watch.expect_delivery(self._close_now)
+
+    def _close_now(self, delivery: caller_ends.Delivery) -> None:
+        """Close what was kept open for the caller; it may be closed."""
+        if delivery.end is None:
+            self.transport.loseConnection()
 
     def _abort(self, reason: caller_ends.CallerEnd) -> None:
         """Close at once; what is not sent is lost."""
--- a/tests/gateway/slow_callers.py
+++ b/tests/gateway/slow_callers.py
@@ -84,9 +84,7 @@
 
     limits = document.CallerLimits(2000, 100, 3.0, 15.0)
 
-    @property
-    def is_stopping(self):
-        return False
+    is_stopping = False
 
     def receive(self, request, sink):
         stream = Stream(self.reactor, sink, self.event_bytes, self._note_held)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -119,3 +119,25 @@
             slow_callers.wait_for(lambda: node.closed)
     assert len(node.streams) == 1
     assert node.most_held_bytes <= bounds.held_bytes + profile.event_bytes
+
+
+# Guards against a reset, by input that is not read, of an answer under way.
+def test_an_answer_survives_what_its_caller_sends_after_the_last_request():
+    profile = slow_callers.Profile(12000, buffer_bytes=16384)
+    with slow_callers.running(profile.event_bytes) as node:
+        node.is_stopping = True
+        with slow_callers.connect(node, profile) as caller:
+            slow_callers.wait_for(
+                lambda: (
+                    node.streams
+                    and node.streams[0].sent == slow_callers.EVENTS
+                )
+            )
+            time.sleep(0.3)
+            caller.sendall(slow_callers.REQUEST)
+            time.sleep(0.2)
+            answer = slow_callers.read(caller, profile)
+            slow_callers.wait_for(lambda: node.closed)
+    assert answer.count(b"data: ") == slow_callers.EVENTS
+    assert node.streams[0].deliveries == [caller_ends.Delivery()]
+    assert len(node.streams) == 1
