--- a/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
+++ b/packages/gateway/src/fireflypulley/gateway/response_watchdog.py
@@ -57,6 +57,9 @@
             self._timer.cancel()
 
     def _check(self) -> None:
+        if self._run.is_held and not self._run.is_over:
+            self._timer = self._reactor.callLater(self._timeout_s, self._check)
+            return
         if self._find_problem() is None:
             self._pause_s = CHECK_INTERVAL_S
             self._watch_on()
--- a/tests/gateway/test_undelivered_answers.py
+++ b/tests/gateway/test_undelivered_answers.py
@@ -13,6 +13,8 @@
     """Collect the lines of the log."""
     collected = []
     eliot.add_destinations(collected.append)
+    # The first destination gets what was logged before.
+    collected.clear()
     yield collected
     eliot.remove_destination(collected.append)
 
