Close no connection on which a request waits

Cause: close_idle in the turn in which an answer ends took a connection for idle on which the next request had been read and waited in the parser; it was closed without an answer.

Change: a request that waits makes a connection busy.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -123,8 +123,10 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being read or answered."""
-        return self._handler is None and self._reading_since_s is None
+        """Return whether no request is being read, answered or waiting."""
+        waits = bool(self._http.trailing_data[0])
+        is_reading = self._reading_since_s is not None
+        return self._handler is None and not is_reading and not waits
 
     def close_idle(self) -> None:
         if self.is_idle and self._is_open:
