Send streams in chunks whatever their first endpoint says of the length

Cause: the length of one run was passed on for an answer that several may make. Change: a stream is delimited by chunks, which tell its end and its breaking off. An answer that does not fit its head is logged as cut, not as left by its caller.

--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -160,6 +160,12 @@
             self._attempts.leave()
         self._finish("caller_left", 0)
 
+    def response_broken(self, problem: str) -> None:
+        self._relay.detach()
+        if self._attempts is not None:
+            self._attempts.leave()
+        self._finish("cut", self._relay.status, problem)
+
     def pause(self) -> None:
         if self._attempts is not None:
             self._attempts.pause()
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -242,6 +242,13 @@
         sink.head(status, headers + self._framing())
 
     def _framing(self) -> header_codec.Headers:
+        """Return the fields that delimit the body.
+
+        The run that a stream goes on with may be longer or shorter than
+        the first one said.
+        """
+        if self.is_stream and self._sent_status < 300:
+            return [(b"transfer-encoding", b"chunked")]
         for name, value in self._headers:
             if name == b"content-length":
                 return [(name, value)]
