Let a node that has joined share the retry budget by the nodes it knows

What callers saw: a failure or a cut in the first seconds of a node, though another endpoint was sound; obstacle 'retry budget used up'.

Cause: the retry budget was counted by SharingNodes.count, which assumes 16 nodes for two seconds after a first start; a sixteenth of a slack of 20 is less than one retry, so that a starting node had none. The budget withholds what a starting node may use by itself (two retries), so it needs the number of nodes that are known. One that has never joined counts many, as before.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -496,5 +496,5 @@
                 "like requests that crashed endpoints, not retried",
             )
         return self.retry_policy.refusal(
-            request, outcome, counts, self._sharing.count(now_s), now_s
+            request, outcome, counts, self._sharing.known, now_s
         )
--- a/packages/core/src/fireflypulley/core/gateway/sharing.py
+++ b/packages/core/src/fireflypulley/core/gateway/sharing.py
@@ -52,6 +52,17 @@
             raise BadCount(f"{known} nodes")
         self._known = known
 
+    @property
+    def known(self) -> int:
+        """Return how many nodes are known, many before ``join``.
+
+        For bounds that withhold what a node may use after its start
+        themselves.
+        """
+        if self._known_from_s == float("inf"):
+            return max(self._known, ASSUMED_NODES)
+        return self._known
+
     def count(self, now_s: float) -> int:
         """Return by how many nodes a bound is shared.
 
