Ask in one place whether an answer consists of events

The same check of status and route stood three times in the relay after streams were chunked. No behaviour is changed: lint and the tests of relay and attempts (6 files) are green.

--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -100,12 +100,19 @@
         """
         if not self.head_sent:
             return True
-        is_event_stream = self.is_stream and self._sent_status < 300
-        return is_event_stream and not self._has_unnumbered
+        return self._sends_events and not self._has_unnumbered
+
+    @property
+    def _sends_events(self) -> bool:
+        """Return whether the caller has the head of a stream of events."""
+        return self._is_event_status(self._sent_status)
 
     def is_event_stream(self, part: Part) -> bool:
         """Return whether an attempt's answer consists of events."""
-        return self.is_stream and part.status < 300
+        return self._is_event_status(part.status)
+
+    def _is_event_status(self, status: int) -> bool:
+        return self.is_stream and status < 300
 
     def start_attempt(self) -> Part:
         """Use a new part; return it."""
@@ -247,7 +254,7 @@
         The run that a stream goes on with may be longer or shorter than
         the first one said.
         """
-        if self.is_stream and self._sent_status < 300:
+        if self._sends_events:
             return [(b"transfer-encoding", b"chunked")]
         for name, value in self._headers:
             if name == b"content-length":
