Log how the end of an answer was told

Of an answer that was passed on as a success no line said how its end was told (length, chunks, close), how many bytes its body had, which request of its connection it answered, nor what else ended at its endpoint in that moment.

The line of a request has these as framing, body_bytes, request_number and lost_beside: how many connections to that endpoint, idle or with an answer under way, were lost within the 30 ms before.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import defer
 
+from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import connector
@@ -80,6 +81,8 @@
         self.is_counted = False
         self.is_complete = False
         self._is_over = False
+        self.end: answer_ends.AnswerEnd | None = None
+        """How the end of a complete answer was told, if known."""
         self.obstacle = ""
         """Why no other attempt followed when this one was late."""
         self._watchdog: response_watchdog.ResponseWatchdog | None = None
@@ -204,8 +207,9 @@
     def response_data(self, data: bytes) -> None:
         self._owner.attempt_data(self, data)
 
-    def response_end(self) -> None:
+    def response_end(self, end: answer_ends.AnswerEnd | None = None) -> None:
         self.connection = None
+        self.end = end
         self.stop_watching()
         self._owner.attempt_end(self)
 
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -101,6 +101,7 @@
         self._relay.use(used.part, self.is_contested)
         self._record.last_run = used.run
         self._record.through = used.peer
+        self._record.answer_end = used.end
 
     def attempt_sent(self, sent: attempt.Attempt) -> None:
         self._chooser.note_sent()
@@ -294,6 +295,7 @@
             self._end_attempt(sent, calls.Outcome.CUT, problem)
             return
         self._prefer(sent)
+        self._record.answer_end = sent.end
         is_failure = self._relay.status >= MIN_FAILURE_STATUS
         self._accounts.end(
             sent,
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -11,6 +11,7 @@
 from twisted.python import failure
 from zope import interface
 
+from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import stray_answers
@@ -19,6 +20,7 @@
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 65536
+BODILESS_STATUSES = frozenset({204, 304})
 REMEMBERED_REQUESTS = 64
 MAX_PARTS_PER_TURN = 64
 """A chunk is a part, and so is a head.  An endpoint may send thousands of
@@ -44,8 +46,11 @@
         """Called with a part of the body."""
 
     @abc.abstractmethod
-    def response_end(self) -> None:
-        """Called when the response is complete according to its framing."""
+    def response_end(self, end: answer_ends.AnswerEnd | None = None) -> None:
+        """Called when the response is complete according to its framing.
+
+        ``end`` is how its end was told, None if that is not known.
+        """
 
     @abc.abstractmethod
     def response_failed(self, outcome: calls.Outcome, detail: str) -> None:
@@ -69,6 +74,14 @@
     def count_unsolicited(self) -> None:
         """Count data that belongs to no request."""
 
+    @abc.abstractmethod
+    def count_losses(self) -> int:
+        """Return how many connections to the endpoint were just lost."""
+
+    @abc.abstractmethod
+    def note_lost(self) -> None:
+        """Record that a connection ended that should have gone on."""
+
     @abc.abstractmethod
     def release(self, connection: "EndpointConnection") -> None:
         """Return a connection that can take another request."""
@@ -99,7 +112,7 @@
             self._stop()
             self._connection.abort()
 
-    def response_end(self) -> None:
+    def response_end(self, end: answer_ends.AnswerEnd | None = None) -> None:
         # The connection returns itself to the pool.
         self._stop()
 
@@ -142,6 +155,10 @@
         self._turn: interfaces.IDelayedCall | None = None
         """Set while parts that have arrived wait for the next turn."""
         self._interim_answers = 0
+        self._method = b""
+        self._framing = answer_ends.Framing.NO_BODY
+        self._body_bytes = 0
+        self._request_number = 0
         self._keep_alive_s = MAX_IDLE_S
         self.idle_since_s = 0.0
         self.answered = 0
@@ -193,6 +210,8 @@
     ) -> None:
         """Send a complete request."""
         self._request_ids.append(request_id)
+        self._request_number += 1
+        self._method = method
         self._listener = listener
         framed_headers = list(headers)
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
@@ -283,6 +302,10 @@
             return
         if isinstance(event, h11.Response):
             headers = list(event.headers)
+            self._framing = _framing_of(
+                self._method, event.status_code, headers
+            )
+            self._body_bytes = 0
             self._note_keep_alive(headers)
             self._stray_answers = stray_answers.StrayAnswerFinder(
                 self._request_ids
@@ -306,6 +329,7 @@
             detail = "another answer inside the body"
             self._fail(calls.Outcome.GARBAGE, detail)
             return
+        self._body_bytes += len(data)
         listener.response_data(data)
 
     def _note_keep_alive(self, headers: header_codec.Headers) -> None:
@@ -338,10 +362,18 @@
                 self.resume()
         else:
             self.abort()
-        listener.response_end()
+        listener.response_end(self._end())
         if is_reusable:
             self._pool.release(self)
 
+    def _end(self) -> answer_ends.AnswerEnd:
+        return answer_ends.AnswerEnd(
+            self._framing,
+            self._body_bytes,
+            self._request_number,
+            self._pool.count_losses(),
+        )
+
     def _fail(self, outcome: calls.Outcome, detail: str) -> None:
         listener, self._listener = self._listener, None
         self.abort()
@@ -364,8 +396,10 @@
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        self._is_open = False
+        was_open, self._is_open = self._is_open, False
         self._pool.remove(self)
+        if was_open and not self._ends_with_answer(reason):
+            self._note_lost(reason)
         if self._listener is None:
             return
         if reason.check(error.ConnectionDone) and self.close_ends_answer:
@@ -373,6 +407,18 @@
         else:
             self._fail(calls.Outcome.CUT, reason.getErrorMessage())
 
+    def _ends_with_answer(self, reason: failure.Failure) -> bool:
+        """Return whether a close is what tells the end of an answer."""
+        if self._listener is None or not reason.check(error.ConnectionDone):
+            return False
+        has_head = self._http.their_state is h11.SEND_BODY
+        return has_head and self._framing is answer_ends.Framing.CLOSE
+
+    def _note_lost(self, reason: failure.Failure) -> None:
+        """Record the loss, unless it may be that of the peer between."""
+        if not self.peer or reason.check(error.ConnectionDone):
+            self._pool.note_lost()
+
     def _finish_on_close(self) -> None:
         """Finish a response that is delimited by the close."""
         try:
@@ -390,3 +436,17 @@
             self._fail(calls.Outcome.CUT, str(problem))
         if self._listener is not None:
             self._fail(calls.Outcome.CUT, "closed during a response")
+
+
+def _framing_of(
+    method: bytes, status: int, headers: header_codec.Headers
+) -> answer_ends.Framing:
+    """Return what tells where the body of an answer ends."""
+    if method == b"HEAD" or status in BODILESS_STATUSES:
+        return answer_ends.Framing.NO_BODY
+    names = {name for name, _ in headers}
+    if b"transfer-encoding" in names:
+        return answer_ends.Framing.CHUNKS
+    if b"content-length" in names:
+        return answer_ends.Framing.LENGTH
+    return answer_ends.Framing.CLOSE
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -7,6 +7,7 @@
 from twisted.internet import interfaces
 from twisted.internet import protocol
 
+from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
@@ -60,6 +61,7 @@
         self._idle: collections.deque[outbound.EndpointConnection]
         self._idle = collections.deque()
         self._open: set[outbound.EndpointConnection] = set()
+        self._losses = answer_ends.ConnectionLosses()
         self.opened = 0
         self.unsolicited = 0
 
@@ -166,6 +168,15 @@
         """Count data that belongs to no request."""
         self.unsolicited += 1
 
+    def count_losses(self) -> int:
+        """Return how many connections to the endpoint were just lost."""
+        now_s = self._reactor.seconds()
+        return self._losses.count(now_s - answer_ends.SETTLE_S, now_s)
+
+    def note_lost(self) -> None:
+        """Record that a connection ended that should have gone on."""
+        self._losses.note(self._reactor.seconds())
+
     def release(self, connection: outbound.EndpointConnection) -> None:
         """Return a connection to the pool.
 
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
@@ -28,6 +29,8 @@
     last_run: runs.Run | None = None
     through: str = ""
     """The node that the last attempt was sent through, "" if direct."""
+    answer_end: answer_ends.AnswerEnd | None = None
+    """How the end of the endpoint's answer was told, None if it had none."""
     answered_s: float | None = None
     """When the answer was complete here, None before."""
     delivery: caller_ends.Delivery | None = None
@@ -96,6 +99,7 @@
             took_ms=_ms(took_s),
             nodes_alive=node_scheduler.nodes_alive,
             **self._last_choice(),
+            **self._end_fields(),
             **self._delivery_fields(now_s),
             **_rows_age(result, node_scheduler, now_s),
         )
@@ -114,6 +118,18 @@
             fields["first_event_ms"] = _ms(run.first_event_s - run.began_s)
         return fields | self._through() | _limit_fields(run)
 
+    def _end_fields(self) -> dict[str, object]:
+        """Return how the end of the endpoint's answer was told."""
+        end = self.answer_end
+        if end is None:
+            return {}
+        return {
+            "framing": end.framing.value,
+            "body_bytes": end.body_bytes,
+            "request_number": end.request_number,
+            "lost_beside": end.lost_beside,
+        }
+
     def _delivery_fields(self, now_s: float) -> dict[str, object]:
         """Return how long the caller took for a complete answer."""
         if self.answered_s is None or self.delivery is None:
--- a/tests/gateway/test_outbound.py
+++ b/tests/gateway/test_outbound.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 from twisted.python import failure
 
+from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import pools
@@ -30,8 +31,9 @@
     def response_data(self, data):
         self.body += data
 
-    def response_end(self):
+    def response_end(self, end=None):
         self.ended = True
+        self.end = end
 
     def response_failed(self, outcome, detail):
         self.failed = outcome
@@ -284,3 +286,22 @@
     endpoint.connection.pause()
     endpoint.connection.discard_response()
     assert endpoint.transport.producerState == "producing"
+
+
+@pytest.mark.parametrize(
+    ("fields", "body", "framing"),
+    [
+        (b"Content-Length: 2\r\n", b"ok", answer_ends.Framing.LENGTH),
+        (
+            b"Transfer-Encoding: chunked\r\n",
+            b"2\r\nok\r\n0\r\n\r\n",
+            answer_ends.Framing.CHUNKS,
+        ),
+    ],
+)
+def test_how_the_end_of_an_answer_was_told(endpoint, fields, body, framing):
+    endpoint.ask()
+    endpoint.answer(WHOLE)
+    listener = endpoint.ask()
+    endpoint.answer(HEAD + fields + b"\r\n" + body)
+    assert listener.end == answer_ends.AnswerEnd(framing, 2, 2, 0)
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -138,7 +138,7 @@
     def response_data(self, data):
         self.body += data
 
-    def response_end(self):
+    def response_end(self, end=None):
         self.end = "whole"
 
     def response_failed(self, outcome, detail):
