--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -32,6 +32,8 @@
 HEARTBEAT_S = 1.0
 DOWN_S = 0.8
 """How long a crashed replica does not listen."""
+CUT_COPY_BYTES = len("HTTP/")
+"""Of a second answer that is cut off inside its head."""
 STREAM_PREFIXES = ("/stream/", "/resumed/")
 _Fields = dict[str, str]
 
@@ -312,8 +314,18 @@
         elif fault == "unframed":
             self.transport.write(_head(200, identity_fields, None) + body)
             self.transport.loseConnection()
+        elif fault == "unframed-parts":
+            self._respond_in_parts(identity_fields, _in_pieces(body))
         elif fault == "interrupted":
-            self._respond_around_copy(identity_fields, body)
+            pieces = [body[:4], self._last_answer, body[4:]]
+            self._respond_in_parts(identity_fields, pieces)
+        elif fault == "interrupted-in-head":
+            copy = self._last_answer[:CUT_COPY_BYTES]
+            pieces = [body[:4], copy, body[4:]]
+            self._respond_in_parts(identity_fields, pieces)
+        elif fault == "ended-in-head":
+            copy = self._last_answer[:CUT_COPY_BYTES]
+            self._respond_in_parts(identity_fields, [body, copy])
         elif fault == "garbage":
             self.transport.write(b"\x00\x01\x02 no answer\r\n\r\n")
         elif fault == "extra":
@@ -322,15 +334,11 @@
         else:
             self._write(200, identity_fields, body)
 
-    def _respond_around_copy(
-        self, identity_fields: _Fields, body: bytes
+    def _respond_in_parts(
+        self, identity_fields: _Fields, pieces: list[bytes]
     ) -> None:
-        """Send the last answer once more between two parts of this one."""
-        pieces = (
-            _head(200, identity_fields, None) + body[:4],
-            self._last_answer,
-            body[4:],
-        )
+        """Send a body without a length, a piece at a time, and close."""
+        self.transport.write(_head(200, identity_fields, None))
         for number, piece in enumerate(pieces):
             delay_s = number * EVENT_S
             reactor.callLater(delay_s, self.transport.write, piece)
@@ -412,6 +420,12 @@
             self.dataReceived(rest)
 
 
+def _in_pieces(body: bytes) -> list[bytes]:
+    """Return a body in six pieces or a few more."""
+    size = max(1, len(body) // 6)
+    return [body[start : start + size] for start in range(0, len(body), size)]
+
+
 def _head(status: int, fields: _Fields, length: int | None) -> bytes:
     lines = [f"HTTP/1.1 {status} X"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
