Believe a close once its endpoint has shown that it goes on

Cause: the system closes the connections of a process that ends in order, just as a sound endpoint closes the one whose answer has no length. The end of the endpoint was taken for the end of its answers. Class: complete is concluded from the absence of more.

The end of such an answer is held back until a new connection, opened after the close, has stood for 30 ms, directly or through a peer, and no other connection to that endpoint was lost from 30 ms before (or from the moment at which the node stopped reading the answer). Else, and after 0.6 s, it is a cut: what may be repeated and has given the caller nothing is repeated, the rest is cut or fails. The new connection is kept for the next request, so that a sound endpoint pays the round trip and 30 ms.

Counted as answers_ended_by_close.

--- a/packages/core/src/fireflypulley/core/gateway/answer_ends.py
+++ b/packages/core/src/fireflypulley/core/gateway/answer_ends.py
@@ -7,6 +7,9 @@
 SETTLE_S = 0.03
 """A process that ends closes its connections within this time, though not
 all in the same moment."""
+PROOF_TIMEOUT_S = 0.6
+"""How long the end of an answer is held back until its endpoint has shown
+that it goes on."""
 MAX_LOSSES = 512
 """More than an endpoint has connections to one node."""
 
@@ -20,6 +23,15 @@
     CLOSE = "close"
 
 
+class Doubt(enum.Enum):
+    """Why a close is not taken for the end of an answer."""
+
+    UNREACHED = "endpoint takes no new connection"
+    LOST_BESIDE = "other connections were lost in that moment"
+    LOST_AFTER = "a new connection was lost at once"
+    LATE = "endpoint took no new connection in time"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerEnd:
     """The end of an answer that is complete according to its framing.
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -5,6 +5,7 @@
 import aioprometheus
 from aioprometheus import formats
 
+from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import runs
@@ -45,6 +46,10 @@
         self._tunnels_opened = self._counter(
             "tunnels_opened", "Connections opened through other nodes."
         )
+        self._closes = self._counter(
+            "answers_ended_by_close",
+            "Answers that a close ended, by why that was not believed.",
+        )
         self._tunnels = self._gauge(
             "tunnels_for_others", "Connections that other nodes use now."
         )
@@ -123,6 +128,14 @@
         self._tunnels_opened.set({}, tunnels_opened)
         self._tunnels.set({}, for_others)
 
+    def collect_closes(
+        self, closes: collections.Counter[answer_ends.Doubt | None]
+    ) -> None:
+        """Set the metric of answers that only a close ended."""
+        for doubt, count in closes.items():
+            name = "" if doubt is None else doubt.name.lower()
+            self._closes.set({"doubt": name}, count)
+
     def collect(
         self,
         node_scheduler: scheduler.RequestScheduler,
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -60,12 +60,23 @@
 class ConnectionPool(abc.ABC):
     """Manages the connections to one endpoint."""
 
+    @abc.abstractmethod
+    def now_s(self) -> float:
+        """Return the reactor's time in seconds."""
+
     @abc.abstractmethod
     def call_later(
-        self, delay_s: float, call: collections.abc.Callable[[], None]
+        self,
+        delay_s: float,
+        call: collections.abc.Callable[..., None],
+        *arguments: object,
     ) -> interfaces.IDelayedCall:
         """Schedule a call."""
 
+    @abc.abstractmethod
+    def count_close(self, doubt: answer_ends.Doubt | None) -> None:
+        """Count an answer that a close ended, by why it is not believed."""
+
     @abc.abstractmethod
     def note_activity(self) -> None:
         """Record that the endpoint has sent data."""
@@ -74,6 +85,17 @@
     def count_unsolicited(self) -> None:
         """Count data that belongs to no request."""
 
+    @abc.abstractmethod
+    def check_alive(
+        self,
+        since_s: float,
+        on_result: collections.abc.Callable[[answer_ends.Doubt | None], None],
+    ) -> None:
+        """Find out whether the endpoint has been alive since a moment.
+
+        ``on_result`` gets the reason to doubt it, None if there is none.
+        """
+
     @abc.abstractmethod
     def count_losses(self) -> int:
         """Return how many connections to the endpoint were just lost."""
@@ -159,6 +181,10 @@
         self._framing = answer_ends.Framing.NO_BODY
         self._body_bytes = 0
         self._request_number = 0
+        self._unread_since_s: float | None = None
+        """When reading of the answer was first paused, None if never."""
+        self._proof_timer: interfaces.IDelayedCall | None = None
+        """Set while the end of an answer is held back."""
         self._keep_alive_s = MAX_IDLE_S
         self.idle_since_s = 0.0
         self.answered = 0
@@ -212,6 +238,7 @@
         self._request_ids.append(request_id)
         self._request_number += 1
         self._method = method
+        self._unread_since_s = None
         self._listener = listener
         framed_headers = list(headers)
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
@@ -249,6 +276,8 @@
     def pause(self) -> None:
         """Stop reading while the caller accepts no data."""
         self._is_paused = True
+        if self._unread_since_s is None:
+            self._unread_since_s = self._pool.now_s()
         if self._is_open:
             self.transport.pauseProducing()
 
@@ -319,7 +348,10 @@
         elif isinstance(event, h11.Data):
             self._handle_body(listener, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._complete(listener)
+            if self._framing is answer_ends.Framing.CLOSE:
+                self._check_end(listener)
+            else:
+                self._complete(listener)
         elif isinstance(event, h11.ConnectionClosed):
             self._fail(calls.Outcome.CUT, "closed before a response")
 
@@ -366,6 +398,43 @@
         if is_reusable:
             self._pool.release(self)
 
+    def _check_end(self, listener: ResponseListener) -> None:
+        """Hold the end of an answer back that only a close has told.
+
+        The system closes the connections of a process that ends, too.
+        """
+        since_s = self._unread_since_s
+        if since_s is None:
+            since_s = self._pool.now_s()
+        self._proof_timer = self._pool.call_later(
+            answer_ends.PROOF_TIMEOUT_S,
+            self._judge_end,
+            answer_ends.Doubt.LATE,
+        )
+        self._pool.check_alive(since_s, self._judge_end)
+
+    def _judge_end(self, doubt: answer_ends.Doubt | None) -> None:
+        """Believe the end of the answer, or not; later verdicts are void."""
+        if self._proof_timer is None:
+            return
+        self._stop_proof()
+        self._pool.count_close(doubt)
+        if self._listener is None:
+            return
+        if doubt is None:
+            self._complete(self._listener)
+            return
+        detail = (
+            f"close after {self._body_bytes} bytes of answer"
+            f" {self._request_number} of its connection: {doubt.value}"
+        )
+        self._fail(calls.Outcome.CUT, detail)
+
+    def _stop_proof(self) -> None:
+        timer, self._proof_timer = self._proof_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
     def _end(self) -> answer_ends.AnswerEnd:
         return answer_ends.AnswerEnd(
             self._framing,
@@ -389,6 +458,7 @@
     def abort(self) -> None:
         """Close at once, so that the endpoint cancels the request."""
         self._listener = None
+        self._stop_proof()
         if self._is_open:
             self._is_open = False
             self.transport.abortConnection()
@@ -427,14 +497,14 @@
             self._fail(calls.Outcome.CUT, str(problem))
             return
         try:
-            while self._listener is not None:
+            while self._listener is not None and self._proof_timer is None:
                 event = self._http.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     break
                 self._handle_event(event)
         except h11.RemoteProtocolError as problem:
             self._fail(calls.Outcome.CUT, str(problem))
-        if self._listener is not None:
+        if self._listener is not None and self._proof_timer is None:
             self._fail(calls.Outcome.CUT, "closed during a response")
 
 
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -6,11 +6,13 @@
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
+from twisted.internet import task
 
 from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
+from fireflypulley.gateway import background
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnels
 from fireflypulley.transport import dialing
@@ -38,6 +40,9 @@
         self.direct = endpoint_paths.EndpointPaths()
         self.tunnels: tunnels.TunnelSource | None = None
         self.tunnels_opened = 0
+        self.closes: collections.Counter[answer_ends.Doubt | None]
+        self.closes = collections.Counter()
+        """Answers that a close ended, by why that was not believed."""
 
 
 class EndpointPool(outbound.ConnectionPool):
@@ -154,11 +159,71 @@
             return connection
         return None
 
+    def now_s(self) -> float:
+        """Return the reactor's time in seconds."""
+        return self._reactor.seconds()
+
     def call_later(
-        self, delay_s: float, call: collections.abc.Callable[[], None]
+        self,
+        delay_s: float,
+        call: collections.abc.Callable[..., None],
+        *arguments: object,
     ) -> interfaces.IDelayedCall:
         """Schedule a call."""
-        return self._reactor.callLater(delay_s, call)
+        return self._reactor.callLater(delay_s, call, *arguments)
+
+    def check_alive(
+        self,
+        since_s: float,
+        on_result: collections.abc.Callable[[answer_ends.Doubt | None], None],
+    ) -> None:
+        """Find out whether the endpoint has been alive since a moment."""
+        background.start(
+            self._check_alive(since_s, on_result), alive=self._key[0]
+        )
+
+    async def _check_alive(
+        self,
+        since_s: float,
+        on_result: collections.abc.Callable[[answer_ends.Doubt | None], None],
+    ) -> None:
+        try:
+            connection = await self._connect_anyhow()
+        except (error.ConnectError, error.ConnectionClosed):
+            on_result(answer_ends.Doubt.UNREACHED)
+            return
+        await task.deferLater(self._reactor, answer_ends.SETTLE_S)
+        doubt = self._find_doubt(since_s, connection)
+        if connection.is_usable:
+            self.release(connection)
+        on_result(doubt)
+
+    async def _connect_anyhow(self) -> outbound.EndpointConnection:
+        """Open a connection; a peer is asked if there is no direct way.
+
+        This node alone may be cut off from a sound endpoint.
+        """
+        try:
+            return await self._connect(0.0)
+        except (error.ConnectError, error.ConnectionClosed):
+            if self._paths.tunnels is None:
+                raise
+        return await self._connect_through_peer()
+
+    def _find_doubt(
+        self, since_s: float, connection: outbound.EndpointConnection
+    ) -> answer_ends.Doubt | None:
+        """Return why the endpoint may have ended, None if it has not."""
+        from_s = since_s - answer_ends.SETTLE_S
+        if self._losses.count(from_s, self._reactor.seconds()):
+            return answer_ends.Doubt.LOST_BESIDE
+        if not connection.is_usable:
+            return answer_ends.Doubt.LOST_AFTER
+        return None
+
+    def count_close(self, doubt: answer_ends.Doubt | None) -> None:
+        """Count an answer that a close ended, by why it is not believed."""
+        self._paths.closes[doubt] += 1
 
     def note_activity(self) -> None:
         """Record that the endpoint has sent data."""
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -369,6 +369,7 @@
             self._connections.paths.tunnels_opened,
             self._tunnel_server.open_count,
         )
+        self._metrics.collect_closes(self._connections.paths.closes)
         self._metrics.collect_callers(self._caller_factory.held.total_bytes)
         self._metrics.collect(
             self._scheduler,
--- /dev/null
+++ b/tests/gateway/test_held_ends.py
@@ -0,0 +1,216 @@
+"""Ends of answers that only a close tells are held back for a while."""
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from fireflypulley.core.gateway import answer_ends
+from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import pools
+from fireflypulley.gateway import tunnels
+
+from . import test_inbound
+from . import test_outbound
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n"
+MOMENT_S = answer_ends.SETTLE_S / 3
+
+
+class Endpoint:
+    """An endpoint with a request under way, on a reactor of the test."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.paths = pools.Paths()
+        self.pool = pools.EndpointPool(
+            self.reactor, "10.0.0.1:80", lambda: None, ("e1", 1), self.paths
+        )
+        self.connection = self.connect()
+        self.listener = test_outbound.Listener()
+        self.connection.send(
+            b"POST", b"/", [(b"host", b"h")], b"", self.listener
+        )
+        self.connection.transport.producer.resumeProducing()
+
+    def connect(self):
+        """Return a connection that the node has opened."""
+        opened = defer.ensureDeferred(self.pool.acquire(True))
+        self.accept()
+        return _result(opened)
+
+    def accept(self):
+        """Accept the newest connection."""
+        factory = self.reactor.tcpClients[-1][2]
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(test_inbound.Transport())
+
+    def refuse(self):
+        """Refuse the newest connection."""
+        _, _, factory, *_ = self.reactor.tcpClients[-1]
+        reason = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, reason)
+
+    def lose(self, connection, reason=None):
+        """Close a connection as the endpoint's system."""
+        reason = reason or error.ConnectionDone()
+        connection.connectionLost(failure.Failure(reason))
+
+    def answer(self):
+        """Send a part of an answer without a length."""
+        self.connection.dataReceived(HEAD + b"ok")
+
+
+def _result(deferred):
+    """Return the result of a deferred that has one."""
+    results = []
+    deferred.addCallback(results.append)
+    return results[0]
+
+
+@pytest.fixture
+def endpoint():
+    """Return an endpoint that has sent a part without a length."""
+    endpoint = Endpoint()
+    endpoint.answer()
+    return endpoint
+
+
+def test_a_close_ends_an_answer_once_a_new_connection_stands(endpoint):
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    assert not endpoint.listener.ended
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.ended
+    assert endpoint.listener.body == b"ok"
+    assert endpoint.listener.end.framing is answer_ends.Framing.CLOSE
+    assert endpoint.paths.closes == {None: 1}
+
+
+def test_the_connection_that_shows_it_takes_the_next_request(endpoint):
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    opened = endpoint.pool.opened
+    acquired = defer.ensureDeferred(endpoint.pool.acquire(False))
+    assert _result(acquired).is_first_request
+    assert endpoint.pool.opened == opened
+
+
+# Guards against a part of an answer that passes for a whole one, since the
+# system closes the connections of an endpoint's process that is killed.
+def test_a_close_of_an_endpoint_that_refuses_connections_is_a_cut(endpoint):
+    endpoint.lose(endpoint.connection)
+    endpoint.refuse()
+    assert endpoint.listener.failed is calls.Outcome.CUT
+    assert not endpoint.listener.ended
+    assert endpoint.paths.closes == {answer_ends.Doubt.UNREACHED: 1}
+
+
+# Guards against an endpoint whose listener outlives the process that had
+# the request, or is closed last.
+@pytest.mark.parametrize("reason", [None, error.ConnectionLost()])
+@pytest.mark.parametrize("is_before", [True, False])
+def test_a_close_beside_another_connections_is_a_cut(is_before, reason):
+    endpoint = Endpoint()
+    other = endpoint.connect()
+    endpoint.pool.release(other)
+    endpoint.answer()
+    if is_before:
+        endpoint.lose(other, reason)
+        endpoint.reactor.advance(MOMENT_S)
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.reactor.advance(MOMENT_S)
+    if not is_before:
+        endpoint.lose(other, reason)
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.failed is calls.Outcome.CUT
+    assert endpoint.paths.closes == {answer_ends.Doubt.LOST_BESIDE: 1}
+
+
+def test_a_connection_that_was_lost_long_before_is_no_doubt(endpoint):
+    other = endpoint.connect()
+    endpoint.pool.release(other)
+    endpoint.lose(other)
+    endpoint.reactor.advance(2 * answer_ends.SETTLE_S)
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.ended
+
+
+def test_answers_that_end_in_one_moment_are_no_doubt(endpoint):
+    other, listener = endpoint.connect(), test_outbound.Listener()
+    other.send(b"POST", b"/", [(b"host", b"h")], b"", listener)
+    other.dataReceived(HEAD + b"ok")
+    for connection in (endpoint.connection, other):
+        endpoint.lose(connection)
+        endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.ended
+    assert listener.ended
+
+
+def test_a_new_connection_that_is_lost_at_once_is_a_cut(endpoint):
+    endpoint.lose(endpoint.connection)
+    before = set(endpoint.pool._open)
+    endpoint.accept()
+    opened = set(endpoint.pool._open) - before
+    endpoint.lose(opened.pop())
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.failed is calls.Outcome.CUT
+
+
+def test_an_end_is_not_held_back_for_ever(endpoint):
+    endpoint.lose(endpoint.connection)
+    endpoint.reactor.advance(answer_ends.PROOF_TIMEOUT_S)
+    assert endpoint.listener.failed is calls.Outcome.CUT
+    assert endpoint.paths.closes == {answer_ends.Doubt.LATE: 1}
+    endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert not endpoint.listener.ended
+
+
+# Guards against a caller who reads slowly: its endpoint was killed and has
+# come back while nothing was read.
+def test_a_loss_while_nothing_was_read_makes_the_close_a_cut(endpoint):
+    other = endpoint.connect()
+    endpoint.pool.release(other)
+    endpoint.connection.pause()
+    endpoint.reactor.advance(1.0)
+    endpoint.lose(other)
+    endpoint.reactor.advance(1.0)
+    endpoint.connection.resume()
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.failed is calls.Outcome.CUT
+
+
+def test_an_end_that_is_held_back_is_dropped_with_its_request(endpoint):
+    endpoint.lose(endpoint.connection)
+    endpoint.connection.abort()
+    endpoint.accept()
+    endpoint.reactor.advance(1.0)
+    assert not endpoint.listener.ended
+    assert endpoint.listener.failed is None
+
+
+class OnePeer(tunnels.TunnelSource):
+    """A peer that reaches the endpoint."""
+
+    async def connect(self, key, connection, needed_s=0.0):
+        connection.makeConnection(test_inbound.Transport())
+        return tunnels.Tunnel("node-2", True)
+
+
+# Guards against a node that is cut off from the endpoints, whose open
+# connections live on: the answers on them are whole.
+def test_a_peer_may_show_that_the_endpoint_goes_on(endpoint):
+    endpoint.paths.tunnels = OnePeer()
+    endpoint.lose(endpoint.connection)
+    endpoint.refuse()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    assert endpoint.listener.ended
