Answer without a length only from connections that carried nothing

An endpoint sends an earlier answer once more, late, and cuts it off inside its head: in the middle of the body, or as its last bytes. Cause: nothing but its close delimits such a body, and the search for second heads needs the line that names the request. Class: bytes are attributed to a request by their place on a connection that others used.

Ruled out: a search for shorter beginnings of a head (the least is one byte, and a body may hold any); distrust of every answer without a length (sound endpoints that send some would fail each time).

A plain answer without a length on a connection that has carried another request is not taken: what may be repeated is, on a connection that has carried none, and at the same endpoint if there is no other; what runs at most once ends with 502. The outcome is ambiguous, which says nothing of the endpoint or its version.

--- a/packages/core/src/fireflypulley/core/gateway/calls.py
+++ b/packages/core/src/fireflypulley/core/gateway/calls.py
@@ -94,6 +94,7 @@
     UNREACHED: no byte was sent.  WITHHELD: nothing was sent, since the
     endpoint's limit had no room.  FAILED: the endpoint reported a failure.
     CUT: the connection broke.  GARBAGE: the bytes are no valid answer.
+    AMBIGUOUS: a part of another answer could be in it, unseen.
     SILENT: nothing arrived in time.  SLOW: the attempt was given up
     while another endpoint could still answer in time.
     """
@@ -106,6 +107,7 @@
     FAILED = "failed"
     CUT = "cut"
     GARBAGE = "garbage"
+    AMBIGUOUS = "ambiguous"
     SILENT = "silent"
     SLOW = "slow"
 
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -28,7 +28,12 @@
 FULL_BACKOFF_S = 0.15
 
 _NO_VERDICT = frozenset(
-    {calls.Outcome.FAILED, calls.Outcome.SLOW, calls.Outcome.WITHHELD}
+    {
+        calls.Outcome.AMBIGUOUS,
+        calls.Outcome.FAILED,
+        calls.Outcome.SLOW,
+        calls.Outcome.WITHHELD,
+    }
 )
 """Outcomes that say nothing about the endpoint's health."""
 _LATE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
@@ -442,7 +447,8 @@
         request = run.request
         if run.was_held and outcome in _LATE:
             return
-        if not outcome.certainly_not_run:
+        is_known = outcome is not calls.Outcome.AMBIGUOUS
+        if is_known and not outcome.certainly_not_run:
             failed = outcome is not calls.Outcome.COMPLETE
             self._observe(run, failed, now_s)
         if outcome is calls.Outcome.COMPLETE:
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -200,9 +200,26 @@
         if not self._relay.is_stream:
             self._accounts.count_usage()
         self._relay.set_head(sent.part, status, headers)
+        if self._is_ambiguous(sent):
+            sent.abort()
+            detail = "no length on a used connection"
+            self._end_attempt(sent, calls.Outcome.AMBIGUOUS, detail)
+            return
         if status >= MIN_FAILURE_STATUS and self._keep_failure(sent):
             return
 
+    def _is_ambiguous(self, sent: attempt.Attempt) -> bool:
+        """Return whether a part of another answer could pass for this one.
+
+        The events of a stream are checked one by one.
+        """
+        connection = sent.connection
+        if connection is None or not connection.is_unframed:
+            return False
+        self._dependencies.connector.note_unframed(sent.run)
+        is_events = self._relay.is_event_stream(sent.part)
+        return connection.is_ambiguous and not is_events
+
     def _is_ours(
         self,
         sent: attempt.Attempt,
@@ -316,7 +333,9 @@
         """End an attempt, and go on with another one if there may be one."""
         if self._relay.is_finished or ended not in self._under_way:
             return
-        self._chooser.excluded |= {ended.key}
+        if outcome is not calls.Outcome.AMBIGUOUS:
+            # A new connection to the same endpoint will do.
+            self._chooser.excluded |= {ended.key}
         self._accounts.end(ended, outcome)
         if self.is_contested:
             self._accounts.log(ended, outcome, detail, "other", None)
--- a/packages/gateway/src/fireflypulley/gateway/connector.py
+++ b/packages/gateway/src/fireflypulley/gateway/connector.py
@@ -8,6 +8,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.core.gateway import unframed_routes
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
@@ -35,6 +36,7 @@
         self._scheduler = node_scheduler
         self._connections = connections
         self._permits = permits
+        self._unframed = unframed_routes.UnframedRoutes()
 
     def _pool(self, run: runs.Run) -> pools.EndpointPool:
         return self._connections.pool(run.member, run.load)
@@ -68,13 +70,24 @@
         pool = self._pool(run)
         durations = self._scheduler.endpoint_filter.durations
         expected_s = durations.expected_s(run.request.route.name) or 0.0
-        connection = await pool.acquire(fresh, expected_s)
+        connection = await pool.acquire(
+            fresh, expected_s, self._needs_unused(run)
+        )
         request_id = run.request.metadata.request_id
         if not request_id or not connection.has_carried(request_id):
             return connection
         pool.release(connection)
         return await pool.acquire(True, expected_s)
 
+    def note_unframed(self, run: runs.Run) -> None:
+        """Record that an answer has no length."""
+        route = run.request.route.name
+        self._unframed.note(route, self._reactor.seconds())
+
+    def _needs_unused(self, run: runs.Run) -> bool:
+        route = run.request.route.name
+        return self._unframed.needs_unused(route, self._reactor.seconds())
+
     def release(
         self, run: runs.Run, connection: outbound.EndpointConnection
     ) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -218,7 +218,26 @@
     @property
     def is_first_request(self) -> bool:
         """Return whether at most one request has been sent so far."""
-        return len(self._request_ids) <= 1
+        return self._request_number <= 1
+
+    @property
+    def is_unused(self) -> bool:
+        """Return whether no request has been sent so far."""
+        return self._request_number == 0
+
+    @property
+    def is_unframed(self) -> bool:
+        """Return whether only a close tells the end of the answer."""
+        return self._framing is answer_ends.Framing.CLOSE
+
+    @property
+    def is_ambiguous(self) -> bool:
+        """Return whether a part of another answer may be in the answer.
+
+        A second answer to an earlier request of the connection, cut off
+        anywhere, looks like a part of a body without a length.
+        """
+        return self.is_unframed and self._request_number > 1
 
     def is_stale(self, now_s: float) -> bool:
         """Return whether the endpoint might close the connection soon."""
@@ -348,7 +367,7 @@
         elif isinstance(event, h11.Data):
             self._handle_body(listener, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            if self._framing is answer_ends.Framing.CLOSE:
+            if self.is_unframed:
                 self._check_end(listener)
             else:
                 self._complete(listener)
@@ -482,7 +501,7 @@
         if self._listener is None or not reason.check(error.ConnectionDone):
             return False
         has_head = self._http.their_state is h11.SEND_BODY
-        return has_head and self._framing is answer_ends.Framing.CLOSE
+        return has_head and self.is_unframed
 
     def _note_lost(self, reason: failure.Failure) -> None:
         """Record the loss, unless it may be that of the peer between."""
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -76,17 +76,21 @@
         return len(self._open)
 
     async def acquire(
-        self, fresh: bool, needed_s: float = 0.0
+        self,
+        fresh: bool,
+        needed_s: float = 0.0,
+        is_unused: bool = False,
     ) -> outbound.EndpointConnection:
         """Return an idle connection if possible, unless ``fresh``.
 
-        ``needed_s`` is how long the request is expected to take.
+        ``needed_s`` is how long the request is expected to take.  With
+        ``is_unused`` the connection has carried no request.
         Errors of connecting are raised; no request has been sent then.
         """
         if self._is_cut_off:
             self._close_direct()
         if not fresh:
-            idle = self._pop_idle()
+            idle = self._pop_idle(is_unused)
             if idle is not None:
                 return idle
         return await self._connect(needed_s)
@@ -147,10 +151,13 @@
         """Connect through a peer; raise ``tunnels.NoTunnel`` if it can't."""
         self.release(await self._connect_through_peer())
 
-    def _pop_idle(self) -> outbound.EndpointConnection | None:
+    def _pop_idle(self, is_unused: bool) -> outbound.EndpointConnection | None:
+        """Return the idle connection that was used last, if there is one."""
         now_s = self._reactor.seconds()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(list(self._idle)):
+            if is_unused and not connection.is_unused:
+                continue
+            self._idle.remove(connection)
             if not connection.is_usable:
                 continue
             if connection.is_stale(now_s):
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -68,6 +68,8 @@
         self.peer = ""
         self.carried = []
         self.is_first_request = True
+        self.is_unframed = False
+        self.is_ambiguous = False
         self.listener = None
         self.aborted = False
         self.discarded = False
@@ -103,7 +105,8 @@
         self.endpoint_id = endpoint_id
         self.released = []
 
-    def acquire(self, fresh, needed_s=0.0):
+    def acquire(self, fresh, needed_s=0.0, is_unused=False):
+        self.world.needs_unused.append(is_unused)
         if self.world.kept is not None and not fresh:
             connection, self.world.kept = self.world.kept, None
             self.world.sent.append(connection)
@@ -143,6 +146,8 @@
         self.kept = None
         """A kept connection that the next attempt gets."""
         self.sent = []
+        self.needs_unused = []
+        """For each connection, whether it must have carried nothing."""
         self.pools = {}
         self.done = []
         self.usage = []
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -98,6 +98,19 @@
     assert endpoint.pool.opened == opened
 
 
+def test_a_request_of_its_own_gets_a_connection_that_carried_none(endpoint):
+    used = endpoint.connect()
+    used.send(b"POST", b"/", [(b"host", b"h")], b"", test_outbound.Listener())
+    used.transport.producer.resumeProducing()
+    used.dataReceived(test_outbound.WHOLE)
+    assert used.is_usable and not used.is_unused
+    unused = endpoint.connect()
+    endpoint.pool.release(unused)
+    endpoint.pool.release(used)
+    acquired = defer.ensureDeferred(endpoint.pool.acquire(False, 0.0, True))
+    assert _result(acquired) is unused
+
+
 # Guards against a part of an answer that passes for a whole one, since the
 # system closes the connections of an endpoint's process that is killed.
 def test_a_close_of_an_endpoint_that_refuses_connections_is_a_cut(endpoint):
