Learn of answers without a length by service

Framing is a property of a service's program, so a route that runs at most once need not lose an answer of its own (502) to learn it: an answer of any route of the service tells. Ruled out: a new connection for each such request of any service, which all pay for always. docs/design/ANSWER-ENDS.md weighs both.

--- a/packages/gateway/src/fireflypulley/gateway/connector.py
+++ b/packages/gateway/src/fireflypulley/gateway/connector.py
@@ -8,7 +8,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
-from fireflypulley.core.gateway import unframed_routes
+from fireflypulley.core.gateway import unframed_services
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
@@ -36,7 +36,7 @@
         self._scheduler = node_scheduler
         self._connections = connections
         self._permits = permits
-        self._unframed = unframed_routes.UnframedRoutes()
+        self._unframed = unframed_services.UnframedServices()
 
     def _pool(self, run: runs.Run) -> pools.EndpointPool:
         return self._connections.pool(run.member, run.load)
@@ -81,12 +81,12 @@
 
     def note_unframed(self, run: runs.Run) -> None:
         """Record that an answer has no length."""
-        route = run.request.route.name
-        self._unframed.note(route, self._reactor.seconds())
+        service = run.request.service.name
+        self._unframed.note(service, self._reactor.seconds())
 
     def _needs_unused(self, run: runs.Run) -> bool:
-        route = run.request.route.name
-        return self._unframed.needs_unused(route, self._reactor.seconds())
+        service, now_s = run.request.service.name, self._reactor.seconds()
+        return self._unframed.needs_unused(service, now_s)
 
     def release(
         self, run: runs.Run, connection: outbound.EndpointConnection
