Take no head that another one is joined to

What callers may see: a refusal (not run) that was another request's, for a request that runs. A second answer that is cut off inside the value of a field ends where the status line of the next answer begins, so both are read as one head: with the first's status and fields, and the second's id.

Ruled out: a cut at the end of a line or in a name, which the parser refuses. A value that holds a status line is garbage now. Test red before in 3 of 3 cases, tests/gateway/test_outbound.py.

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -350,6 +350,10 @@
             return
         if isinstance(event, h11.Response):
             headers = list(event.headers)
+            if stray_answers.is_joined(headers):
+                self._pool.count_unsolicited()
+                self._fail(calls.Outcome.GARBAGE, "two heads in one")
+                return
             self._framing = _framing_of(
                 self._method, event.status_code, headers
             )
--- a/packages/gateway/src/fireflypulley/gateway/stray_answers.py
+++ b/packages/gateway/src/fireflypulley/gateway/stray_answers.py
@@ -9,6 +9,7 @@
 import re
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}[ \r]")
+_STATUS_IN_VALUE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: |$)")
 _HEAD_END = b"\r\n\r\n"
 MAX_HEAD_BYTES = 4096
 """Within this many bytes a copy names its request."""
@@ -16,6 +17,15 @@
 """The longest beginning of a status line that one read may end with."""
 
 
+def is_joined(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a head is the beginning of one and the whole of another.
+
+    A second answer that is cut off inside a field's value ends where the
+    status line of the next answer begins.
+    """
+    return any(_STATUS_IN_VALUE.search(value) for _, value in headers)
+
+
 class StrayAnswerFinder:
     """Searches a body for heads of answers to some requests.
 
--- a/tests/gateway/test_outbound.py
+++ b/tests/gateway/test_outbound.py
@@ -180,6 +180,20 @@
     assert endpoint.transport.aborted
 
 
+# Guards against a refusal of an earlier request that is taken for one to
+# this request: its copy is cut off where the next head begins.
+@pytest.mark.parametrize("cut_at", range(1, 4))
+def test_a_head_that_is_joined_to_another_is_garbage(endpoint, cut_at):
+    endpoint.ask()
+    endpoint.answer(WHOLE)
+    listener = endpoint.ask()
+    copy = b"HTTP/1.1 503 Full\r\nNot-Executed: yes"
+    endpoint.answer(copy[:-cut_at] + WHOLE)
+    assert listener.status is None
+    assert listener.failed is calls.Outcome.GARBAGE
+    assert endpoint.transport.aborted
+
+
 def test_an_early_answer_to_a_long_body_ends_the_connection():
     """The rest of the body must not be parsed as the next request."""
     endpoint = Endpoint()
