Resume the reading of joined connections in a later turn

What callers saw: nothing was traced to this.

Cause: twisted's poll reactors report a hang-up without input as ConnectionDone if the descriptor is registered for reading when the event is handled. A connection that waits to write while it is paused is polled for output only. If it is reset, and an earlier event of the same batch resumes it, it is registered for reading by then: the reset is told as a close in order, and what its kernel had is dropped. A pipe of a tunnel is resumed by twisted's own producer calls, which come in the middle of a batch.

Evidence: with real sockets and one poll, the batch was event 0x1 (input) of the first connection, then 0x1c (output, error, hang-up) of the paused one. The second is lost with ConnectionDone and nothing received. The test of the pipe on the code before (without the new argument of join):

assert ['close'] == ['abort']

Ruled out: a connection that is paused and has nothing to write. Twisted takes it out of the poller, so there is no event that could be mistaken, and resumed reading finds the data and then the reset. Found while the test was written: if the reset is handled before the resumption, it is ConnectionLost.

Change: reading.LaterReading resumes a transport by callLater(0), which runs between batches. A pause cancels a resumption that is due, and nothing follows the loss of the connection. Pipe.join registers it as the producer.

Run: tests/transport, test_resets_while_paused, test_tunnels, test_service and test_stopping of tests/gateway pass; make lint passes.

--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -179,4 +179,4 @@
         response = messages.TunnelResponse("", carries_for_s=carries_for_s)
         stream.send(response)
         tunnel_transport.connect(stream, here)
-        here.join(there)
+        here.join(there, self._reactor.callLater)
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -25,6 +25,7 @@
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import dialing
+from fireflypulley.transport import reading
 
 OPEN_TIMEOUT_S = 0.6
 """Covers the connection to the peer and that of the peer."""
@@ -264,12 +265,21 @@
 
     def __init__(self) -> None:
         self._other: Pipe | None = None
+        self._reading: reading.LaterReading | None = None
 
-    def join(self, other: "Pipe") -> None:
-        """Forward all bytes; a side that does not read stops the other."""
+    def join(self, other: "Pipe", call_later: reading.CallLater) -> None:
+        """Forward all bytes; a side that does not read stops the other.
+
+        ``call_later`` is that of the reactor.
+        """
         self._other, other._other = other, self
-        self.transport.registerProducer(other.transport, True)
-        other.transport.registerProducer(self.transport, True)
+        self.transport.registerProducer(other._read_by(call_later), True)
+        other.transport.registerProducer(self._read_by(call_later), True)
+
+    def _read_by(self, call_later: reading.CallLater) -> reading.LaterReading:
+        """Return what pauses this side, and resumes it in a later turn."""
+        self._reading = reading.LaterReading(self.transport, call_later)
+        return self._reading
 
     def dataReceived(self, data: bytes) -> None:
         if self._other is not None:
@@ -278,6 +288,8 @@
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
+        if self._reading is not None:
+            self._reading.close()
         other, self._other = self._other, None
         if other is None:
             return
