Read an endpoint's answer on in a later turn after a pause

An answer without a length that is reset while its caller is slow could pass for the whole.

Cause: EndpointConnection.resume registered the connection for reading at once, mostly in the middle of a batch of events (the caller's socket has drained). If the endpoint had reset the connection and the end of a long request was still to be written, twisted took the hang-up for a close in order, and the answer was finished with what had arrived.

Evidence, real sockets, an early answer to a body of 8 MB, on the code before:

test_an_answer_that_is_reset_while_its_caller_is_slow_is_cut assert None is <Outcome.CUT: 'cut'> (the answer ended with "part")

Ruled out: _take_turn after a part of a long read. It was called by callLater only, and so between batches, but for the call from resume.

Change: resume schedules _take_turn, which checks for a pause and for the loss. discard_response and _complete use it as well. Two tests looked at the transport in the same turn, which is the fault itself; they now advance the clock by 0 and ask for the same state.

Run: test_outbound, test_resets_while_paused, test_endless_answers, test_held_answers, test_attempts_beside, test_kept_attempts, test_partial_answers, test_tunnels and test_pools pass; make lint passes.

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -234,10 +234,10 @@
             self.transport.pauseProducing()
 
     def resume(self) -> None:
-        """Continue to read."""
+        """Continue to read in a later turn; see ``transport.reading``."""
         self._is_paused = False
         if self._turn is None:
-            self._take_turn()
+            self._turn = self._pool.call_later(0.0, self._take_turn)
 
     def dataReceived(self, data: bytes) -> None:
         if not self._is_open:
--- a/tests/gateway/test_outbound.py
+++ b/tests/gateway/test_outbound.py
@@ -276,6 +276,7 @@
     endpoint.answer(WHOLE)
     assert listener.ended
     assert endpoint.connection.is_usable
+    endpoint.clock.advance(0)
     assert endpoint.transport.producerState == "producing"
 
 
@@ -283,4 +284,5 @@
     endpoint.ask()
     endpoint.connection.pause()
     endpoint.connection.discard_response()
+    endpoint.clock.advance(0)
     assert endpoint.transport.producerState == "producing"
--- a/tests/gateway/test_resets_while_paused.py
+++ b/tests/gateway/test_resets_while_paused.py
@@ -4,10 +4,16 @@
 
 import pytest
 
+from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import outbound
+from fireflypulley.gateway import pools
 from fireflypulley.gateway import tunnels
 
+from . import test_outbound
 from ..transport import batches
 
+PART = test_outbound.HEAD + b"\r\npart"
+
 
 @pytest.fixture
 def sockets():
@@ -76,3 +82,41 @@
     endpoint.close()
     sockets.turn()
     assert (node_side.written, node_side.ends) == (b"all", ["close"])
+
+
+def _ask(sockets):
+    """Return a connection with a paused answer, its other end and listener."""
+    pool = pools.EndpointPool(sockets.reactor, "127.0.0.1:1", lambda: None)
+    connection = outbound.EndpointConnection(pool)
+    endpoint = sockets.connect(connection)
+    listener = test_outbound.PausingListener(connection)
+    body = b"x" * (8 << 20)
+    connection.send(b"POST", b"/", [(b"host", b"h")], body, listener)
+    endpoint.sendall(PART)
+    sockets.settle()
+    assert listener.body == b"part"
+    return connection, endpoint, listener
+
+
+# Guards against a part of an answer that passes for the whole: its endpoint
+# reset the connection, and the caller read on, in one batch of events.
+def test_an_answer_that_is_reset_while_its_caller_is_slow_is_cut(sockets):
+    connection, endpoint, listener = _ask(sockets)
+    sockets.reset_while_paused(endpoint, connection.resume)
+    sockets.turn()
+    assert listener.failed is calls.Outcome.CUT
+    assert not listener.ended
+
+
+# Guards against reading that goes on although the caller became slow again.
+def test_a_pause_cancels_the_resumption(sockets):
+    connection, endpoint, listener = _ask(sockets)
+    connection.resume()
+    connection.pause()
+    endpoint.sendall(b", more")
+    sockets.turn()
+    assert listener.body == b"part"
+    connection.resume()
+    sockets.turn()
+    assert listener.body == b"part, more"
+    connection.abort()
