Take a body without a length for no answer of the platform

In the daemon, a transaction whose answer has no length never ended for the core, as the call raised an error that no caller of it expects.

Cause: twisted's readBody raises PartialDownloadError for a body that only the close of its connection delimits, also if the close was in order. It is no ResponseFailed, so HttpClient.request let it out. A cut body never passed for a whole one.

Ruled out: to believe such a body if it is a complete JSON document. An object of the object store proves nothing by its content, a second rule for the other calls would be one more thing to get wrong, and the platform's services state lengths.

Change: it is base.Unavailable, which for a write says that it may have taken effect. The text leaves the body out.

--- a/packages/platform/src/fireflypulley/platform/http_client.py
+++ b/packages/platform/src/fireflypulley/platform/http_client.py
@@ -78,7 +78,8 @@
         """Return the response; raises ``base.Unavailable``.
 
         A 5xx response also raises, since the write may have taken
-        effect.
+        effect, and so does a body without a length: its end can't be told
+        from that of the service.
         """
         pending_reply = self._send(method, path, body, headers or {})
         pending_reply.addTimeout(timeout_s, self._reactor)
@@ -95,6 +96,8 @@
             client.RequestTransmissionFailed,
         ) as failure:
             raise base.Unavailable(f"{method} {path}: {failure!r}")
+        except client.PartialDownloadError:
+            raise base.Unavailable(f"{method} {path}: body without a length")
         if reply.code >= 500:
             raise base.Unavailable(f"{method} {path}: {reply.code}")
         return reply
