Check that all of a fetched answer has arrived before it ends

A caller whose answer another node has could get it with a hole, or without its last part, as complete.

Cause: two nodes may have several streams, and the newest carries what is sent; what went over an older one may be lost or come later. FetchEnd was believed without knowing how much was sent before it: "complete" was taken from the absence of more.

Evidence, on the code before: 6 of the 6 orders of test_an_answer_of_which_a_part_is_missing_is_refused failed, as

assert b'id: 0\ndata: a\n\nid: 2\ndata: c\n\n' is None (the transcript)

Ruled out: a stream that ends inside a message. The reader returns complete messages only, and the rest is dropped with the stream. The numbers of the events alone don't tell that the last one is missing.

Change: FetchData says at which byte of the fetch it starts and FetchEnd how many bytes there were. Data after a gap, and an end before all has come, are logged and refuse the caller, as the loss of the node does; it comes back with its key. An older node leaves the numbers out and is taken at its word as before; older nodes ignore the new fields.

Run: test_fetches, test_shutdown and tests/nodes pass; make lint passes.

--- a/packages/daemon/src/fireflypulley/daemon/fetches.py
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -6,6 +6,7 @@
 from fireflypulley.callers import gateway
 from fireflypulley.core import ledger_rows
 from fireflypulley.core import problems
+from fireflypulley.daemon import logs
 from fireflypulley.daemon import tasks
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import messages
@@ -20,6 +21,7 @@
         self._streams = streams
         self._node_id = node_id
         self._fetch_id = fetch_id
+        self._sent_bytes = 0
         self._open = True
 
     @property
@@ -27,9 +29,9 @@
         return self._open
 
     def events(self, data: bytes) -> None:
-        self._streams.send(
-            self._node_id, messages.FetchData(self._fetch_id, data)
-        )
+        message = messages.FetchData(self._fetch_id, data, self._sent_bytes)
+        self._sent_bytes += len(data)
+        self._streams.send(self._node_id, message)
 
     def _end(
         self,
@@ -37,7 +39,9 @@
         answer: ledger_rows.StoredAnswer | None = None,
     ) -> None:
         self._open = False
-        end = messages.FetchEnd(self._fetch_id, True, refusal, answer)
+        end = messages.FetchEnd(
+            self._fetch_id, True, refusal, answer, self._sent_bytes
+        )
         self._streams.send(self._node_id, end)
 
     def finish(self, transcript: bytes) -> None:
@@ -57,6 +61,24 @@
     sink: gateway.Sink
     not_found: collections.abc.Callable[[], None]
     transcript: bytearray
+    received_bytes: int = 0
+
+    def continues_at(self, offset_bytes: int | None) -> bool:
+        """Return whether all before an offset has been received.
+
+        What went over another stream may be lost, or arrive later.
+        """
+        return offset_bytes in (None, self.received_bytes)
+
+
+def _refuse(fetch: _Fetch, detail: str) -> None:
+    refusal = problems.Refusal(
+        problems.Reason.RETRIES_EXHAUSTED,
+        problems.Run.FAILED,
+        detail,
+        RETRY_AFTER_S,
+    )
+    fetch.sink.refuse(refusal)
 
 
 class Fetches:
@@ -96,14 +118,25 @@
         fetch = self._fetches.get(message.fetch_id)
         if fetch is None:
             return
+        if not fetch.continues_at(message.offset_bytes):
+            self._refuse_gap(message.fetch_id, message.offset_bytes)
+            return
+        fetch.received_bytes += len(message.data)
         fetch.transcript += message.data
         fetch.sink.events(message.data)
 
     def receive_end(self, message: messages.FetchEnd) -> None:
         """Complete a fetch with its final answer or refusal."""
-        fetch = self._fetches.pop(message.fetch_id, None)
+        fetch = self._fetches.get(message.fetch_id)
         if fetch is None:
             return
+        has_transcript = message.found and not (
+            message.refusal or message.answer
+        )
+        if has_transcript and not fetch.continues_at(message.sent_bytes):
+            self._refuse_gap(message.fetch_id, message.sent_bytes)
+            return
+        del self._fetches[message.fetch_id]
         if not message.found:
             fetch.not_found()
         elif message.refusal is not None:
@@ -113,20 +146,24 @@
         else:
             fetch.sink.finish(bytes(fetch.transcript))
 
+    def _refuse_gap(self, fetch_id: int, sent_bytes: int | None) -> None:
+        """Refuse a caller whose answer lacks a part."""
+        fetch = self._fetches.pop(fetch_id)
+        detail = (
+            f"node {fetch.node_id!r} sent {sent_bytes} bytes of the answer, "
+            f"{fetch.received_bytes} arrived"
+        )
+        logs.note("fetch", fetch.key, "broken", detail)
+        _refuse(fetch, detail)
+
     def node_lost(self, node_id: str) -> None:
         """Refuse the callers of fetches from a node that is lost."""
         for fetch_id, fetch in list(self._fetches.items()):
             if fetch.node_id != node_id:
                 continue
             del self._fetches[fetch_id]
-            fetch.sink.refuse(
-                problems.Refusal(
-                    problems.Reason.RETRIES_EXHAUSTED,
-                    problems.Run.FAILED,
-                    f"node {node_id!r}, which had the answer, is gone",
-                    RETRY_AFTER_S,
-                )
-            )
+            detail = f"node {node_id!r}, which had the answer, is gone"
+            _refuse(fetch, detail)
 
     def caller_left(self, sink: gateway.Sink) -> None:
         """Drop the fetches of a caller that has disconnected."""
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -138,20 +138,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchData(Message):
-    """Events of an answer, in the form that callers receive."""
+    """Events of an answer, in the form that callers receive.
+
+    ``offset_bytes`` is what was sent of the fetch before; an older node
+    leaves it out.
+    """
 
     fetch_id: int
     data: bytes
+    offset_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchEnd(Message):
-    """Ends a fetch: the answer is complete, refused or not found."""
+    """Ends a fetch: the answer is complete, refused or not found.
+
+    ``sent_bytes`` is what was sent of the fetch in all; an older node
+    leaves it out.
+    """
 
     fetch_id: int
     found: bool
     refusal: problems.Refusal | None = None
     answer: ledger_rows.StoredAnswer | None = None
+    sent_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/daemon/test_fetches.py
@@ -0,0 +1,129 @@
+"""Answers that one node fetches from another, over streams that change."""
+
+import pytest
+
+from fireflypulley.callers import gateway
+from fireflypulley.daemon import fetches
+from fireflypulley.nodes import messages
+
+EVENTS = (b"id: 0\ndata: a\n\n", b"id: 1\ndata: b\n\n", b"id: 2\ndata: c\n\n")
+
+
+class Sink(gateway.Sink):
+    """A caller; keeps what it gets."""
+
+    open = True
+
+    def __init__(self):
+        self.received = b""
+        self.transcript = None
+        self.refusal = None
+
+    def events(self, data):
+        self.received += data
+
+    def finish(self, transcript):
+        self.transcript = transcript
+
+    def answer(self, answer):
+        raise AssertionError("not used here")
+
+    def refuse(self, refusal):
+        self.refusal = refusal
+
+
+class Task:
+    """A task that sends its events to whoever attaches."""
+
+    def attach(self, sink, last_event_id):
+        for event in EVENTS[last_event_id + 1 :]:
+            sink.events(event)
+        sink.finish(b"".join(EVENTS))
+
+
+class Streams:
+    """Keeps what a node sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, node_id, message):
+        self.sent.append((node_id, message))
+
+    def take(self):
+        """Return the messages that have been sent since the last call."""
+        sent, self.sent = self.sent, []
+        return [message for _, message in sent]
+
+
+class Pair:
+    """The node n1, which fetches an answer from the node n2."""
+
+    def __init__(self, last_event_id=-1, transcript=b""):
+        self.streams = Streams()
+        self.here = fetches.Fetches(self.streams)
+        self.there = fetches.Fetches(self.streams)
+        self.sink = Sink()
+        self.here.begin(
+            "k", "n2", last_event_id, self.sink, self._not_found, transcript
+        )
+
+    def _not_found(self):
+        raise AssertionError("not used here")
+
+    def serve(self):
+        """Return what the other node sends."""
+        (asked,) = self.streams.take()
+        self.there.serve("n1", asked, Task())
+        return self.streams.take()
+
+    def receive(self, received):
+        """Receive messages, in the given order."""
+        for message in received:
+            if isinstance(message, messages.FetchData):
+                self.here.receive_data(message)
+            else:
+                self.here.receive_end(message)
+
+
+def test_a_fetched_answer_is_whole():
+    pair = Pair()
+    pair.receive(pair.serve())
+    assert pair.sink.transcript == pair.sink.received == b"".join(EVENTS)
+
+
+def test_a_fetch_goes_on_after_what_the_caller_has():
+    pair = Pair(0, EVENTS[0])
+    pair.receive(pair.serve())
+    assert pair.sink.received == b"".join(EVENTS[1:])
+    assert pair.sink.transcript == b"".join(EVENTS)
+
+
+# Guards against an answer with a hole that passes for the whole: the stream
+# between the nodes was replaced, and the messages on the old one were lost,
+# or came after those on the new one.
+@pytest.mark.parametrize(
+    "order",
+    [(1, 2, 3), (0, 2, 3), (0, 1, 3), (3,), (0, 1, 3, 2), (0, 2, 1, 3)],
+)
+def test_an_answer_of_which_a_part_is_missing_is_refused(order):
+    pair = Pair()
+    sent = pair.serve()
+    pair.receive([sent[index] for index in order])
+    assert pair.sink.transcript is None
+    assert pair.sink.refusal is not None
+    assert b"".join(EVENTS).startswith(pair.sink.received)
+    assert not len(pair.here)
+
+
+# A node of an older version does not say how much it has sent.
+def test_an_older_node_is_taken_at_its_word():
+    pair = Pair()
+    sent = [
+        messages.FetchData(one.fetch_id, one.data)
+        if isinstance(one, messages.FetchData)
+        else messages.FetchEnd(one.fetch_id, True)
+        for one in pair.serve()
+    ]
+    pair.receive(sent)
+    assert pair.sink.transcript == b"".join(EVENTS)
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -72,7 +72,9 @@
     messages.KeyAnswer(1, None),
     messages.FetchAsk(1, "k", -1),
     messages.FetchData(1, b"\xfe"),
+    messages.FetchData(1, b"\xfe", 7),
     messages.FetchEnd(1, True),
+    messages.FetchEnd(1, True, sent_bytes=8),
     messages.Handover(
         REQUEST,
         payload.Payload("POST", "/", "", b"\xff"),
