Accept a fetched answer only for the fetch that asked for it

A caller could get the answer to another request from the daemon.

Cause: fetches were numbered from 1 at each start, and their data was taken from any node. A node that still has a request of an earlier start sends what comes next of its answer under the old number, which a fetch of the new start has too.

Evidence, on the code before: the answer to the earlier start was passed on,

assert b'id: 0\ndata...\ndata: c\n\n' == b''

and so was that of a node that had not been asked.

Ruled out: that the loss of the stream ends it at the sender. The loss refuses the callers of its own fetches; a sink of another node stays open.

Change: the first number of a start is random, of 62 bits, and the node that sends must be the one that was asked; another one is logged and its data dropped.

Run: test_fetches, test_shutdown and tests/nodes pass; make lint passes.

--- a/packages/daemon/src/fireflypulley/daemon/fetches.py
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import secrets
 
 from fireflypulley.callers import gateway
 from fireflypulley.core import ledger_rows
@@ -12,6 +13,8 @@
 from fireflypulley.nodes import messages
 
 RETRY_AFTER_S = 1.0
+FIRST_FETCH_ID_BITS = 62
+"""Leaves room to count on in a signed integer of 64 bits."""
 
 
 class RemoteSink(gateway.Sink):
@@ -87,7 +90,8 @@
     def __init__(self, streams: hub.Hub) -> None:
         self._streams = streams
         self._fetches: dict[int, _Fetch] = {}
-        self._last_fetch_id = 0
+        # Nodes may still send answers that an earlier start has asked for.
+        self._last_fetch_id = secrets.randbits(FIRST_FETCH_ID_BITS)
 
     def __len__(self) -> int:
         return len(self._fetches)
@@ -113,9 +117,20 @@
         request = messages.FetchAsk(self._last_fetch_id, key, last_event_id)
         self._streams.send(node_id, request)
 
-    def receive_data(self, message: messages.FetchData) -> None:
+    def _find(self, from_node: str, fetch_id: int) -> _Fetch | None:
+        """Return a fetch of this start from a node."""
+        fetch = self._fetches.get(fetch_id)
+        if fetch is None or fetch.node_id == from_node:
+            return fetch
+        detail = f"{from_node!r} was not asked, but {fetch.node_id!r}"
+        logs.note("fetch", fetch.key, "foreign", detail)
+        return None
+
+    def receive_data(
+        self, from_node: str, message: messages.FetchData
+    ) -> None:
         """Pass fetched events to the caller."""
-        fetch = self._fetches.get(message.fetch_id)
+        fetch = self._find(from_node, message.fetch_id)
         if fetch is None:
             return
         if not fetch.continues_at(message.offset_bytes):
@@ -125,9 +140,9 @@
         fetch.transcript += message.data
         fetch.sink.events(message.data)
 
-    def receive_end(self, message: messages.FetchEnd) -> None:
+    def receive_end(self, from_node: str, message: messages.FetchEnd) -> None:
         """Complete a fetch with its final answer or refusal."""
-        fetch = self._fetches.get(message.fetch_id)
+        fetch = self._find(from_node, message.fetch_id)
         if fetch is None:
             return
         has_transcript = message.found and not (
--- a/packages/daemon/src/fireflypulley/daemon/peers.py
+++ b/packages/daemon/src/fireflypulley/daemon/peers.py
@@ -48,8 +48,8 @@
             messages.FetchAsk: lambda node_id, m: answer_fetches.serve(
                 node_id, m, task_registry.by_key(m.key)
             ),
-            messages.FetchData: lambda _, m: answer_fetches.receive_data(m),
-            messages.FetchEnd: lambda _, m: answer_fetches.receive_end(m),
+            messages.FetchData: answer_fetches.receive_data,
+            messages.FetchEnd: answer_fetches.receive_end,
         }
         self._register_actions(streams)
 
--- a/tests/daemon/test_fetches.py
+++ b/tests/daemon/test_fetches.py
@@ -77,13 +77,13 @@
         self.there.serve("n1", asked, Task())
         return self.streams.take()
 
-    def receive(self, received):
+    def receive(self, received, from_node="n2"):
         """Receive messages, in the given order."""
         for message in received:
             if isinstance(message, messages.FetchData):
-                self.here.receive_data(message)
+                self.here.receive_data(from_node, message)
             else:
-                self.here.receive_end(message)
+                self.here.receive_end(from_node, message)
 
 
 def test_a_fetched_answer_is_whole():
@@ -127,3 +127,25 @@
     ]
     pair.receive(sent)
     assert pair.sink.transcript == b"".join(EVENTS)
+
+
+# Guards against the answer to another request: a node that has restarted got
+# what had been asked for by its earlier start under the same number.
+def test_the_answer_to_an_earlier_start_is_dropped():
+    sent = Pair().serve()
+    restarted = Pair()
+    restarted.receive(sent)
+    assert restarted.sink.received == b""
+    assert restarted.sink.transcript is None
+    restarted.receive(restarted.serve())
+    assert restarted.sink.transcript == b"".join(EVENTS)
+
+
+# Guards against the answer of another node that uses the same number.
+def test_the_answer_of_a_node_that_was_not_asked_is_dropped():
+    pair = Pair()
+    sent = pair.serve()
+    pair.receive(sent, "n3")
+    assert (pair.sink.received, pair.sink.transcript) == (b"", None)
+    pair.receive(sent)
+    assert pair.sink.transcript == b"".join(EVENTS)
