Ask the next node if one stops in the middle of its answer

A command of the operators' client ended with a traceback if a node ended while it answered, and `gateway show` listed no node at all.

Cause: a body that is shorter than its length is IncompleteRead, which is no OSError, and a document that is cut where the connection tells its end is a ValueError. Neither was caught, nor what reading the body of an error raises. A cut answer was never shown as a whole one: all are JSON objects or lists, which are not complete before their last byte.

Change: they count as no response, so that a GET goes to the next node and a change has an unknown end. An error keeps its status if its body is cut.

--- a/packages/cli/src/fireflypulley/cli/client.py
+++ b/packages/cli/src/fireflypulley/cli/client.py
@@ -1,5 +1,6 @@
 """A client of the operators' API that falls back to other nodes."""
 
+import http.client
 import json
 import os
 import pathlib
@@ -108,12 +109,21 @@
             with urllib.request.urlopen(request, timeout=TIMEOUT_S) as reply:
                 return result.Ok(json.load(reply))
         except urllib.error.HTTPError as error:
-            return result.Err(_failure(error.code, error.read()))
-        except OSError as error:
+            return result.Err(_read_failure(error))
+        except (OSError, ValueError, http.client.HTTPException) as error:
+            # The last two are answers that stop before their end.
             problem = f"{url}: {error}"
             return result.Err(Failure(status=0, error=problem))
 
 
+def _read_failure(error: urllib.error.HTTPError) -> Failure:
+    try:
+        body = error.read()
+    except (OSError, http.client.HTTPException) as problem:
+        return Failure(status=error.code, error=f"{error}: {problem}")
+    return _failure(error.code, body)
+
+
 def _failure(status: int, body: bytes) -> Failure:
     try:
         return Failure.model_validate({"status": status} | json.loads(body))
--- a/packages/cli/src/fireflypulley/cli/gateways.py
+++ b/packages/cli/src/fireflypulley/cli/gateways.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import dataclasses
 import enum
+import http.client
 import json
 import time
 import typing
@@ -56,7 +57,7 @@
     try:
         with urllib.request.urlopen(url, timeout=TIMEOUT_S) as reply:
             return StatusPage(address, json.load(reply))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, http.client.HTTPException) as error:
         return StatusPage(address, None, str(error))
 
 
