Take only a success of the object store for one

The text of a refusal (429, 403, a redirect) could become the payload of a job, and a payload that the store had refused counted as stored.

Cause: HttpObjectStore knew 404 and 412 and took every other status below 500 for a success; HttpCloud.stop and delete took any. Success was believed from the absence of a failure that it knew.

Ruled out: rows, transactions, the instance list and the start of an instance. Their answers have to parse as the document that was asked for.

Change: a status other than 2xx raises base.Unavailable, but for the 404 of an object or instance that is to be removed. Its callers handle that already: they refuse the job, or try again.

--- a/packages/platform/src/fireflypulley/platform/http_services.py
+++ b/packages/platform/src/fireflypulley/platform/http_services.py
@@ -64,6 +64,12 @@
         raise base.Unavailable(f"invalid response of the platform: {error}")
 
 
+def _require_success(reply: http_client.Reply, call: str) -> None:
+    """Raise ``base.Unavailable`` for a reply that is no success."""
+    if not 200 <= reply.code < 300:
+        raise base.Unavailable(f"{call}: {reply.code}")
+
+
 class HttpTable(base.Table):
     """The table service at ``/tables`` and ``/transactions``."""
 
@@ -127,6 +133,7 @@
         reply = await self._http.request("GET", path)
         if reply.code == 404:
             return None
+        _require_success(reply, f"GET {path}")
         return base.StoredObject(reply.etag, reply.body)
 
     async def put(self, name: str, content: bytes, etag: str | None) -> str:
@@ -135,10 +142,14 @@
         reply = await self._http.request("PUT", path, content, condition)
         if reply.code == 412:
             raise base.Conflict((0,))
+        _require_success(reply, f"PUT {path}")
         return reply.etag
 
     async def delete(self, name: str) -> None:
-        await self._http.request("DELETE", f"/objects/{_quote(name)}")
+        path = f"/objects/{_quote(name)}"
+        reply = await self._http.request("DELETE", path)
+        if reply.code != 404:
+            _require_success(reply, f"DELETE {path}")
 
 
 class HttpInstanceList(base.InstanceList):
@@ -177,4 +188,6 @@
 
     async def stop(self, instance_id: str) -> None:
         path = f"/cloud/instances/{_quote(instance_id)}"
-        await self._http.request("DELETE", path)
+        reply = await self._http.request("DELETE", path)
+        if reply.code != 404:
+            _require_success(reply, f"DELETE {path}")
