Judge requests that reached no endpoint in the soak's LOST

LOST of the soak left out requests without a status that ran nowhere, so a node that read a request and closed its connection was never blamed. The rule counts them if the connection ends later than loss-slack-ms (200) after the last byte was sent; the checker does so now. SIGHUP and configurations as planned work are still not played.

--- a/standins/fireflystandins/soak/checks.py
+++ b/standins/fireflystandins/soak/checks.py
@@ -55,21 +55,23 @@
 class Lost(Checker):
     """Answers that end early around a SIGTERM of their node.
 
-    Requests that reached no endpoint are left out: whether the node had
-    read one before its connection closed can't be seen from outside.
+    A request that reached no endpoint counts if its connection ended later
+    than ``slack_s`` after it was sent: a node in touch has read it by then.
     """
 
     rule = "LOST"
     sentence = "a stop of a node ends no answer early"
     after_grace_s = 1.0
     accepts_s = 3.0
+    slack_s = 0.2
 
     def judge(self, seen: evidence.Evidence) -> Verdict:
         checked, breaks = 0, []
         for answer in seen.answers:
             stop = self._find_stop(seen, answer)
-            was_read = answer.status or seen.runs_of(answer.request_id)
-            if stop is None or not was_read or answer.how in _UNJUDGED:
+            if stop is None or answer.how in _UNJUDGED:
+                continue
+            if not self._was_read(seen, answer):
                 continue
             checked += 1
             if answer.how == "whole" or self._is_excused(seen, answer, stop):
@@ -78,11 +80,20 @@
             text = (
                 f"{answer.route} by a {answer.style} caller: {answer.how},"
                 f" status {answer.status}, {len(answer.body)} bytes,"
-                f" {after_s:.2f} s after SIGTERM"
+                f" {after_s:.2f} s after SIGTERM,"
+                f" {answer.ended_s - answer.sent_s:.2f} s after it was sent"
             )
             breaks.append(_of(self, answer, text))
         return Verdict(checked, breaks)
 
+    def _was_read(
+        self, seen: evidence.Evidence, answer: callers.Answer
+    ) -> bool:
+        if answer.status or seen.runs_of(answer.request_id):
+            return True
+        waited_s = answer.ended_s - answer.sent_s
+        return answer.sent_s > 0 and waited_s > self.slack_s
+
     def _find_stop(
         self, seen: evidence.Evidence, answer: callers.Answer
     ) -> evidence.Happening | None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -76,6 +76,28 @@
     assert len(_breaks(checks.Lost(), seen)) == 1
 
 
+@pytest.mark.parametrize(("waited_s", "expected"), [(0.1, 0), (0.3, 1)])
+def test_lost_speaks_of_a_request_that_was_read_and_reached_no_endpoint(
+    waited_s, expected
+):
+    unanswered = _answer(
+        how="closed",
+        status=0,
+        body=b"",
+        request_id="c2",
+        ended_s=99.0 + 3 + waited_s,
+        sent_s=99.0 + 3,
+    )
+    seen = _seen([_answer(), unanswered], [_run()], [_stop()])
+    assert len(_breaks(checks.Lost(), seen)) == expected
+
+
+def test_lost_leaves_out_a_request_that_was_not_sent():
+    unsent = _answer(how="reset", status=0, request_id="c2", sent_s=0.0)
+    seen = _seen([_answer(), unsent], [_run()], [_stop()])
+    assert _breaks(checks.Lost(), seen) == []
+
+
 def test_lost_speaks_beside_disruption_of_the_store_alone():
     store = _strike(plan.Kind.STORE, "store")
     seen = _seen([_answer(how="reset")], [_run()], [_stop(), store])
