Prove the excuses of the soak's ORDER, DRAIN and OWN-END

Excuses for strikes on nodes had no tests, so one that excuses too much (any node, any time) would have been seen by nobody. Each now has a record that breaks the rule, the excuse that silences the checker, and neighbours of the excuse that don't: another node, before, afterwards, another kind.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -157,6 +157,42 @@
     assert len(_breaks(checks.Order(), _seen([_answer(body=body)]))) == 1
 
 
+def _order_of_a_short_answer(run, strikes=(), exits=None):
+    seen = _seen([_answer(body=_events(2))], [run], strikes, exits=exits or {})
+    return _breaks(checks.Order(), seen)
+
+
+def test_order_excuses_an_endpoint_that_exited_before_it_had_written_all():
+    run = _run(how="lost", events=2)
+    assert len(_order_of_a_short_answer(run)) == 1
+    assert _order_of_a_short_answer(run, exits={"s1": 101.0}) == []
+
+
+@pytest.mark.parametrize(
+    ("how", "exited_s"),
+    [("whole", 101.0), ("lost", 99.0), ("lost", 102.5)],
+    ids=["wrote-all", "before-the-run", "after-the-answer"],
+)
+def test_order_does_not_excuse_other_exits(how, exited_s):
+    run = _run(how=how, events=2)
+    assert len(_order_of_a_short_answer(run, exits={"s1": exited_s})) == 1
+
+
+def test_order_excuses_endpoints_that_fail_meanwhile_only():
+    during = _strike(plan.Kind.FAIL, "s1")
+    before = _strike(plan.Kind.FAIL, "s1", began_s=90.0, ended_s=91.0)
+    assert _order_of_a_short_answer(_run(), [during]) == []
+    assert len(_order_of_a_short_answer(_run(), [before])) == 1
+
+
+@pytest.mark.parametrize(
+    "kind", [plan.Kind.STOP, plan.Kind.KILL, plan.Kind.PAUSE, plan.Kind.LINK]
+)
+def test_order_does_not_excuse_strikes_on_nodes(kind):
+    strikes = [_strike(kind)]
+    assert len(_order_of_a_short_answer(_run(), strikes)) == 1
+
+
 @pytest.mark.parametrize(
     "answer",
     [
@@ -208,6 +244,43 @@
     assert _breaks(checks.Drain(), seen) == []
 
 
+def _drain_beside(strike):
+    runs = [_run(began_s=BEGAN_S + 3)]
+    happenings = [strike] if strike else []
+    seen = _seen([_answer()], runs, happenings, leaves={"s1": BEGAN_S})
+    return _breaks(checks.Drain(), seen)
+
+
+DRAIN_EXCUSES = [
+    plan.Kind.STOP,
+    plan.Kind.KILL,
+    plan.Kind.PAUSE,
+    plan.Kind.LINK,
+]
+
+
+@pytest.mark.parametrize("kind", DRAIN_EXCUSES)
+def test_drain_excuses_strikes_on_the_node_in_contact_time(kind):
+    assert len(_drain_beside(None)) == 1
+    shortly_before = {"began_s": BEGAN_S - 3, "ended_s": BEGAN_S - 2.9}
+    assert _drain_beside(_strike(kind)) == []
+    assert _drain_beside(_strike(kind, **shortly_before)) == []
+
+
+@pytest.mark.parametrize("kind", DRAIN_EXCUSES)
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"target": "node2"},
+        {"began_s": BEGAN_S - 5, "ended_s": BEGAN_S - 3.1},
+        {"began_s": BEGAN_S + 3.1},
+    ],
+    ids=["another-node", "long-before", "afterwards"],
+)
+def test_drain_does_not_excuse_other_strikes(kind, other):
+    assert len(_drain_beside(_strike(kind, **other))) == 1
+
+
 def test_own_ends_speaks_of_a_process_that_ended():
     seen = _seen([], own_ends=[("node1", 5.0, 1)], samples={"node1/7": []})
     assert len(_breaks(checks.OwnEnds(), seen)) == 1
@@ -219,6 +292,30 @@
     assert len(_breaks(checks.OwnEnds(), _seen([], (), [stop]))) == 1
 
 
+def test_own_ends_excuses_a_node_that_is_paused_while_it_stops():
+    stop = _strike(plan.Kind.STOP, exit_code=-9)
+    paused = _strike(plan.Kind.PAUSE, began_s=101.0, ended_s=103.0)
+    assert len(_breaks(checks.OwnEnds(), _seen([], (), [stop]))) == 1
+    assert _breaks(checks.OwnEnds(), _seen([], (), [stop, paused])) == []
+
+
+@pytest.mark.parametrize(
+    "strike",
+    [
+        _strike(plan.Kind.PAUSE, "node2"),
+        _strike(plan.Kind.PAUSE, began_s=90.0, ended_s=99.0),
+        _strike(plan.Kind.PAUSE, began_s=108.5, ended_s=109.0),
+        _strike(plan.Kind.LINK),
+        _strike(plan.Kind.STORE, "store"),
+    ],
+    ids=["another-node", "before", "after-grace", "link", "store"],
+)
+def test_own_ends_does_not_excuse_other_strikes(strike):
+    stop = _strike(plan.Kind.STOP, exit_code=-9)
+    seen = _seen([], (), [stop, strike])
+    assert len(_breaks(checks.OwnEnds(), seen)) == 1
+
+
 @pytest.mark.parametrize("row", [(1.0, 301 << 20, 9), (1.0, 1 << 20, 4101)])
 def test_growth_speaks_beyond_the_limits(row):
     seen = _seen([], samples={"node1/7": [(0.0, 1 << 20, 9), row]})
