Let endpoints of the soak answer again after a silence

The stand-in replica got a silence of its own on the monotonic clock; the soak's endpoint wrote the end of a silence on the wall clock into the same field. So an endpoint that had been silent once never began another answer: each request to it waited for its deadline.

The endpoint uses the stand-in's own silence now.

--- a/standins/fireflystandins/soak/endpoint.py
+++ b/standins/fireflystandins/soak/endpoint.py
@@ -28,7 +28,6 @@
 
     def __init__(self, identity: replica.Identity) -> None:
         super().__init__(identity)
-        self.silent_until_s = 0.0
         self._has_left = False
 
     def build_protocol(self) -> replica.ReplicaProtocol:
@@ -73,11 +72,7 @@
     def _serve(self) -> None:
         assert self._request is not None
         target = self._request.target.decode()
-        if target == "/silence":
-            for_s = json.loads(self._body)["for_s"]
-            self._replica.silent_until_s = reactor.seconds() + for_s
-            self._write(200, {}, b"{}")
-        elif target == "/leave":
+        if target == "/leave":
             order = json.loads(self._body)
             self._replica.leave(order["serve_s"], order["how"])
             self._write(200, {}, b"{}")
@@ -117,7 +112,7 @@
         self, call: collections.abc.Callable[..., None], *parts: object
     ) -> bool:
         """Call later if the endpoint is silent; return whether it is."""
-        is_silent = reactor.seconds() < self._replica.silent_until_s
+        is_silent = time.monotonic() < self._replica.silent_until_s
         if is_silent:
             self._next = reactor.callLater(SILENCE_CHECK_S, call, *parts)
         return is_silent
