Read what has arrived before a stopping node closes idle connections

Cause: the check that closes idle connections is a timer. The reactor runs its timers before it reads, so whatever had arrived since the turn before was in the kernel while its connection counted as idle. Under load a turn takes 50 to 300 ms.

Change: close_idle leaves a connection on which the kernel holds unread bytes; the reactor reads them in the same turn, and the check comes again.

Both new tests failed before.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -129,7 +129,9 @@
         return self._handler is None and not is_reading and not waits
 
     def close_idle(self) -> None:
-        if self.is_idle and self._is_open:
+        if not self.is_idle or not self._is_open:
+            return
+        if not sockets.has_unread_input(self.transport):
             self._close(caller_ends.CallerEnd.STOPPING)
 
     def readConnectionLost(self) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/inbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/inbound.py
@@ -67,7 +67,7 @@
 
     @abc.abstractmethod
     def close_idle(self) -> None:
-        """Close the connection if it is idle."""
+        """Close the connection if it is idle and nothing has arrived."""
 
 
 class CallerSink(abc.ABC):
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -39,6 +39,15 @@
     _set_options(transport, CALLER_KEEPALIVE_PROBES, NO_USER_TIMEOUT_MS)
 
 
+def has_unread_input(transport: typing.Any) -> bool:
+    """Return whether bytes have arrived that nobody has read yet."""
+    handle = getattr(transport, "transport", transport).getHandle()
+    try:
+        return bool(handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except (AttributeError, OSError):
+        return False
+
+
 def _set_options(
     transport: typing.Any, probes: int, user_timeout_ms: int
 ) -> None:
--- a/tests/gateway/test_inbound.py
+++ b/tests/gateway/test_inbound.py
@@ -1,5 +1,7 @@
 """Connections from callers: strict parsing, limits, ordered responses."""
 
+import socket
+
 import pytest
 from twisted.internet import task
 from twisted.internet import testing
@@ -70,11 +72,19 @@
 
 
 class Socket:
-    """A socket that accepts any option."""
+    """A socket that accepts any option; ``unread`` has arrived."""
+
+    unread = b""
 
     def setsockopt(self, *_):
         pass
 
+    def recv(self, size_bytes, flags):
+        assert flags & socket.MSG_PEEK
+        if not self.unread:
+            raise BlockingIOError
+        return self.unread[:size_bytes]
+
 
 class Transport(testing.StringTransport):
     """A string transport with the TCP methods that the gateway uses."""
@@ -82,11 +92,15 @@
     aborted = False
     half_closed = False
 
+    def __init__(self):
+        super().__init__()
+        self.socket = Socket()
+
     def setTcpNoDelay(self, _):
         pass
 
     def getHandle(self):
-        return Socket()
+        return self.socket
 
     def abortConnection(self):
         self.aborted = True
@@ -307,3 +321,19 @@
     clock.advance(0)
     assert len(receiver.requests) == 2
     assert not transport.disconnecting
+
+
+# Guards against requests that end without an answer because a stopping node
+# closes idle connections before it reads what has arrived on them.
+def test_a_connection_on_which_a_request_has_arrived_is_not_closed_as_idle():
+    receiver = Receiver()
+    clock, connection, transport = _connect(receiver)
+    transport.socket.unread = GET
+    connection.close_idle()
+    assert not transport.disconnecting
+    connection.dataReceived(GET)
+    transport.socket.unread = b""
+    clock.advance(0)
+    assert _statuses(transport) == [200]
+    connection.close_idle()
+    assert transport.disconnecting
--- a/tests/transport/test_sockets.py
+++ b/tests/transport/test_sockets.py
@@ -57,3 +57,17 @@
         sockets.set_caller_options(Transport(handle))
         assert _user_timeout_ms(handle) == 0
         assert handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+
+def test_input_is_unread_until_it_is_read():
+    near, far = socket.socketpair()
+    with near, far:
+        transport = Tls(Transport(near))
+        assert not sockets.has_unread_input(transport)
+        far.sendall(b"GET")
+        assert sockets.has_unread_input(transport)
+        assert sockets.has_unread_input(transport)
+        assert near.recv(9) == b"GET"
+        assert not sockets.has_unread_input(transport)
+        far.close()
+        assert not sockets.has_unread_input(transport)
