Tell callers without any way when one is likely

A caller that obeys it comes back before the next probe, which is up to 0.5 s away, or before the pause of a carrier ends, and is refused once more.

Cause: the time came from the retry policy, which knows no ways.

Change: core.gateway.ways asks the carriers when the first of them may be asked for an endpoint of the service (pauses, refusals, ends of leaving nodes and the time that the request needs are counted), and the paths when the next probe is due. The earlier is the time, spread over 0.3 s by request id. Nothing is changed if a carrier may be asked now.

A model test lets nodes join, stop and be cut in random order: no node is asked before the time told, and one is at it (200 seeds).

Ruled out: to refuse before the attempts are made; a kept tunnel may serve them, and an attempt without a way ends at once.

--- a/packages/core/src/fireflypulley/core/gateway/carriers.py
+++ b/packages/core/src/fireflypulley/core/gateway/carriers.py
@@ -183,6 +183,43 @@
             return True
         return now_s + max(needed_s, MIN_CARRY_S) <= carrier.until_s
 
+    def asked_from_s(
+        self,
+        peers: collections.abc.Sequence[peer_registry.NodeEntry],
+        endpoint: _Endpoint,
+        needed_s: float,
+        now_s: float,
+    ) -> float:
+        """Return when the first of some nodes may be asked for a tunnel.
+
+        ``peers`` and ``needed_s`` are as for ``in_order``.  Infinite if
+        only a later start of a node could carry.
+        """
+        return min(
+            (
+                self._asked_from_s(peer, endpoint, needed_s, now_s)
+                for peer in peers
+            ),
+            default=float("inf"),
+        )
+
+    def _asked_from_s(
+        self,
+        peer: peer_registry.NodeEntry,
+        endpoint: _Endpoint,
+        needed_s: float,
+        now_s: float,
+    ) -> float:
+        carrier = self._current((peer.node_id, peer.started_ms), now_s)
+        if carrier is None:
+            return float("inf")
+        from_s = max(now_s, carrier.refused_until_s.get(endpoint, now_s))
+        if carrier.state is CarrierState.GONE:
+            from_s = max(from_s, carrier.asked_from_s)
+        if from_s + max(needed_s, MIN_CARRY_S) > carrier.until_s:
+            return float("inf")
+        return from_s
+
     def _rank(
         self, peer: peer_registry.NodeEntry, now_s: float
     ) -> tuple[float, ...]:
--- a/packages/core/src/fireflypulley/core/gateway/endpoint_paths.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_paths.py
@@ -48,6 +48,11 @@
         self._probed_s = now_s
         return True
 
+    @property
+    def next_probe_s(self) -> float:
+        """Return when the next probe is due while the node is cut off."""
+        return self._probed_s + PROBE_INTERVAL_S
+
     def next_probe(self, keys: list[_Key]) -> _Key:
         """Return the start that was tried least recently."""
         return min(keys, key=lambda k: (self._failed_s.get(k, 0.0), k))
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -22,6 +22,7 @@
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import sharing
 from fireflypulley.core.gateway import versions
+from fireflypulley.core.gateway import ways
 from fireflypulley.core.gateway import workspace_limits
 from fireflypulley.core import ownership
 
@@ -69,6 +70,8 @@
         self.limited = limited_endpoints.LimitedEndpoints()
         self.brittle = brittle_endpoints.BrittleEndpoints(node_id)
         self.freshness = row_freshness.RowFreshness()
+        self.ways: ways.Ways | None = None
+        """None as long as there is only the direct way to endpoints."""
         self.nodes_alive = 1
         self.nodes_known = 1
         self._sharing = sharing.SharingNodes()
@@ -495,6 +498,28 @@
                 None,
                 "like requests that crashed endpoints, not retried",
             )
-        return self.retry_policy.refusal(
+        refusal = self.retry_policy.refusal(
             request, outcome, counts, self._sharing.known, now_s
         )
+        if refusal is None or outcome is not calls.Outcome.UNREACHED:
+            return refusal
+        return self._until_way(request, refusal, now_s)
+
+    def _until_way(
+        self,
+        request: calls.AdmittedRequest,
+        refusal: runs.Refusal,
+        now_s: float,
+    ) -> runs.Refusal:
+        """Return a refusal that tells when a way to endpoints is likely."""
+        if self.ways is None:
+            return refusal
+        members = self.endpoint_filter.in_use(request, now_s)
+        durations = self.endpoint_filter.durations
+        return self.ways.refusal(
+            request,
+            refusal,
+            [member.registration.key for member in members],
+            durations.expected_s(request.route.name) or 0.0,
+            now_s,
+        )
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -16,7 +16,9 @@
 from twisted.python import failure
 
 from fireflypulley.core.gateway import carriers
+from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import ways
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnel_transport
@@ -110,6 +112,10 @@
         self._choose_peers = choose_peers
         self._carriers = peer_carriers
 
+    def ways_beside(self, direct: endpoint_paths.EndpointPaths) -> ways.Ways:
+        """Return the ways of a node with these direct ones."""
+        return ways.Ways(direct, self._carriers, self._choose_peers)
+
     async def connect(
         self,
         key: tuple[str, int],
--- a/tests/core/gateway/test_carriers.py
+++ b/tests/core/gateway/test_carriers.py
@@ -1,5 +1,6 @@
 """The states of nodes that carry for a node without links of its own."""
 
+import copy
 import random
 
 import pytest
@@ -103,6 +104,33 @@
     assert _order(known, 1.0 + carriers.PAUSE_S, [N1]) == ["n1"]
 
 
+def _asked_from_s(known, now_s, peers=(N1, N2), needed_s=0.0):
+    return known.asked_from_s(list(peers), E1, needed_s, now_s)
+
+
+def test_the_first_node_to_be_asked_again_gives_the_time(known):
+    assert _asked_from_s(known, 1.0) == 1.0
+    known.note_unreachable(_start(N1), 1.0)
+    assert _asked_from_s(known, 1.2) == 1.2
+    known.note_refused(_start(N2), E1, 1.2)
+    assert _asked_from_s(known, 1.3) == 1.0 + carriers.PAUSE_S
+    assert _asked_from_s(known, 1.3, [N2]) == 1.2 + carriers.PAUSE_S
+
+
+def test_a_node_that_has_ended_is_never_asked_again(known):
+    known.note_leaving(_start(N1), 3.0, 1.0)
+    assert _asked_from_s(known, 2.0, [N1]) == 2.0
+    assert _asked_from_s(known, 2.0, [N1], needed_s=2.5) == float("inf")
+    assert _asked_from_s(known, 4.0, [N1]) == float("inf")
+    assert _asked_from_s(known, 4.0, []) == float("inf")
+
+
+def test_a_pause_that_outlasts_a_leaving_node_ends_too_late(known):
+    known.note_leaving(_start(N1), 1.2, 1.0)
+    known.note_unreachable(_start(N1), 1.1)
+    assert _asked_from_s(known, 1.2, [N1]) == float("inf")
+
+
 class _Node:
     """A node as it is, and what it has told the node without links."""
 
@@ -212,6 +240,25 @@
     return answer
 
 
+# Guards against callers who are told to come back too early or too late.
+@pytest.mark.parametrize("seed", range(200))
+def test_a_node_is_asked_from_the_time_told_whatever_happened(seed):
+    model = _Model(seed)
+    for _ in range(60):
+        model.step()
+        needed_s = model.chance.choice([0.0, 0.5, 4.0])
+        if model.ask(needed_s)[1] is not None:
+            continue
+        peers = [node.entry for node in model.nodes]
+        told_s = model.known.asked_from_s(peers, E1, needed_s, model.now_s)
+        until_s = min(told_s, model.now_s + 2 * GRACE_S)
+        known = copy.deepcopy(model.known)
+        assert not known.in_order(peers, E1, needed_s, until_s - 0.001)
+        assert bool(known.in_order(peers, E1, needed_s, until_s)) == (
+            told_s == until_s
+        )
+
+
 # Guards against a node that is passed over for good, or asked in vain, in
 # an order of joins, stops and cuts that nobody thought of.
 @pytest.mark.parametrize("seed", range(200))
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -1,6 +1,7 @@
 """Start and shutdown of a node: each accepted caller gets a response."""
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import testing
 
@@ -301,3 +302,24 @@
     node._peer_sync = Peers()
     _run_until(node, service.START_READ_TIMEOUT_S + 0.1)
     assert 80 in node.reactor.ports
+
+
+def _join(node):
+    """Let a node have joined the others, without a store."""
+
+    async def join():
+        return b"key"
+
+    node._membership.join = join
+    defer.ensureDeferred(node._join(node.reactor.seconds()))
+    assert node._peer_sync is not None
+
+
+# Guards against ways that only the tests of their class know of (issue 46).
+def test_a_node_that_has_joined_tells_when_a_way_is_likely():
+    node = _start()
+    _join(node)
+    keys = [("e1", 1), ("e2", 1)]
+    for key in keys:
+        node._connections.paths.direct.note_direct(key, False, 0.0)
+    assert node._scheduler.ways.wait_s(keys, 0.0, 0.0) is not None
