Look over the carriers once for all endpoints of a service

No time is changed: the tests of carriers, ways and refusals are as they were but for the list of endpoints, and one more for several of these.

--- a/packages/core/src/fireflypulley/core/gateway/carriers.py
+++ b/packages/core/src/fireflypulley/core/gateway/carriers.py
@@ -186,18 +186,19 @@
     def asked_from_s(
         self,
         peers: collections.abc.Sequence[peer_registry.NodeEntry],
-        endpoint: _Endpoint,
+        endpoints: collections.abc.Collection[_Endpoint],
         needed_s: float,
         now_s: float,
     ) -> float:
-        """Return when the first of some nodes may be asked for a tunnel.
+        """Return when a node may be asked for a tunnel to an endpoint.
 
-        ``peers`` and ``needed_s`` are as for ``in_order``.  Infinite if
-        only a later start of a node could carry.
+        That is the first of the nodes, for any of the endpoints.  ``peers``
+        and ``needed_s`` are as for ``in_order``.  Infinite if only a later
+        start of a node could carry.
         """
         return min(
             (
-                self._asked_from_s(peer, endpoint, needed_s, now_s)
+                self._asked_from_s(peer, endpoints, needed_s, now_s)
                 for peer in peers
             ),
             default=float("inf"),
@@ -206,14 +207,18 @@
     def _asked_from_s(
         self,
         peer: peer_registry.NodeEntry,
-        endpoint: _Endpoint,
+        endpoints: collections.abc.Collection[_Endpoint],
         needed_s: float,
         now_s: float,
     ) -> float:
         carrier = self._current((peer.node_id, peer.started_ms), now_s)
-        if carrier is None:
+        if carrier is None or not endpoints:
             return float("inf")
-        from_s = max(now_s, carrier.refused_until_s.get(endpoint, now_s))
+        from_s = now_s
+        if carrier.refused_until_s:
+            refused_s = carrier.refused_until_s
+            from_s = min(refused_s.get(one, now_s) for one in endpoints)
+            from_s = max(from_s, now_s)
         if carrier.state is CarrierState.GONE:
             from_s = max(from_s, carrier.asked_from_s)
         if from_s + max(needed_s, MIN_CARRY_S) > carrier.until_s:
--- a/packages/core/src/fireflypulley/core/gateway/ways.py
+++ b/packages/core/src/fireflypulley/core/gateway/ways.py
@@ -36,7 +36,7 @@
 
     def wait_s(
         self,
-        endpoints: collections.abc.Iterable[_Key],
+        endpoints: collections.abc.Collection[_Key],
         needed_s: float,
         now_s: float,
     ) -> float | None:
@@ -47,22 +47,19 @@
         """
         if not self._direct.is_cut_off(now_s):
             return None
-        peers = self._choose_peers()
-        opens_s = self._direct.next_probe_s
-        for endpoint in endpoints:
-            asked_s = self._carriers.asked_from_s(
-                peers, endpoint, needed_s, now_s
-            )
-            if asked_s <= now_s:
-                return None
-            opens_s = min(opens_s, asked_s)
+        asked_s = self._carriers.asked_from_s(
+            self._choose_peers(), endpoints, needed_s, now_s
+        )
+        if asked_s <= now_s:
+            return None
+        opens_s = min(asked_s, self._direct.next_probe_s)
         return max(MIN_WAIT_S, opens_s - now_s)
 
     def refusal(
         self,
         request: calls.AdmittedRequest,
         refused: runs.Refusal,
-        endpoints: collections.abc.Iterable[_Key],
+        endpoints: collections.abc.Collection[_Key],
         needed_s: float,
         now_s: float,
     ) -> runs.Refusal:
--- a/tests/core/gateway/test_carriers.py
+++ b/tests/core/gateway/test_carriers.py
@@ -105,7 +105,7 @@
 
 
 def _asked_from_s(known, now_s, peers=(N1, N2), needed_s=0.0):
-    return known.asked_from_s(list(peers), E1, needed_s, now_s)
+    return known.asked_from_s(list(peers), [E1], needed_s, now_s)
 
 
 def test_the_first_node_to_be_asked_again_gives_the_time(known):
@@ -117,6 +117,15 @@
     assert _asked_from_s(known, 1.3, [N2]) == 1.2 + carriers.PAUSE_S
 
 
+def test_the_first_of_several_endpoints_gives_the_time(known):
+    known.note_refused(_start(N1), E1, 1.0)
+    assert known.asked_from_s([N1], [E1, E2], 0.0, 1.1) == 1.1
+    known.note_refused(_start(N1), E2, 1.5)
+    again_s = 1.0 + carriers.PAUSE_S
+    assert known.asked_from_s([N1], [E1, E2], 0.0, 1.6) == again_s
+    assert known.asked_from_s([N1], [], 0.0, 1.6) == float("inf")
+
+
 def test_a_node_that_has_ended_is_never_asked_again(known):
     known.note_leaving(_start(N1), 3.0, 1.0)
     assert _asked_from_s(known, 2.0, [N1]) == 2.0
@@ -250,7 +259,7 @@
         if model.ask(needed_s)[1] is not None:
             continue
         peers = [node.entry for node in model.nodes]
-        told_s = model.known.asked_from_s(peers, E1, needed_s, model.now_s)
+        told_s = model.known.asked_from_s(peers, [E1], needed_s, model.now_s)
         until_s = min(told_s, model.now_s + 2 * GRACE_S)
         known = copy.deepcopy(model.known)
         assert not known.in_order(peers, E1, needed_s, until_s - 0.001)
