Give waiting requests to the first way that opens

What callers saw: a request of a node that reaches no endpoint waited up to 0.6 s for each peer that hangs, one after the other, though the node could reach the endpoints itself meanwhile, or another carrier had come.

Cause: the order of peers was fixed when the request began, one was asked at a time, and nobody told it of the direct way.

Change: the search for a tunnel is a class (tunnel_search). The next peer in the order of that moment is asked beside one that lets the request wait for 0.2 s, the first tunnel that opens is taken, later ones are closed. When a direct connection succeeds, searches end with DirectAgain; the request is not sent, so that its next attempt is free and goes directly. A search for evidence of a crash then tries the endpoint directly.

Evidence, on the code before: a request beside one hanging peer had no tunnel after 0.4 s, one that waits had none 0.3 s after a carrier had come, and one went on waiting after the probe had succeeded: four tests of tests/gateway/test_tunnels.py failed. The closing of late tunnels and the change of the prober were each taken out: one test failed each time.

Ruled out: telling waiting requests of each tunnel that another request opened; it needs to know who is late, and does not help the first one. A queue of requests for a service does not exist in the gateway: what finds no way is refused at once.

--- a/packages/core/src/fireflypulley/core/gateway/endpoint_paths.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_paths.py
@@ -5,6 +5,8 @@
 cut, and reaches endpoints through other nodes until an attempt succeeds.
 """
 
+import collections.abc
+
 from fireflypulley.core.gateway import presence
 
 MIN_FAILED_ENDPOINTS = 2
@@ -17,9 +19,13 @@
 
 
 class EndpointPaths:
-    """The direct connection attempts of a node to starts of endpoints."""
+    """The direct connection attempts of a node to starts of endpoints.
+
+    ``on_reached`` is called whenever one has succeeded.
+    """
 
     def __init__(self) -> None:
+        self.on_reached: collections.abc.Callable[[], None] = lambda: None
         self._failed_s: dict[_Key, float] = {}
         self._probed_s = float("-inf")
 
@@ -27,6 +33,7 @@
         """Record the result of a direct connection attempt."""
         if reached:
             self._failed_s.clear()
+            self.on_reached()
         else:
             self._failed_s[key] = now_s
 
--- a/packages/gateway/src/fireflypulley/gateway/prober.py
+++ b/packages/gateway/src/fireflypulley/gateway/prober.py
@@ -94,6 +94,8 @@
             await self._pool(member).probe_through_peer()
         except tunnels.NoTunnel:
             return True
+        except tunnels.DirectAgain:
+            return not await self.can_connect(member)
         return False
 
     async def can_connect(self, member: fleet.Member) -> bool:
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -322,7 +322,7 @@
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
         self._follower.feeds_others = lambda: sync.feeds_others
         self._connections.paths.tunnels = sync.tunnel_dialer
-        self._scheduler.ways = sync.tunnel_dialer.ways_beside(
+        self._scheduler.ways = sync.tunnel_dialer.join_paths(
             self._connections.paths.direct
         )
         self._duties.on_settled = sync.usage_reports.publish
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -21,6 +21,7 @@
 from fireflypulley.core.gateway import ways
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import outbound
+from fireflypulley.gateway import tunnel_search
 from fireflypulley.gateway import tunnel_transport
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
@@ -30,7 +31,6 @@
 
 OPEN_TIMEOUT_S = 0.6
 """Covers the connection to the peer and that of the peer."""
-MAX_PEERS_TRIED = 4
 
 _Choice = collections.abc.Callable[[], list[peer_registry.NodeEntry]]
 
@@ -42,10 +42,14 @@
         super().__init__(string=text)
 
 
-class EndpointFailed(error.ConnectError):
+class EndpointFailed(tunnel_search.FinalRefusal):
     """An endpoint takes no connection from a peer either."""
 
 
+class DirectAgain(error.ConnectError):
+    """The node has reached an endpoint directly; nothing was sent."""
+
+
 class TunnelRefused(error.ConnectError):
     """A peer opens no tunnel to the endpoint."""
 
@@ -67,14 +71,6 @@
     is_single: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Opened:
-    """A stream whose tunnel is open; ``left_s`` if its node stops."""
-
-    stream: streams.NodeStream
-    left_s: float | None
-
-
 class TunnelSource(abc.ABC):
     """Opens connections to endpoints through other nodes."""
 
@@ -88,7 +84,8 @@
         """Let a connection lead to a start of an endpoint.
 
         ``needed_s`` is how long its request is expected to take.
-        Raises ``NoTunnel``.
+        Raises ``NoTunnel``, or ``DirectAgain`` if no tunnel is needed any
+        more.
         """
 
 
@@ -111,46 +108,71 @@
         self._ring = ring
         self._choose_peers = choose_peers
         self._carriers = peer_carriers
+        self._searches: set[tunnel_search.Search] = set()
 
-    def ways_beside(self, direct: endpoint_paths.EndpointPaths) -> ways.Ways:
-        """Return the ways of a node with these direct ones."""
+    def join_paths(self, direct: endpoint_paths.EndpointPaths) -> ways.Ways:
+        """Return the ways of a node with these direct ones.
+
+        Requests that wait for a peer go there once they stand again.
+        """
+        direct.on_reached = self._end_searches
         return ways.Ways(direct, self._carriers, self._choose_peers)
 
+    def _end_searches(self) -> None:
+        for search in list(self._searches):
+            search.end(DirectAgain(string="the direct way is open again"))
+
     async def connect(
         self,
         key: tuple[str, int],
         connection: outbound.EndpointConnection,
         needed_s: float = 0.0,
     ) -> Tunnel:
-        peers = self._carriers.in_order(
-            self._choose_peers(), key, needed_s, self._reactor.seconds()
+        search = tunnel_search.Search(
+            self._reactor,
+            lambda: self._carriers.in_order(
+                self._choose_peers(), key, needed_s, self._reactor.seconds()
+            ),
+            lambda peer: self._ask(peer, key, needed_s),
         )
-        problems = []
-        for peer in peers[:MAX_PEERS_TRIED]:
-            try:
-                opened = await self._ask(peer, key, needed_s)
-            except EndpointFailed as problem:
-                raise NoTunnel(f"{peer.node_id}: {problem}")
-            except (error.ConnectError, error.ConnectionClosed) as problem:
-                self._note_failed(peer, key, problem)
-                problems.append(f"{peer.node_id}: {problem}")
-                continue
-            return self._use(peer, opened, connection)
-        raise NoTunnel("; ".join(problems) or "no peer to ask")
+        self._searches.add(search)
+        try:
+            peer, opened = await search.run()
+        except tunnel_search.NothingOpened as problem:
+            raise NoTunnel(str(problem))
+        finally:
+            self._searches.discard(search)
+        return self._use(peer, opened, connection)
 
     async def _ask(
         self,
         peer: peer_registry.NodeEntry,
         key: tuple[str, int],
         needed_s: float,
-    ) -> _Opened:
+    ) -> tunnel_search.Opened:
         """Return an open tunnel whose node outlasts the request."""
+        try:
+            return await self._open_for(peer, key, needed_s)
+        except EndpointFailed:
+            raise
+        except (error.ConnectError, error.ConnectionClosed) as problem:
+            self._note_failed(peer, key, problem)
+            raise
+
+    async def _open_for(
+        self,
+        peer: peer_registry.NodeEntry,
+        key: tuple[str, int],
+        needed_s: float,
+    ) -> tunnel_search.Opened:
         opened = await self._open(peer, key)
         now_s = self._reactor.seconds()
         if opened.left_s is None:
-            self._carriers.note_carried(_start(peer), now_s)
+            self._carriers.note_carried(tunnel_search.start_of(peer), now_s)
             return opened
-        self._carriers.note_leaving(_start(peer), opened.left_s, now_s)
+        self._carriers.note_leaving(
+            tunnel_search.start_of(peer), opened.left_s, now_s
+        )
         if opened.left_s < needed_s:
             opened.stream.close()
             raise StopsTooSoon(string="node stops too soon")
@@ -159,12 +181,14 @@
     def _use(
         self,
         peer: peer_registry.NodeEntry,
-        opened: _Opened,
+        opened: tunnel_search.Opened,
         connection: outbound.EndpointConnection,
     ) -> Tunnel:
         def closing(carries_for_s: float | None) -> None:
             now_s = self._reactor.seconds()
-            self._carriers.note_leaving(_start(peer), carries_for_s, now_s)
+            self._carriers.note_leaving(
+                tunnel_search.start_of(peer), carries_for_s, now_s
+            )
             connection.retire()
 
         tells_end = tunnel_transport.connect(
@@ -181,20 +205,26 @@
     ) -> None:
         now_s = self._reactor.seconds()
         if isinstance(problem, TunnelRefused):
-            self._carriers.note_refused(_start(peer), key, now_s)
+            self._carriers.note_refused(
+                tunnel_search.start_of(peer), key, now_s
+            )
         elif not isinstance(problem, StopsTooSoon):
-            self._carriers.note_unreachable(_start(peer), now_s)
+            self._carriers.note_unreachable(
+                tunnel_search.start_of(peer), now_s
+            )
         decision_log.note(
             "tunnel",
             peer=peer.node_id,
             endpoint=key[0],
             problem=str(problem),
-            state=self._carriers.state_of(_start(peer), now_s).value,
+            state=self._carriers.state_of(
+                tunnel_search.start_of(peer), now_s
+            ).value,
         )
 
     async def _open(
         self, peer: peer_registry.NodeEntry, key: tuple[str, int]
-    ) -> _Opened:
+    ) -> tunnel_search.Opened:
         endpoint = dialing.tcp_endpoint(
             self._reactor, peer.address, OPEN_TIMEOUT_S
         )
@@ -213,17 +243,13 @@
             if timer.active():
                 timer.cancel()
         if not response.problem:
-            return _Opened(stream, response.carries_for_s)
+            return tunnel_search.Opened(stream, response.carries_for_s)
         stream.close()
         if response.endpoint_failed:
             raise EndpointFailed(string=response.problem)
         raise TunnelRefused(string=response.problem)
 
 
-def _start(peer: peer_registry.NodeEntry) -> tuple[str, int]:
-    return peer.node_id, peer.started_ms
-
-
 class _Opening(streams.StreamOwner):
     """The handshake and the answer of a tunnel that is being opened."""
 
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -3,10 +3,13 @@
 import dataclasses
 
 import pytest
+from twisted.internet import defer
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.gateway import crash_detector
+from fireflypulley.gateway import prober
+from fireflypulley.gateway import tunnels
 
 from ..core.gateway import builders
 from . import exchanges
@@ -75,6 +78,26 @@
     assert not world.published
 
 
+# Guards against crashes that are not looked into, or sound endpoints that
+# are called gone, as the direct way opens while peers are asked.
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_an_endpoint_is_tried_directly_once_the_direct_way_is_open(is_gone):
+    world = _world()
+    world.unreachable.add("e1")
+    member = world.scheduler.fleet.get("e1")
+
+    async def probe_through_peer():
+        if not is_gone:
+            world.unreachable.clear()
+        raise tunnels.DirectAgain()
+
+    world.pool(member, None).probe_through_peer = probe_through_peer
+    looking = prober.Prober(world.clock, world.scheduler, world)
+    results = []
+    defer.ensureDeferred(looking.has_failed(member)).addBoth(results.append)
+    assert results == [is_gone]
+
+
 # Guards against crashes that nobody counts, as all nodes take themselves for
 # cut off while many endpoints crash together.
 def test_an_endpoint_that_no_node_reaches_has_crashed():
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -14,6 +14,7 @@
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import pools
+from fireflypulley.gateway import tunnel_search
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import tunnel_transport
 from fireflypulley.gateway import tunnels
@@ -625,3 +626,88 @@
         node.scheduler.fleet.put(unknown, 0.0)
     assert system.acquire(stranded, KEY).check(tunnels.NoTunnel)
     assert system.acquire(stranded, OTHER_KEY, seconds=0.5).peer
+
+
+def _open(system, node, key=KEY):
+    """Let a node ask for a tunnel; return where the result will be."""
+    results = []
+    pool = system.pool(node, key)
+    connection = outbound.EndpointConnection(pool)
+    opening = node.sync.tunnel_dialer.connect(key, connection)
+    defer.ensureDeferred(opening).addBoth(results.append)
+    return results
+
+
+def _hang(*nodes):
+    """Let nodes leave requests for tunnels unanswered."""
+    for node in nodes:
+        node.sync.hub.receive_tunnel = lambda stream, request: None
+
+
+def _fix_order(stranded, *nodes):
+    """Let a node ask others in this order; return the list to change."""
+    order = [node.entry for node in nodes]
+    stranded.sync.tunnel_dialer._choose_peers = lambda: list(order)
+    return order
+
+
+# Guards against requests that wait for peers that hang although the node
+# reaches the endpoints again (issue 46).
+def test_a_waiting_request_needs_no_tunnel_once_the_links_stand(
+    system, stranded
+):
+    _hang(*system.nodes[1:])
+    stranded.sync.tunnel_dialer.join_paths(stranded.connections.paths.direct)
+    results = _open(system, stranded)
+    system.run(0.1)
+    system.heal()
+    defer.ensureDeferred(system.pool(stranded).probe_links())
+    system.run(0.1)
+    assert results[0].check(tunnels.DirectAgain)
+    system.run(3.0)
+    assert len(results) == 1
+
+
+# Guards against requests that wait out the timeout of a peer that hangs.
+def test_another_peer_is_asked_beside_one_that_hangs(system, stranded):
+    hanging, sound = system.nodes[1:]
+    _hang(hanging)
+    _fix_order(stranded, hanging, sound)
+    before = _tunnel_count(system)
+    results = _open(system, stranded)
+    system.run(tunnel_search.ASK_BESIDE_S - 0.05)
+    assert not results
+    system.run(0.25)
+    assert results[0].peer == sound.name
+    assert _tunnel_count(system) == before + 1
+
+
+# Guards against waiting requests that are not given to a carrier that came
+# after they had begun to wait.
+def test_a_waiting_request_goes_to_a_carrier_that_comes(system, stranded):
+    hanging, sound = system.nodes[1:]
+    _hang(hanging)
+    order = _fix_order(stranded, hanging)
+    results = _open(system, stranded)
+    system.run(0.3)
+    assert not results
+    order.append(sound.entry)
+    system.run(tunnel_search.ASK_BESIDE_S + 0.1)
+    assert results[0].peer == sound.name
+
+
+# Guards against tunnels that are open at two peers and used at one.
+def test_a_tunnel_that_opens_too_late_is_closed(system, stranded):
+    late, sound = system.nodes[1:]
+    receive = late.tunnel_server.receive
+    late.sync.hub.receive_tunnel = lambda stream, request: (
+        late.reactor.callLater(0.4, receive, stream, request)
+    )
+    _fix_order(stranded, late, sound)
+    before = [n.tunnel_server.open_count for n in (late, sound)]
+    results = _open(system, stranded)
+    system.run(0.45)
+    assert results[0].peer == sound.name
+    system.run(0.4)
+    assert late.tunnel_server.open_count == before[0]
+    assert sound.tunnel_server.open_count == before[1] + 1
