Give the order of a stop a class of its own

The order stood in service as four conditions over three fields, and could be tried with a whole node only.

No behaviour is changed: the tests of service are as they were, but for the module in which the constant of the balancer stands.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -41,16 +41,13 @@
 from fireflypulley.gateway import row_codec
 from fireflypulley.gateway import settings
 from fireflypulley.gateway import status
+from fireflypulley.gateway import stop_order
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
 from fireflypulley.transport import listening
 
 TICK_INTERVAL_S = 0.25
-BALANCER_DELAY_S = 3.0
-"""Time after which the balancer sends no new callers to an unready node."""
-ABORT_BEFORE_KILL_S = 0.5
-STOP_CHECK_INTERVAL_S = 0.1
 START_CHECK_INTERVAL_S = 0.01
 START_READ_TIMEOUT_S = 0.5
 """A starting node accepts callers after this time, even without having
@@ -75,7 +72,7 @@
         self.count(workspace, time.time())
 
 
-class Service(inbound.RequestReceiver):
+class Service(inbound.RequestReceiver, stop_order.StoppableNode):
     """One gateway node."""
 
     def __init__(
@@ -89,6 +86,9 @@
         self._config = config
         self._callers_socket = callers_port
         self._adapters = adapters
+        self._stop = stop_order.StopOrder(
+            reactor, config.shutdown_grace_s, self
+        )
         self._peer_registry = peer_registry.PeerRegistry(config.node)
         self._scheduler = scheduler.RequestScheduler(
             config.node.failure_domain,
@@ -165,7 +165,7 @@
                 self._limit_changed,
             ),
             self._request_done,
-            lambda: self._stops_at_s,
+            lambda: self._stop.ends_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
         self._caller_factory = caller_connection.CallerFactory(
@@ -174,14 +174,7 @@
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
-        self._stop_loop = task.LoopingCall(
-            background.guard(self._stop_if_done, loop="stop")
-        )
-        self._stop_loop.clock = reactor
         self._caller_port: interfaces.IListeningPort | None = None
-        self._is_stopping = False
-        self._accepts_until_s = float("inf")
-        self._stops_at_s = float("inf")
 
     # Startup and periodic work
 
@@ -209,7 +202,7 @@
         That is the configuration and the endpoints, and from another node
         which endpoints name a limit.
         """
-        if self._is_stopping:
+        if self._stop.has_begun:
             return
         sync = self._peer_sync
         is_ready = (
@@ -284,7 +277,7 @@
 
     def _tick_duties(self) -> None:
         """Compete for the duty, and run the tasks of its holder."""
-        if self._is_stopping:
+        if self._stop.has_begun:
             return
         self._duties.tick(self._peer_sync)
         if self._config.scales_replicas:
@@ -297,7 +290,7 @@
 
     def _find_fence(self) -> base.Fence | None:
         """Return the fence of an action now, None unless the duty is held."""
-        may_act = self._duties.holds and not self._is_stopping
+        may_act = self._duties.holds and not self._stop.has_begun
         return self._duties.fence if may_act else None
 
     # Other nodes
@@ -355,7 +348,7 @@
     # HTTP pages
 
     def _readiness(self) -> tuple[int, bytes]:
-        if self._is_stopping:
+        if self._stop.has_begun:
             return 503, b"stopping\n"
         if self._scheduler.document is None:
             return 503, b"no configuration yet\n"
@@ -392,12 +385,12 @@
 
     @property
     def is_stopping(self) -> bool:
-        return self._is_stopping
+        return self._stop.has_begun
 
     def receive(
         self, request: inbound.IncomingRequest, sink: inbound.CallerSink
     ) -> inbound.RequestHandler:
-        if self._reactor.seconds() >= self._accepts_until_s:
+        if not self._stop.accepts_requests:
             return self._refuse_stopping(sink)
         handler = exchange.Exchange(self._exchange_dependencies, request, sink)
         self._open_requests.add(handler)
@@ -465,49 +458,39 @@
 
     def shut_down(self) -> None:
         """Stop accepting callers, finish open requests, then stop."""
-        if self._is_stopping:
-            return
-        self._is_stopping = True
-        now_s = self._reactor.seconds()
-        grace_s = self._config.shutdown_grace_s
-        self._accepts_until_s = now_s + BALANCER_DELAY_S
-        self._stops_at_s = now_s + grace_s - ABORT_BEFORE_KILL_S
-        self._tunnel_server.begin_stop(self._stops_at_s)
+        self._stop.begin()
+
+    # stop_order.StoppableNode
+
+    def announce_stop(self, ends_at_s: float) -> None:
+        self._tunnel_server.begin_stop(ends_at_s)
         decision_log.note(
             "node",
             state="stopping",
             open=len(self._open_requests),
             tunnels=self._tunnel_server.open_count,
         )
-        self._stop_loop.start(STOP_CHECK_INTERVAL_S, now=False)
 
-    def _stop_if_done(self) -> None:
-        now_s = self._reactor.seconds()
-        was_closed = self._caller_port is None
-        if now_s >= self._accepts_until_s:
-            # The shutdown could interrupt the requests of later callers.
-            self._close_port()
-            for caller in list(self._caller_connections):
-                background.guard(caller.close_idle, loop="stop")()
-        # Callers may connect until the port is closed, so the node stops
-        # at the earliest one check after that, with no caller connected
-        # and no other node's request under way.
-        is_done = (
-            was_closed
-            and not self._caller_connections
-            and not self._tunnel_server.open_count
-        )
-        if not is_done and now_s < self._stops_at_s:
-            return
-        self._stop_loop.stop()
+    def refuse_callers(self) -> None:
+        if self._caller_port is not None:
+            self._caller_port.stopListening()
+            self._caller_port = None
+        for caller in list(self._caller_connections):
+            background.guard(caller.close_idle, loop="stop")()
+
+    @property
+    def accepts_callers(self) -> bool:
+        return self._caller_port is not None
+
+    @property
+    def is_in_use(self) -> bool:
+        tunnels = self._tunnel_server.open_count
+        return bool(self._caller_connections or tunnels)
+
+    def end(self) -> None:
         for handler in list(self._open_requests):
             background.guard(handler.abort, loop="stop")()
         background.guard(self._tunnel_server.abort_all, loop="stop")()
         decision_log.note("node", state="stopped")
         background.guard(self._send_state, loop="stop")()
         self._reactor.callLater(0, self._reactor.stop)
-
-    def _close_port(self) -> None:
-        if self._caller_port is not None:
-            self._caller_port.stopListening()
-            self._caller_port = None
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -13,6 +13,7 @@
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import service
 from fireflypulley.gateway import settings
+from fireflypulley.gateway import stop_order
 from fireflypulley.gateway import tunnel_server
 
 from ..core.gateway import builders
@@ -189,24 +190,24 @@
 
 
 def test_it_serves_until_the_balancer_delay_has_passed(node):
-    _run(node, service.BALANCER_DELAY_S - 0.1)
+    _run(node, stop_order.BALANCER_DELAY_S - 0.1)
     assert node.reactor.ports[80].closed_s is None
     assert node.reactor.stopped_s is None
-    _run(node, service.BALANCER_DELAY_S + 0.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 0.5)
     assert node.reactor.ports[80].closed_s is not None
     assert node.reactor.stopped_s is not None
 
 
 def test_a_caller_that_connects_just_before_closing_is_answered(node):
     """The node runs until this caller leaves, though the port is closed."""
-    _run(node, service.BALANCER_DELAY_S - 0.02)
+    _run(node, stop_order.BALANCER_DELAY_S - 0.02)
     late = Caller(node, is_idle=False)
     node.connection_opened(late)
-    _run(node, service.BALANCER_DELAY_S + 2.0)
+    _run(node, stop_order.BALANCER_DELAY_S + 2.0)
     assert not late.closed
     assert node.reactor.stopped_s is None
     late.leave()
-    _run(node, service.BALANCER_DELAY_S + 2.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 2.5)
     assert node.reactor.stopped_s is not None
     assert node.reactor.ports[80].closed_s < node.reactor.stopped_s
 
@@ -215,7 +216,7 @@
     idle, busy = Caller(node, True), Caller(node, False)
     node.connection_opened(idle)
     node.connection_opened(busy)
-    _run(node, service.BALANCER_DELAY_S + 1.0)
+    _run(node, stop_order.BALANCER_DELAY_S + 1.0)
     assert idle.closed
     assert not busy.closed
 
@@ -225,10 +226,10 @@
 def test_tunnels_of_other_nodes_are_waited_for(node):
     pipe = tunnel_server._NodePipe(None)
     node._tunnel_server._open_pipes.add(pipe)
-    _run(node, service.BALANCER_DELAY_S + 1.0)
+    _run(node, stop_order.BALANCER_DELAY_S + 1.0)
     assert node.reactor.stopped_s is None
     node._tunnel_server._open_pipes.discard(pipe)
-    _run(node, service.BALANCER_DELAY_S + 1.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 1.5)
     assert node.reactor.stopped_s is not None
 
 
@@ -241,7 +242,7 @@
 def test_the_port_is_closed_however_many_callers_are_there(node):
     """A steady flow of new callers must not keep the node running."""
     node.connection_opened(Caller(node, False))
-    _run(node, service.BALANCER_DELAY_S + 0.3)
+    _run(node, stop_order.BALANCER_DELAY_S + 0.3)
     assert node.reactor.ports[80].closed_s is not None
 
 
@@ -269,10 +270,10 @@
 
 def test_requests_that_shutdown_could_interrupt_are_refused(node):
     """A request arrives on an open connection shortly before the kill."""
-    _run(node, service.BALANCER_DELAY_S - 0.1)
+    _run(node, stop_order.BALANCER_DELAY_S - 0.1)
     assert _ask(node).status == 503
     assert node._scheduler.refused[calls.RefusalReason.NO_CONFIGURATION] == 1
-    _run(node, service.BALANCER_DELAY_S + 0.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 0.5)
     late = _ask(node)
     assert late.status == 503
     assert b"retry-after" in dict(late.headers)
