Hand what waits for callers to the kernel at the end of a stop

Cause: at the end of the grace the process exits with up to 256 KiB for each caller in its own queue and 48 KiB in the transport, though the kernel would have taken them. A socket that is closed with unread input resets its connection.

Change: at the end, each caller's send buffer is enlarged by what waits, all that the kernel takes is written, the connection is closed for writing and unread input is dropped (transport.last_bytes). Connections that were broken off keep their reset.

Ruled out: to reset what does not fit; a part of a stream is of use, and framing shows that it is one. Not run: tests with real processes.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -13,6 +13,7 @@
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import send_queue
+from fireflypulley.transport import last_bytes
 from fireflypulley.transport import sockets
 
 MAX_READ_AHEAD_BYTES = 65536
@@ -45,6 +46,7 @@
         self._is_responding = False
         self._is_open = False
         self._must_close = False
+        self._is_aborted = False
         self._read_ahead_bytes = 0
         self._timer: interfaces.IDelayedCall | None = None
         self._watch: caller_watch.CallerWatch
@@ -110,6 +112,7 @@
     def _abort(self, reason: caller_ends.CallerEnd) -> None:
         """Close at once; what is not sent is lost."""
         self._end_as(reason)
+        self._is_aborted = True
         self.transport.abortConnection()
 
     def _end_as(self, reason: caller_ends.CallerEnd) -> None:
@@ -132,6 +135,11 @@
         if self.is_idle and self._is_open:
             self._close(caller_ends.CallerEnd.STOPPING)
 
+    def hand_over(self) -> None:
+        if not self._is_aborted and self.transport.connected:
+            self._queue.hand_over()
+            last_bytes.end(self.transport)
+
     def readConnectionLost(self) -> None:
         """Handle the end of what the caller sends: it has left.
 
--- a/packages/gateway/src/fireflypulley/gateway/inbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/inbound.py
@@ -69,6 +69,13 @@
     def close_idle(self) -> None:
         """Close the connection if it is idle."""
 
+    @abc.abstractmethod
+    def hand_over(self) -> None:
+        """Leave what waits for the caller to the kernel.
+
+        The process is about to end; nothing is sent or read afterwards.
+        """
+
 
 class CallerSink(abc.ABC):
     """Receives the response to a request.
--- a/packages/gateway/src/fireflypulley/gateway/send_queue.py
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -8,6 +8,7 @@
 from zope import interface
 
 from fireflypulley.core.gateway import caller_ends
+from fireflypulley.transport import last_bytes
 
 MAX_PIECE_BYTES = 16384
 TRANSPORT_BYTES = 32768
@@ -149,6 +150,18 @@
         self._transport.unregisterProducer()
         close_transport()
 
+    def hand_over(self) -> None:
+        """Give what waits to the kernel, as far as it takes it."""
+        if self._is_dropped:
+            return
+        waiting = b"".join(self._pieces)
+        self._clear()
+        last_bytes.make_room(
+            self._transport, len(waiting) + TRANSPORT_BYTES + MAX_PIECE_BYTES
+        )
+        self._transport.write(waiting)
+        last_bytes.write_out(self._transport)
+
     def drop(self) -> None:
         """Drop what waits, so that the answer can't become complete."""
         self._is_dropped = True
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -493,4 +493,6 @@
         background.guard(self._tunnel_server.abort_all, loop="stop")()
         decision_log.note("node", state="stopped")
         background.guard(self._send_state, loop="stop")()
+        for caller in list(self._caller_connections):
+            background.guard(caller.hand_over, loop="stop")()
         self._reactor.callLater(0, self._reactor.stop)
--- a/tests/gateway/slow_callers.py
+++ b/tests/gateway/slow_callers.py
@@ -43,6 +43,7 @@
         self.deliveries = []
         self.paused = False
         self.left = False
+        self.has_ended = False
         sink.head(200, [(b"transfer-encoding", b"chunked")])
         reactor.callLater(0, self._send)
 
@@ -51,6 +52,7 @@
             return
         if self.sent == EVENTS:
             self._sink.end(self.deliveries.append)
+            self.has_ended = True
             return
         if not self.paused:
             self._sink.data(self._event)
@@ -75,6 +77,7 @@
         self.reactor = epollreactor.EPollReactor()
         self.event_bytes = event_bytes
         self.streams = []
+        self.opened = []
         self.closed = []
         factory = caller_connection.CallerFactory(self.reactor, self, bounds)
         self.held = factory.held
@@ -97,8 +100,15 @@
     def refuse(self, sink, reason):
         raise AssertionError(reason)
 
+    send_buffer_bytes = None
+    """What the kernel takes for a caller, None for what it likes."""
+
     def connection_opened(self, connection):
-        pass
+        self.opened.append(connection)
+        if self.send_buffer_bytes is not None:
+            connection.transport.getHandle().setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer_bytes
+            )
 
     def connection_closed(self, connection):
         self.closed.append(connection)
@@ -119,6 +129,23 @@
         thread.join()
 
 
+def end_process(node, may_end, before_end):
+    """Let a node's process end once ``may_end`` is set.
+
+    It does nothing until then but for ``before_end``, right before.
+    """
+    is_busy = threading.Event()
+
+    def end():
+        is_busy.set()
+        may_end.wait(TIMEOUT_S)
+        before_end()
+        node.reactor.stop()
+
+    node.reactor.callFromThread(end)
+    is_busy.wait(TIMEOUT_S)
+
+
 def connect(node, profile):
     """Return the socket of a caller that has sent its request."""
     caller = socket.socket()
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -78,6 +78,9 @@
         if self.is_idle:
             self.leave()
 
+    def hand_over(self):
+        self.handed_over_s = self.node.reactor.seconds()
+
     def leave(self):
         """Disconnect, as after the last response."""
         self.closed = True
@@ -239,6 +242,15 @@
     assert node.reactor.stopped_s < node.stopped_at_s + GRACE_S
 
 
+# Guards against answers that end with the process in its own buffers (issue
+# 44).
+def test_what_waits_for_callers_is_handed_over_before_the_end(node):
+    caller = Caller(node, False)
+    node.connection_opened(caller)
+    _run(node, GRACE_S)
+    assert caller.handed_over_s <= node.reactor.stopped_s
+
+
 def test_the_port_is_closed_however_many_callers_are_there(node):
     """A steady flow of new callers must not keep the node running."""
     node.connection_opened(Caller(node, False))
