--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -1,6 +1,7 @@
 """Start and shutdown of a node: each accepted caller gets a response."""
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import testing
 
@@ -12,6 +13,7 @@
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import service
 from fireflypulley.gateway import settings
+from fireflypulley.gateway import stop_order
 from fireflypulley.gateway import tunnel_server
 
 from ..core.gateway import builders
@@ -76,6 +78,9 @@
         if self.is_idle:
             self.leave()
 
+    def hand_over(self):
+        self.handed_over_s = self.node.reactor.seconds()
+
     def leave(self):
         """Disconnect, as after the last response."""
         self.closed = True
@@ -188,24 +193,24 @@
 
 
 def test_it_serves_until_the_balancer_delay_has_passed(node):
-    _run(node, service.BALANCER_DELAY_S - 0.1)
+    _run(node, stop_order.BALANCER_DELAY_S - 0.1)
     assert node.reactor.ports[80].closed_s is None
     assert node.reactor.stopped_s is None
-    _run(node, service.BALANCER_DELAY_S + 0.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 0.5)
     assert node.reactor.ports[80].closed_s is not None
     assert node.reactor.stopped_s is not None
 
 
 def test_a_caller_that_connects_just_before_closing_is_answered(node):
     """The node runs until this caller leaves, though the port is closed."""
-    _run(node, service.BALANCER_DELAY_S - 0.02)
+    _run(node, stop_order.BALANCER_DELAY_S - 0.02)
     late = Caller(node, is_idle=False)
     node.connection_opened(late)
-    _run(node, service.BALANCER_DELAY_S + 2.0)
+    _run(node, stop_order.BALANCER_DELAY_S + 2.0)
     assert not late.closed
     assert node.reactor.stopped_s is None
     late.leave()
-    _run(node, service.BALANCER_DELAY_S + 2.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 2.5)
     assert node.reactor.stopped_s is not None
     assert node.reactor.ports[80].closed_s < node.reactor.stopped_s
 
@@ -214,7 +219,7 @@
     idle, busy = Caller(node, True), Caller(node, False)
     node.connection_opened(idle)
     node.connection_opened(busy)
-    _run(node, service.BALANCER_DELAY_S + 1.0)
+    _run(node, stop_order.BALANCER_DELAY_S + 1.0)
     assert idle.closed
     assert not busy.closed
 
@@ -224,10 +229,10 @@
 def test_tunnels_of_other_nodes_are_waited_for(node):
     pipe = tunnel_server._NodePipe(None)
     node._tunnel_server._open_pipes.add(pipe)
-    _run(node, service.BALANCER_DELAY_S + 1.0)
+    _run(node, stop_order.BALANCER_DELAY_S + 1.0)
     assert node.reactor.stopped_s is None
     node._tunnel_server._open_pipes.discard(pipe)
-    _run(node, service.BALANCER_DELAY_S + 1.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 1.5)
     assert node.reactor.stopped_s is not None
 
 
@@ -237,10 +242,19 @@
     assert node.reactor.stopped_s < node.stopped_at_s + GRACE_S
 
 
+# Guards against answers that end with the process in its own buffers (issue
+# 44).
+def test_what_waits_for_callers_is_handed_over_before_the_end(node):
+    caller = Caller(node, False)
+    node.connection_opened(caller)
+    _run(node, GRACE_S)
+    assert caller.handed_over_s <= node.reactor.stopped_s
+
+
 def test_the_port_is_closed_however_many_callers_are_there(node):
     """A steady flow of new callers must not keep the node running."""
     node.connection_opened(Caller(node, False))
-    _run(node, service.BALANCER_DELAY_S + 0.3)
+    _run(node, stop_order.BALANCER_DELAY_S + 0.3)
     assert node.reactor.ports[80].closed_s is not None
 
 
@@ -268,10 +282,10 @@
 
 def test_requests_that_shutdown_could_interrupt_are_refused(node):
     """A request arrives on an open connection shortly before the kill."""
-    _run(node, service.BALANCER_DELAY_S - 0.1)
+    _run(node, stop_order.BALANCER_DELAY_S - 0.1)
     assert _ask(node).status == 503
     assert node._scheduler.refused[calls.RefusalReason.NO_CONFIGURATION] == 1
-    _run(node, service.BALANCER_DELAY_S + 0.5)
+    _run(node, stop_order.BALANCER_DELAY_S + 0.5)
     late = _ask(node)
     assert late.status == 503
     assert b"retry-after" in dict(late.headers)
@@ -301,3 +315,24 @@
     node._peer_sync = Peers()
     _run_until(node, service.START_READ_TIMEOUT_S + 0.1)
     assert 80 in node.reactor.ports
+
+
+def _join(node):
+    """Let a node have joined the others, without a store."""
+
+    async def join():
+        return b"key"
+
+    node._membership.join = join
+    defer.ensureDeferred(node._join(node.reactor.seconds()))
+    assert node._peer_sync is not None
+
+
+# Guards against ways that only the tests of their class know of (issue 46).
+def test_a_node_that_has_joined_tells_when_a_way_is_likely():
+    node = _start()
+    _join(node)
+    keys = [("e1", 1), ("e2", 1)]
+    for key in keys:
+        node._connections.paths.direct.note_direct(key, False, 0.0)
+    assert node._scheduler.ways.wait_s(keys, 0.0, 0.0) is not None
