Look at every window in the model's check of the retry budget

Cause: the rule binds in every window. The check of the model looked only at windows that begin with a retry. One that begins a little later, when the windows in which requests count have just lost a request, or a little earlier, when it still has one retry more at its end, may lie further beyond the bound.

The change: these windows are looked at, too.

--- a/tests/core/gateway/fleets.py
+++ b/tests/core/gateway/fleets.py
@@ -12,6 +12,10 @@
 RATIO = 0.2
 SLACK = 20.0
 WINDOW_S = 10.0
+BACKS_S = (0.0, WINDOW_S / 2, WINDOW_S)
+"""How long before a window those begin in which its requests count."""
+MOMENT_S = 1e-6
+"""Less than the time between two events."""
 ATTEMPTS = 3
 
 
@@ -161,16 +165,25 @@
 
     def excess(self):
         """Return by how much the worst window lies beyond its bound."""
-        return max(
-            (self._excess(from_s) for from_s in self.retries_s),
-            default=-SLACK,
-        )
+        return max(map(self._excess, self._worst_from_s()), default=-SLACK)
+
+    def _worst_from_s(self):
+        """Return where a window may begin that is worse than those near it.
+
+        It has one retry more as it ends, or begins with a retry, or one of
+        the windows in which requests count has just lost one.
+        """
+        yield from self.retries_s
+        for time_s in self.retries_s:
+            yield time_s - WINDOW_S + MOMENT_S
+        for back_s in BACKS_S:
+            for time_s in self.sent_s:
+                yield time_s + back_s + MOMENT_S
 
     def _excess(self, from_s):
         retries = _count(self.retries_s, from_s)
         requests = max(
-            _count(self.sent_s, from_s - back_s)
-            for back_s in (0.0, WINDOW_S / 2, WINDOW_S)
+            _count(self.sent_s, from_s - back_s) for back_s in BACKS_S
         )
         return retries - SLACK - RATIO * requests
 
