--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -5,7 +5,6 @@
 of all nodes.
 """
 
-import bisect
 import collections
 import collections.abc
 import dataclasses
@@ -183,69 +182,14 @@
     SPECULATIVE = "speculative"
 
 
-@dataclasses.dataclass(slots=True)
-class _Retry:
-    """A retry.
-
-    ``older_requests`` is how many requests were older than a window when
-    it was sent, of all that were counted.
-    """
-
-    sent_s: float
-    older_requests: int
-
-
-class _Requests:
-    """A service's requests: how many there were, and the recent ones."""
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._times: collections.deque[float] = collections.deque()
-        self.older = 0
-
-    @property
-    def total(self) -> int:
-        """Return how many were counted."""
-        return self.older + len(self._times)
-
-    def add(self, sent_s: float) -> None:
-        """Count a request; none is added that is older than the last."""
-        self._times.append(sent_s)
-
-    def trim(self, now_s: float) -> None:
-        """Drop the times of requests older than a window."""
-        while self._times and self._times[0] <= now_s - self._window_s:
-            self._times.popleft()
-            self.older += 1
-
-    def older_at(self, time_s: float) -> int:
-        """Return how many were older than a window then, as known now.
-
-        A request whose time was dropped counts as older.
-        """
-        return self.older + bisect.bisect_right(
-            self._times, time_s - self._window_s
-        )
-
-    def age(self) -> None:
-        """Take all requests so far as older than a window."""
-        self.older = self.total
-        self._times.clear()
-
-
 class RetryBudget:
     """Limits a service's retries by this node within a time window.
 
-    All nodes together may retry ``ratio`` of the requests plus ``slack``.
-    The requests are those of the window or of the one before, whichever
-    has more; a node can't know which that is for all nodes, so it uses the
-    mean of its own two, in each window that holds a retry, and an equal
-    part of the slack.  The sum of the means is no more than the greater
-    sum, wherever the requests arrive.
-
-    A node that has just started may use little of its part, for which each
-    node leaves that much unused.  While a node stands still its requests
-    grow old and its retries don't: one sent before may arrive after.
+    All nodes together may retry ``ratio`` of the requests plus ``slack``;
+    a node may use its own ratio and an equal part of the slack.  A node
+    that has just started may use little of its part, for which each node
+    leaves that much unused.  While a node stands still its requests grow
+    old and its retries don't: one sent before may arrive after.
 
     Speculative retries may use a part only, so that a silence of many
     endpoints leaves something for the requests that have none.
@@ -264,21 +208,18 @@
         self._slack_from_s = float("-inf")
         self._has_starting_slack = True
         self._standstill = standstill.Standstill()
-        self._requests: dict[str, _Requests]
-        self._requests = collections.defaultdict(self._no_requests)
-        self._retries: dict[str, collections.deque[_Retry]]
+        self._requests: dict[str, collections.deque[float]]
+        self._requests = collections.defaultdict(collections.deque)
+        self._retries: dict[str, collections.deque[float]]
         self._retries = collections.defaultdict(collections.deque)
-        self._speculative: dict[str, collections.deque[_Retry]]
+        self._speculative: dict[str, collections.deque[float]]
         self._speculative = collections.defaultdict(collections.deque)
         self.refused: collections.Counter[RetryWorth] = collections.Counter()
 
-    def _no_requests(self) -> _Requests:
-        return _Requests(self._window_s)
-
-    def _trim(self, retries: collections.deque[_Retry], now_s: float) -> int:
-        while retries and retries[0].sent_s <= now_s - self._window_s:
-            retries.popleft()
-        return len(retries)
+    def _trim(self, times: collections.deque[float], now_s: float) -> int:
+        while times and times[0] <= now_s - self._window_s:
+            times.popleft()
+        return len(times)
 
     def begin(
         self,
@@ -307,22 +248,20 @@
         """Keep the retries as old as they were before a standstill."""
         if not stood_s:
             return
+        for by_service in (self._retries, self._speculative):
+            for times in by_service.values():
+                _shift(times, stood_s)
         if stood_s < 0.0:
             # How old the requests are isn't known after a step back.
-            for requests in self._requests.values():
-                requests.age()
+            self._requests.clear()
             self._slack_from_s += stood_s
-        for by_service in (self._retries, self._speculative):
-            for service, retries in by_service.items():
-                _shift(retries, stood_s, self._requests[service])
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a caller's request as of when it may have been sent."""
         self._pass_standstill(self._standstill.observe(now_s))
         sent_s = self._standstill.earliest_sent_s(now_s)
-        requests = self._requests[service]
-        requests.add(sent_s)
-        requests.trim(now_s)
+        self._requests[service].append(sent_s)
+        self._trim(self._requests[service], now_s)
 
     def spend(
         self,
@@ -333,98 +272,48 @@
     ) -> bool:
         """Return whether one more retry may be sent, and count it."""
         self._pass_standstill(self._standstill.observe(now_s))
-        slack = self._slack_part(nodes, now_s)
-        requests = self._requests[service]
-        requests.trim(now_s)
-        retries = self._retries[service]
-        speculative = self._speculative[service]
-        self._trim(retries, now_s)
-        self._trim(speculative, now_s)
+        allowed = self._allowed(service, nodes, now_s)
         is_speculative = worth is RetryWorth.SPECULATIVE
-        fits = self._has_room(retries, requests, slack)
-        if fits and is_speculative:
-            fits = self._has_speculative_room(speculative, requests, slack)
-        if not fits:
+        speculative = self._trim(self._speculative[service], now_s)
+        is_over = self._trim(self._retries[service], now_s) + 1 > allowed
+        if is_speculative and not is_over:
+            # One at least, since a part may be a single retry.
+            most = max(1.0, allowed * self.SPECULATIVE_FRACTION)
+            is_over = speculative + 1 > most
+        if is_over:
             self.refused[worth] += 1
             return False
-        retries.append(_Retry(now_s, requests.older))
+        self._retries[service].append(now_s)
         if is_speculative:
-            speculative.append(_Retry(now_s, requests.older))
+            self._speculative[service].append(now_s)
         return True
 
     def refund(self, service: str, spent_s: float) -> None:
         """Take back a retry that was counted at ``spent_s``."""
-        for retries in (self._retries[service], self._speculative[service]):
-            for retry in retries:
-                if retry.sent_s == spent_s:
-                    retries.remove(retry)
-                    break
+        for times in (self._retries[service], self._speculative[service]):
+            if spent_s in times:
+                times.remove(spent_s)
 
     def spent(self, service: str, now_s: float) -> int:
         """Return how many retries were sent within the window."""
         return self._trim(self._retries[service], now_s)
 
-    def _slack_part(self, nodes: int, now_s: float) -> float:
-        """Return how much of the slack this node may use in a window."""
+    def _allowed(self, service: str, nodes: int, now_s: float) -> float:
+        """Return how many retries this node may send in a window."""
+        requests = self._trim(self._requests[service], now_s)
         part = self._slack / max(1, nodes)
         starting = min(self.STARTING_SLACK, part // 2)
-        if now_s >= self._slack_from_s:
-            return part - starting
-        return starting if self._has_starting_slack else 0.0
-
-    def _allowed(self, recent: int, slack: float) -> float:
-        """Return how many retries a window allows this node.
-
-        ``recent`` are its requests in the window and the one before.
-        """
-        return self._ratio * recent / 2.0 + slack
-
-    def _has_room(
-        self,
-        retries: collections.deque[_Retry],
-        requests: _Requests,
-        slack: float,
-    ) -> bool:
-        """Return whether each window that holds a retry allows one more.
-
-        A window that begins at a retry has the most retries for the
-        requests that it counts.
-        """
-        total = requests.total
-        count = len(retries) + 1
-        for retry in retries:
-            recent = total - retry.older_requests
-            if count > self._allowed(recent, slack):
-                return False
-            count -= 1
-        return count <= self._allowed(total - requests.older, slack)
-
-    def _has_speculative_room(
-        self,
-        speculative: collections.deque[_Retry],
-        requests: _Requests,
-        slack: float,
-    ) -> bool:
-        """Return whether each window allows one more speculative retry."""
-        total = requests.total
-        count = len(speculative) + 1
-        for retry in speculative:
-            recent = total - retry.older_requests
-            most = self._allowed(recent, slack) * self.SPECULATIVE_FRACTION
-            # One at least, since a part may be a single retry.
-            if count > max(1.0, most):
-                return False
-            count -= 1
-        return True
+        slack = part - starting
+        if now_s < self._slack_from_s:
+            slack = starting if self._has_starting_slack else 0.0
+        return self._ratio * requests + slack
 
 
-def _shift(
-    retries: collections.deque[_Retry], by_s: float, requests: _Requests
-) -> None:
-    """Add a time to when retries were sent."""
-    for retry in retries:
-        retry.sent_s += by_s
-        retry.older_requests = requests.older_at(retry.sent_s)
+def _shift(times: collections.deque[float], by_s: float) -> None:
+    """Add a time to all times of a deque."""
+    shifted = [time_s + by_s for time_s in times]
+    times.clear()
+    times.extend(shifted)
 
 
 class NodeShareLimiter:
