Pay retries by the mean of a node's requests in two windows

What callers and endpoints saw: endpoints that had begun to fail got more repeats than the budget allows when callers moved from some nodes to others.

Cause: each node takes the ratio of its own requests in the window that ends with the retry. The rule counts the window, the one before or the one between, whichever has most over all nodes. Nodes that lost their callers use the window before, those that got them the window itself; the sum of greatest values is more than the greatest sum. A node alone breaks the rule too, where its requests come in two parts, three quarters of a window apart.

The change: for each window that holds a retry, a node's retries in it are at most its part of the slack and the ratio of half of its requests in the window and the one before. Means with the same weights at all nodes add up and the greatest of sums is no less, whatever nodes know of each other; no message, so older nodes beside it do what they did. So that no retry is lost in steady state, this holds with the whole part, and the node keeps the rule alone less what it leaves for a restart. Requests that waited while the node stood still pay for no retry of a window after them (test_standstill.py `pay_for_no_retry_made_before`: fails without that).

Ruled out: counts in the nodes' states, which a node that is cut off does not get; one of the three windows alone; the mean with the usable part of the slack.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -5,11 +5,13 @@
 of all nodes.
 """
 
+import bisect
 import collections
 import collections.abc
 import dataclasses
 import enum
 import math
+import typing
 
 from fireflypulley.core.gateway import standstill
 from fireflypulley.core import ownership
@@ -182,6 +184,71 @@
     SPECULATIVE = "speculative"
 
 
+@dataclasses.dataclass(slots=True)
+class _Retry:
+    """A retry.
+
+    ``requests`` is how many requests were counted before it, and
+    ``older_requests`` how many of them were older than a window then.
+    """
+
+    sent_s: float
+    worth: RetryWorth
+    requests: int
+    older_requests: int
+
+
+class _SlackPart(typing.NamedTuple):
+    """A node's part of the slack, and what it may use of it.
+
+    The rest is for a restart.
+    """
+
+    whole: float
+    usable: float
+
+
+class _Requests:
+    """A service's requests: how many there were, and the recent ones."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._times: collections.deque[float] = collections.deque()
+        self.older = 0
+
+    @property
+    def recent(self) -> int:
+        """Return how many are no older than a window."""
+        return len(self._times)
+
+    @property
+    def total(self) -> int:
+        """Return how many were counted."""
+        return self.older + self.recent
+
+    def add(self, sent_s: float) -> None:
+        """Count a request, which is no older than the last."""
+        self._times.append(sent_s)
+
+    def trim(self, now_s: float) -> None:
+        """Drop the times of requests older than a window."""
+        while self._times and self._times[0] <= now_s - self._window_s:
+            self._times.popleft()
+            self.older += 1
+
+    def until(self, time_s: float) -> int:
+        """Return how many were sent up to a time.
+
+        Those whose times were dropped count in any case.
+        """
+        return self.older + bisect.bisect_right(self._times, time_s)
+
+    def drop(self) -> None:
+        """Drop the times of all requests."""
+        self.older = self.total
+        self._times.clear()
+
+
 class RetryBudget:
     """Limits a service's retries by this node within a time window.
 
@@ -191,6 +258,12 @@
     leaves that much unused.  While a node stands still its requests grow
     old and its retries don't: one sent before may arrive after.
 
+    The requests are those of the window or of the one before, whichever
+    has more.  No node knows which that is for all of them, and load moves
+    between nodes, so in each window that holds a retry a node keeps to the
+    mean of its own two and its part.  The sum of the means is no more than
+    the greater sum, wherever the requests arrive.
+
     Speculative retries may use a part only, so that a silence of many
     endpoints leaves something for the requests that have none.
     """
@@ -208,18 +281,19 @@
         self._slack_from_s = float("-inf")
         self._has_starting_slack = True
         self._standstill = standstill.Standstill()
-        self._requests: dict[str, collections.deque[float]]
-        self._requests = collections.defaultdict(collections.deque)
-        self._retries: dict[str, collections.deque[float]]
+        self._requests: dict[str, _Requests]
+        self._requests = collections.defaultdict(self._no_requests)
+        self._retries: dict[str, collections.deque[_Retry]]
         self._retries = collections.defaultdict(collections.deque)
-        self._speculative: dict[str, collections.deque[float]]
-        self._speculative = collections.defaultdict(collections.deque)
         self.refused: collections.Counter[RetryWorth] = collections.Counter()
 
-    def _trim(self, times: collections.deque[float], now_s: float) -> int:
-        while times and times[0] <= now_s - self._window_s:
-            times.popleft()
-        return len(times)
+    def _no_requests(self) -> _Requests:
+        return _Requests(self._window_s)
+
+    def _trim(self, retries: collections.deque[_Retry], now_s: float) -> int:
+        while retries and retries[0].sent_s <= now_s - self._window_s:
+            retries.popleft()
+        return len(retries)
 
     def begin(
         self,
@@ -248,20 +322,38 @@
         """Keep the retries as old as they were before a standstill."""
         if not stood_s:
             return
-        for by_service in (self._retries, self._speculative):
-            for times in by_service.values():
-                _shift(times, stood_s)
         if stood_s < 0.0:
             # How old the requests are isn't known after a step back.
-            self._requests.clear()
+            for requests in self._requests.values():
+                requests.drop()
             self._slack_from_s += stood_s
+        for service, retries in self._retries.items():
+            for retry in retries:
+                retry.sent_s += stood_s
+                self._count_requests(retry, self._requests[service])
+
+    def _count_requests(self, retry: _Retry, requests: _Requests) -> None:
+        retry.requests = requests.until(retry.sent_s)
+        older_s = retry.sent_s - self._window_s
+        retry.older_requests = requests.until(older_s)
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a caller's request as of when it may have been sent."""
         self._pass_standstill(self._standstill.observe(now_s))
         sent_s = self._standstill.earliest_sent_s(now_s)
-        self._requests[service].append(sent_s)
-        self._trim(self._requests[service], now_s)
+        requests = self._requests[service]
+        requests.add(sent_s)
+        if sent_s < now_s:
+            self._note_waited(service, sent_s)
+        requests.trim(now_s)
+
+    def _note_waited(self, service: str, sent_s: float) -> None:
+        """Let a request that waited pay for no window after it."""
+        for retry in self._retries[service]:
+            if sent_s <= retry.sent_s:
+                retry.requests += 1
+            if sent_s <= retry.sent_s - self._window_s:
+                retry.older_requests += 1
 
     def spend(
         self,
@@ -272,48 +364,80 @@
     ) -> bool:
         """Return whether one more retry may be sent, and count it."""
         self._pass_standstill(self._standstill.observe(now_s))
-        allowed = self._allowed(service, nodes, now_s)
-        is_speculative = worth is RetryWorth.SPECULATIVE
-        speculative = self._trim(self._speculative[service], now_s)
-        is_over = self._trim(self._retries[service], now_s) + 1 > allowed
-        if is_speculative and not is_over:
+        part = self._slack_part(nodes, now_s)
+        requests = self._requests[service]
+        requests.trim(now_s)
+        retries = self._retries[service]
+        self._trim(retries, now_s)
+        fits = self._fits_windows(retries, requests, part)
+        if fits and worth is RetryWorth.SPECULATIVE:
+            speculative = [one for one in retries if one.worth is worth]
+            fraction = self.SPECULATIVE_FRACTION
             # One at least, since a part may be a single retry.
-            most = max(1.0, allowed * self.SPECULATIVE_FRACTION)
-            is_over = speculative + 1 > most
-        if is_over:
+            fits = self._fits_windows(speculative, requests, part, fraction, 1)
+        if not fits:
             self.refused[worth] += 1
             return False
-        self._retries[service].append(now_s)
-        if is_speculative:
-            self._speculative[service].append(now_s)
+        retry = _Retry(now_s, worth, requests.total, requests.older)
+        retries.append(retry)
         return True
 
     def refund(self, service: str, spent_s: float) -> None:
         """Take back a retry that was counted at ``spent_s``."""
-        for times in (self._retries[service], self._speculative[service]):
-            if spent_s in times:
-                times.remove(spent_s)
+        retries = self._retries[service]
+        for retry in retries:
+            if retry.sent_s == spent_s:
+                retries.remove(retry)
+                return
 
     def spent(self, service: str, now_s: float) -> int:
         """Return how many retries were sent within the window."""
         return self._trim(self._retries[service], now_s)
 
-    def _allowed(self, service: str, nodes: int, now_s: float) -> float:
-        """Return how many retries this node may send in a window."""
-        requests = self._trim(self._requests[service], now_s)
-        part = self._slack / max(1, nodes)
-        starting = min(self.STARTING_SLACK, part // 2)
-        slack = part - starting
-        if now_s < self._slack_from_s:
-            slack = starting if self._has_starting_slack else 0.0
-        return self._ratio * requests + slack
-
-
-def _shift(times: collections.deque[float], by_s: float) -> None:
-    """Add a time to all times of a deque."""
-    shifted = [time_s + by_s for time_s in times]
-    times.clear()
-    times.extend(shifted)
+    def _slack_part(self, nodes: int, now_s: float) -> _SlackPart:
+        """Return how much of the slack this node may use in a window."""
+        whole = self._slack / max(1, nodes)
+        starting = min(self.STARTING_SLACK, whole // 2)
+        if now_s >= self._slack_from_s:
+            return _SlackPart(whole, whole - starting)
+        if not self._has_starting_slack:
+            starting = 0.0
+        return _SlackPart(starting, starting)
+
+    def _fits_windows(
+        self,
+        retries: collections.abc.Collection[_Retry],
+        requests: _Requests,
+        part: _SlackPart,
+        fraction: float = 1.0,
+        least: float = 0.0,
+    ) -> bool:
+        """Return whether each window that holds a retry allows one more.
+
+        Of the windows that hold the same retries, the one that begins with
+        the first of them has the fewest requests in it and before.
+        """
+        total = requests.total
+        count = len(retries) + 1
+        for retry in retries:
+            inside = total - retry.requests
+            before = retry.requests - retry.older_requests
+            allowed = self._allowed(inside, before, part) * fraction
+            if count > max(least, allowed):
+                return False
+            count -= 1
+        allowed = self._allowed(0, requests.recent, part) * fraction
+        return count <= max(least, allowed)
+
+    def _allowed(self, inside: int, before: int, part: _SlackPart) -> float:
+        """Return how many retries of this node a window allows.
+
+        ``inside`` and ``before`` are the node's requests in the window so
+        far and in the one before.
+        """
+        alone = self._ratio * max(inside, before) + part.usable
+        among_all = self._ratio * (inside + before) / 2.0 + part.whole
+        return min(alone, among_all)
 
 
 class NodeShareLimiter:
