Look closely only at the windows that may allow no more retries

Cause: for each retry of the last window a decision worked out what the window allows this node alone and among all.

The change: the mean of both windows and the usable part of the slack are no more than either, and enough for most windows; the rest is worked out where they are not.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -418,13 +418,18 @@
         the first of them has the fewest requests in it and before.
         """
         total = requests.total
+        half_ratio = self._ratio / 2.0 * fraction
+        usable = part.usable * fraction
         count = len(retries) + 1
         for retry in retries:
-            inside = total - retry.requests
-            before = retry.requests - retry.older_requests
-            allowed = self._allowed(inside, before, part) * fraction
-            if count > max(least, allowed):
-                return False
+            # Most windows allow much more; this is no more than they do.
+            paid = half_ratio * (total - retry.older_requests)
+            if count > paid + usable:
+                inside = total - retry.requests
+                before = retry.requests - retry.older_requests
+                allowed = self._allowed(inside, before, part) * fraction
+                if count > max(least, allowed):
+                    return False
             count -= 1
         allowed = self._allowed(0, requests.recent, part) * fraction
         return count <= max(least, allowed)
