--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -13,14 +13,15 @@
 
 from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import answer_progress
 from fireflypulley.gateway import header_codec
+from fireflypulley.gateway import held_end
 from fireflypulley.gateway import stray_answers
 from fireflypulley.transport import sockets
 
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 65536
-BODILESS_STATUSES = frozenset({204, 304})
 REMEMBERED_REQUESTS = 64
 MAX_PARTS_PER_TURN = 64
 """A chunk is a part, and so is a head.  An endpoint may send thousands of
@@ -89,7 +90,7 @@
     def check_alive(
         self,
         since_s: float,
-        on_result: collections.abc.Callable[[answer_ends.Doubt | None], None],
+        on_result: held_end.Verdict,
     ) -> None:
         """Find out whether the endpoint has been alive since a moment.
 
@@ -177,13 +178,8 @@
         self._turn: interfaces.IDelayedCall | None = None
         """Set while parts that have arrived wait for the next turn."""
         self._interim_answers = 0
-        self._method = b""
-        self._framing = answer_ends.Framing.NO_BODY
-        self._body_bytes = 0
-        self._request_number = 0
-        self._unread_since_s: float | None = None
-        """When reading of the answer was first paused, None if never."""
-        self._proof_timer: interfaces.IDelayedCall | None = None
+        self._answer = answer_progress.AnswerProgress()
+        self._held_end: held_end.HeldEnd | None = None
         """Set while the end of an answer is held back."""
         self._keep_alive_s = MAX_IDLE_S
         self.idle_since_s = 0.0
@@ -218,26 +214,22 @@
     @property
     def is_first_request(self) -> bool:
         """Return whether at most one request has been sent so far."""
-        return self._request_number <= 1
+        return self._answer.request_number <= 1
 
     @property
     def is_unused(self) -> bool:
         """Return whether no request has been sent so far."""
-        return self._request_number == 0
+        return self._answer.request_number == 0
 
     @property
     def is_unframed(self) -> bool:
         """Return whether only a close tells the end of the answer."""
-        return self._framing is answer_ends.Framing.CLOSE
+        return self._answer.is_unframed
 
     @property
     def is_ambiguous(self) -> bool:
-        """Return whether a part of another answer may be in the answer.
-
-        A second answer to an earlier request of the connection, cut off
-        anywhere, looks like a part of a body without a length.
-        """
-        return self.is_unframed and self._request_number > 1
+        """Return whether a part of another answer may be in the answer."""
+        return self._answer.is_ambiguous
 
     def is_stale(self, now_s: float) -> bool:
         """Return whether the endpoint might close the connection soon."""
@@ -255,9 +247,7 @@
     ) -> None:
         """Send a complete request."""
         self._request_ids.append(request_id)
-        self._request_number += 1
-        self._method = method
-        self._unread_since_s = None
+        self._answer.begin(method)
         self._listener = listener
         framed_headers = list(headers)
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
@@ -295,8 +285,7 @@
     def pause(self) -> None:
         """Stop reading while the caller accepts no data."""
         self._is_paused = True
-        if self._unread_since_s is None:
-            self._unread_since_s = self._pool.now_s()
+        self._answer.note_pause(self._pool.now_s())
         if self._is_open:
             self.transport.pauseProducing()
 
@@ -354,10 +343,7 @@
                 self._pool.count_unsolicited()
                 self._fail(calls.Outcome.GARBAGE, "two heads in one")
                 return
-            self._framing = _framing_of(
-                self._method, event.status_code, headers
-            )
-            self._body_bytes = 0
+            self._answer.note_head(event.status_code, headers)
             self._note_keep_alive(headers)
             self._stray_answers = stray_answers.StrayAnswerFinder(
                 self._request_ids
@@ -372,7 +358,7 @@
             self._handle_body(listener, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             if self.is_unframed:
-                self._check_end(listener)
+                self._check_end()
             else:
                 self._complete(listener)
         elif isinstance(event, h11.ConnectionClosed):
@@ -384,7 +370,7 @@
             detail = "another answer inside the body"
             self._fail(calls.Outcome.GARBAGE, detail)
             return
-        self._body_bytes += len(data)
+        self._answer.body_bytes += len(data)
         listener.response_data(data)
 
     def _note_keep_alive(self, headers: header_codec.Headers) -> None:
@@ -417,55 +403,45 @@
                 self.resume()
         else:
             self.abort()
-        listener.response_end(self._end())
+        listener.response_end(self._answer.end(self._pool.count_losses()))
         if is_reusable:
             self._pool.release(self)
 
-    def _check_end(self, listener: ResponseListener) -> None:
+    def _check_end(self) -> None:
         """Hold the end of an answer back that only a close has told.
 
         The system closes the connections of a process that ends, too.
         """
-        since_s = self._unread_since_s
+        since_s = self._answer.unread_since_s
         if since_s is None:
             since_s = self._pool.now_s()
-        self._proof_timer = self._pool.call_later(
-            answer_ends.PROOF_TIMEOUT_S,
+        held = self._held_end = held_end.HeldEnd(
+            self._pool.call_later(answer_ends.PROOF_TIMEOUT_S, self._end_late),
             self._judge_end,
-            answer_ends.Doubt.LATE,
         )
-        self._pool.check_alive(since_s, self._judge_end)
+        self._pool.check_alive(since_s, held.judge)
+
+    def _end_late(self) -> None:
+        if self._held_end is not None:
+            self._held_end.judge(answer_ends.Doubt.LATE)
 
     def _judge_end(self, doubt: answer_ends.Doubt | None) -> None:
-        """Believe the end of the answer, or not; later verdicts are void."""
-        if self._proof_timer is None:
-            return
-        self._stop_proof()
+        """Believe the end of the answer, or not."""
+        self._held_end = None
         self._pool.count_close(doubt)
-        if self._listener is None:
+        listener = self._listener
+        if listener is None:
             return
         if doubt is None:
-            self._complete(self._listener)
+            self._complete(listener)
             return
+        answer = self._answer
         detail = (
-            f"close after {self._body_bytes} bytes of answer"
-            f" {self._request_number} of its connection: {doubt.value}"
+            f"close after {answer.body_bytes} bytes of answer"
+            f" {answer.request_number} of its connection: {doubt.value}"
         )
         self._fail(calls.Outcome.CUT, detail)
 
-    def _stop_proof(self) -> None:
-        timer, self._proof_timer = self._proof_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
-    def _end(self) -> answer_ends.AnswerEnd:
-        return answer_ends.AnswerEnd(
-            self._framing,
-            self._body_bytes,
-            self._request_number,
-            self._pool.count_losses(),
-        )
-
     def _fail(self, outcome: calls.Outcome, detail: str) -> None:
         listener, self._listener = self._listener, None
         self.abort()
@@ -481,7 +457,9 @@
     def abort(self) -> None:
         """Close at once, so that the endpoint cancels the request."""
         self._listener = None
-        self._stop_proof()
+        held, self._held_end = self._held_end, None
+        if held is not None:
+            held.drop()
         if self._is_open:
             self._is_open = False
             self.transport.abortConnection()
@@ -520,26 +498,12 @@
             self._fail(calls.Outcome.CUT, str(problem))
             return
         try:
-            while self._listener is not None and self._proof_timer is None:
+            while self._listener is not None and self._held_end is None:
                 event = self._http.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     break
                 self._handle_event(event)
         except h11.RemoteProtocolError as problem:
             self._fail(calls.Outcome.CUT, str(problem))
-        if self._listener is not None and self._proof_timer is None:
+        if self._listener is not None and self._held_end is None:
             self._fail(calls.Outcome.CUT, "closed during a response")
-
-
-def _framing_of(
-    method: bytes, status: int, headers: header_codec.Headers
-) -> answer_ends.Framing:
-    """Return what tells where the body of an answer ends."""
-    if method == b"HEAD" or status in BODILESS_STATUSES:
-        return answer_ends.Framing.NO_BODY
-    names = {name for name, _ in headers}
-    if b"transfer-encoding" in names:
-        return answer_ends.Framing.CHUNKS
-    if b"content-length" in names:
-        return answer_ends.Framing.LENGTH
-    return answer_ends.Framing.CLOSE
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -13,6 +13,7 @@
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import background
+from fireflypulley.gateway import held_end
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnels
 from fireflypulley.transport import dialing
@@ -182,7 +183,7 @@
     def check_alive(
         self,
         since_s: float,
-        on_result: collections.abc.Callable[[answer_ends.Doubt | None], None],
+        on_result: held_end.Verdict,
     ) -> None:
         """Find out whether the endpoint has been alive since a moment."""
         background.start(
@@ -192,7 +193,7 @@
     async def _check_alive(
         self,
         since_s: float,
-        on_result: collections.abc.Callable[[answer_ends.Doubt | None], None],
+        on_result: held_end.Verdict,
     ) -> None:
         try:
             connection = await self._connect_anyhow()
