Keep a connection open beside answers without a length

Cause: the end of one such answer says nothing against another, and the connections of a service that answers so carry nothing else; so there was often no connection whose loss could tell, and a new connection waits in the kernel with nobody behind it.

Ruled out: to count the ends of such answers against each other (sound ones end in one moment under load). One connection without a request, an idle one if there is any, now stays open while such answers arrive; its loss is a doubt as any other. It is given back afterwards.

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -74,6 +74,10 @@
     ) -> interfaces.IDelayedCall:
         """Schedule a call."""
 
+    @abc.abstractmethod
+    def begin_unframed(self, answering: "EndpointConnection") -> None:
+        """Record that an answer has begun that only a close will end."""
+
     @abc.abstractmethod
     def count_close(self, doubt: answer_ends.Doubt | None) -> None:
         """Count an answer that a close ended, by why it is not believed."""
@@ -344,6 +348,8 @@
                 self._fail(calls.Outcome.GARBAGE, "two heads in one")
                 return
             self._answer.note_head(event.status_code, headers)
+            if self._answer.is_unframed:
+                self._pool.begin_unframed(self)
             self._note_keep_alive(headers)
             self._stray_answers = stray_answers.StrayAnswerFinder(
                 self._request_ids
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -14,6 +14,7 @@
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import background
 from fireflypulley.gateway import held_end
+from fireflypulley.gateway import liveness
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnels
 from fireflypulley.transport import dialing
@@ -68,6 +69,9 @@
         self._idle = collections.deque()
         self._open: set[outbound.EndpointConnection] = set()
         self._losses = answer_ends.ConnectionLosses()
+        self._liveness = liveness.LivenessConnection(
+            key[0], self._acquire_any, self.release
+        )
         self.opened = 0
         self.unsolicited = 0
 
@@ -229,6 +233,21 @@
             return answer_ends.Doubt.LOST_AFTER
         return None
 
+    def begin_unframed(self, answering: outbound.EndpointConnection) -> None:
+        """Record that an answer has begun that only a close will end."""
+        self._liveness.begin(answering)
+
+    async def _acquire_any(self) -> outbound.EndpointConnection:
+        """Return a connection, rather one that has carried a request.
+
+        Requests for such a service can't use those.
+        """
+        for connection in list(self._idle):
+            if connection.is_usable and not connection.is_unused:
+                self._idle.remove(connection)
+                return connection
+        return await self.acquire(False)
+
     def count_close(self, doubt: answer_ends.Doubt | None) -> None:
         """Count an answer that a close ended, by why it is not believed."""
         self._paths.closes[doubt] += 1
@@ -266,6 +285,7 @@
     def remove(self, connection: outbound.EndpointConnection) -> None:
         """Remove a closed connection."""
         self._open.discard(connection)
+        self._liveness.forget(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -58,8 +58,25 @@
         connection.connectionLost(failure.Failure(reason))
 
     def answer(self):
-        """Send a part of an answer without a length."""
+        """Send a part of an answer without a length.
+
+        Return the connection that is kept beside it, None if one was idle.
+        """
+        before, asked = set(self.pool._open), len(self.reactor.tcpClients)
         self.connection.dataReceived(HEAD + b"ok")
+        if len(self.reactor.tcpClients) == asked:
+            return None
+        self.accept()
+        (beside,) = self.pool._open - before
+        return beside
+
+
+def _ask(endpoint, connection):
+    """Send a request; let it begin an answer without a length."""
+    listener = test_outbound.Listener()
+    connection.send(b"POST", b"/", [(b"host", b"h")], b"", listener)
+    connection.dataReceived(HEAD + b"ok")
+    return listener
 
 
 def _result(deferred):
@@ -143,6 +160,44 @@
     assert endpoint.paths.closes == {answer_ends.Doubt.LOST_BESIDE: 1}
 
 
+# Guards against a process that is killed while its listener lives on, or is
+# back at once: all its connections have answers without a length.
+@pytest.mark.parametrize("others", [0, 1, 3])
+@pytest.mark.parametrize("is_paused", [True, False])
+def test_what_ends_with_the_connection_kept_beside_is_cut(others, is_paused):
+    endpoint = Endpoint()
+    beside = endpoint.answer()
+    connections = [endpoint.connect() for _ in range(others)]
+    listeners = [_ask(endpoint, one) for one in connections]
+    connections.append(endpoint.connection)
+    listeners.append(endpoint.listener)
+    endpoint.reactor.advance(1.0)
+    if is_paused:
+        for one in connections:
+            one.pause()
+    endpoint.lose(beside)
+    endpoint.accept()
+    if is_paused:
+        endpoint.reactor.advance(5.0)
+    for one in connections:
+        one.resume()
+        endpoint.lose(one)
+        endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    for listener in listeners:
+        assert listener.failed is calls.Outcome.CUT
+
+
+def test_the_connection_kept_beside_is_given_back(endpoint):
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.reactor.advance(answer_ends.SETTLE_S)
+    opened = endpoint.pool.opened
+    for _ in range(2):
+        _result(defer.ensureDeferred(endpoint.pool.acquire(False)))
+    assert endpoint.pool.opened == opened
+
+
 def test_a_connection_that_was_lost_long_before_is_no_doubt(endpoint):
     other = endpoint.connect()
     endpoint.pool.release(other)
@@ -155,9 +210,8 @@
 
 
 def test_answers_that_end_in_one_moment_are_no_doubt(endpoint):
-    other, listener = endpoint.connect(), test_outbound.Listener()
-    other.send(b"POST", b"/", [(b"host", b"h")], b"", listener)
-    other.dataReceived(HEAD + b"ok")
+    other = endpoint.connect()
+    listener = _ask(endpoint, other)
     for connection in (endpoint.connection, other):
         endpoint.lose(connection)
         endpoint.accept()
