Ask no peer whether an endpoint that refused goes on

A refusal says that the listener is gone. Peers are still asked after a time-out, or if this node is cut off.

test_no_peer_is_asked_after_the_endpoint_refused failed before. test_a_peer_may_show_that_the_endpoint_goes_on now times out where it was refused, and asks for the same end.

--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -213,10 +213,13 @@
     async def _connect_anyhow(self) -> outbound.EndpointConnection:
         """Open a connection; a peer is asked if there is no direct way.
 
-        This node alone may be cut off from a sound endpoint.
+        This node alone may be cut off from a sound endpoint.  A refusal
+        says that the listener is gone; a peer may reach the next one.
         """
         try:
             return await self._connect(0.0)
+        except error.ConnectionRefusedError:
+            raise
         except (error.ConnectError, error.ConnectionClosed):
             if self._paths.tunnels is None:
                 raise
