Hold streams without a length to unused connections, too

Ids protect the order of events, not what they hold, so the exemption of streams was wrong, and test_the_events_of_a_stream_are_checked_one_by_one asserted it; it is replaced by test_a_stream_goes_on_from_an_unused_connection and test_a_stream_that_runs_once_ends_as_unknown, which failed before.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -209,16 +209,12 @@
             return
 
     def _is_ambiguous(self, sent: attempt.Attempt) -> bool:
-        """Return whether a part of another answer could pass for this one.
-
-        The events of a stream are checked one by one.
-        """
+        """Return whether a part of another answer may be in this one."""
         connection = sent.connection
         if connection is None or not connection.is_unframed:
             return False
         self._dependencies.connector.note_unframed(sent.run)
-        is_events = self._relay.is_event_stream(sent.part)
-        return connection.is_ambiguous and not is_events
+        return connection.is_ambiguous
 
     def _is_ours(
         self,
--- a/tests/gateway/test_ambiguous_answers.py
+++ b/tests/gateway/test_ambiguous_answers.py
@@ -59,8 +59,22 @@
     assert world.sink.state == "whole"
 
 
-def test_the_events_of_a_stream_are_checked_one_by_one():
+# Guards against a piece of another answer inside an event, where no id shows
+# it.
+def test_a_stream_goes_on_from_an_unused_connection():
+    world = exchanges.World(exchanges.STREAM, resumable=True)
+    first = _begin_unframed(world, True)
+    first.listener.response_head(200, list(exchanges.SEALED))
+    assert first.aborted
+    second = world.sent[-1]
+    assert second is not first
+    exchanges.answer(second, body=b"id: 1\ndata: a\n\n")
+    assert world.sink.state == "whole"
+    assert world.sink.body == b"id: 1\ndata: a\n\n"
+
+
+def test_a_stream_that_runs_once_ends_as_unknown():
     world = exchanges.World(exchanges.STREAM)
     connection = _begin_unframed(world, True)
-    exchanges.answer(connection, body=b"id: 1\ndata: a\n\n")
-    assert world.sink.state == "whole"
+    connection.listener.response_head(200, list(exchanges.SEALED))
+    assert world.sink.status == 502
