Send an answer that names a length beside chunks in chunks

A body over 1 MiB, passed on as it comes, looked whole at that length while its endpoint went on; a small one was cut. The chunks are what counts (RFC 9112). The new test of tests/gateway/test_broken_responses.py failed before.

--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -252,14 +252,14 @@
         """Return the fields that delimit the body.
 
         The run that a stream goes on with may be longer or shorter than
-        the first one said.
+        the first one said.  Of an answer with both fields the chunks count.
         """
-        if self._sends_events:
+        fields = dict(self._headers)
+        length = fields.get(b"content-length")
+        is_chunked = b"transfer-encoding" in fields
+        if self._sends_events or is_chunked or length is None:
             return [(b"transfer-encoding", b"chunked")]
-        for name, value in self._headers:
-            if name == b"content-length":
-                return [(name, value)]
-        return [(b"transfer-encoding", b"chunked")]
+        return [(b"content-length", length)]
 
     def finish(self, on_delivery: inbound.OnDelivery) -> None:
         """Send what is held, and end the response.
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -111,6 +111,21 @@
     assert _results(lines) == [("q1", "cut")]
 
 
+# Guards against a caller who gets the length that an endpoint names beside
+# the chunks that count: it would take a part for the whole.
+def test_an_answer_with_a_length_and_chunks_is_sent_in_chunks():
+    world, transport = _begin(document.RouteKind.IDEMPOTENT)
+    sent = world.sent[-1]
+    fields = [*_framed(2), (b"transfer-encoding", b"chunked")]
+    sent.listener.response_head(200, fields)
+    sent.listener.response_data(b"longer")
+    sent.listener.response_end()
+    head, _, body = transport.value().partition(b"\r\n\r\n")
+    assert b"content-length" not in head.lower()
+    assert body == b"6\r\nlonger\r\n0\r\n\r\n"
+    assert not transport.aborted
+
+
 @pytest.mark.parametrize("body", [b"o", b"okay"])
 def test_data_that_does_not_fit_the_length_closes_the_connection(body):
     receiver = test_inbound.Receiver(answer=None)
