--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -319,6 +319,9 @@
     def attempt_failed(
         self, sent: attempt.Attempt, outcome: calls.Outcome, detail: str
     ) -> None:
+        if sent is self.failed:
+            # It will never be whole.
+            self.failed = None
         self._end_attempt(sent, outcome, detail)
 
     # Ends of attempts
--- a/tests/gateway/test_kept_attempts.py
+++ b/tests/gateway/test_kept_attempts.py
@@ -333,3 +333,20 @@
         world.clock.advance(TARGET_S)
     assert world.sent == [first]
     assert not first.aborted
+
+
+# Guards against a caller who waits until the deadline for a failure that was
+# held and then cut off.
+def test_a_held_failure_that_is_cut_is_not_waited_for():
+    world = exchanges.World()
+    first = world.begin()
+    first.listener.response_head(500, list(exchanges.SEALED))
+    first.listener.response_data(b"par")
+    second = world.sent[-1]
+    assert second is not first
+    first.listener.response_failed(calls.Outcome.CUT, "closed")
+    second.listener.response_failed(calls.Outcome.CUT, "reset")
+    for other in world.sent[2:]:
+        other.listener.response_failed(calls.Outcome.CUT, "reset")
+    assert world.sink.status == 502
+    assert world.finished()
