Judge an end only after what waited for the node is read

A node that stood still within the 30 ms judged an end before it had read that other connections were lost, and one that stood still for more than 0.6 s gave a sound answer up as late. Both verdicts wait one turn more.

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -428,8 +428,10 @@
         self._pool.check_alive(since_s, held.judge)
 
     def _end_late(self) -> None:
-        if self._held_end is not None:
-            self._held_end.judge(answer_ends.Doubt.LATE)
+        # If this node stood still, what has arrived is read first.
+        held = self._held_end
+        if held is not None:
+            self._pool.call_later(0.0, held.judge, answer_ends.Doubt.LATE)
 
     def _judge_end(self, doubt: answer_ends.Doubt | None) -> None:
         """Believe the end of the answer, or not."""
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -205,6 +205,8 @@
             on_result(answer_ends.Doubt.UNREACHED)
             return
         await task.deferLater(self._reactor, answer_ends.SETTLE_S)
+        # If this node stood still, losses that wait are read first.
+        await task.deferLater(self._reactor, 0.0)
         doubt = self._find_doubt(since_s, connection)
         if connection.is_usable:
             self.release(connection)
