--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -63,6 +63,9 @@
 
     @abc.abstractmethod
     def now_s(self) -> float:
+    keep_alive_s = MAX_IDLE_S
+    """How long the endpoint keeps idle connections, as far as it said."""
+
         """Return the reactor's time in seconds."""
 
     @abc.abstractmethod
@@ -185,7 +188,7 @@
         self._answer = answer_progress.AnswerProgress()
         self._held_end: held_end.HeldEnd | None = None
         """Set while the end of an answer is held back."""
-        self._keep_alive_s = MAX_IDLE_S
+        self._keep_alive_s = pool.keep_alive_s
         self.idle_since_s = 0.0
         self.answered = 0
         self.peer = ""
@@ -391,6 +394,7 @@
     def _complete(self, listener: ResponseListener) -> None:
         self._listener = None
         self.answered += 1
+                    self._pool.keep_alive_s = self._keep_alive_s
         has_extra = bool(self._http.trailing_data[0])
         if has_extra:
             self._pool.count_unsolicited()
