--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -426,6 +426,9 @@
         if since_s is None:
             since_s = self._pool.now_s()
         held = self._held_end = held_end.HeldEnd(
+        if isinstance(self._listener, _ResponseDiscarder):
+            self._fail(calls.Outcome.CUT, "nobody waits for the answer")
+            return
             self._pool.call_later(answer_ends.PROOF_TIMEOUT_S, self._end_late),
             self._judge_end,
         )
