--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -72,13 +72,15 @@
         self._liveness = liveness.LivenessConnection(
             key[0], self._acquire_any, self.release
         )
+        self._checks = 0
+        """How many connections show at this time whether it is alive."""
         self.opened = 0
         self.unsolicited = 0
 
     @property
     def open_count(self) -> int:
-        """Return the number of open connections."""
-        return len(self._open)
+        """Return the number of connections that are open or being opened."""
+        return len(self._open) + self._checks
 
     async def acquire(
         self,
@@ -190,10 +192,16 @@
         on_result: held_end.Verdict,
     ) -> None:
         """Find out whether the endpoint has been alive since a moment."""
+        self._checks += 1
         background.start(
-            self._check_alive(since_s, on_result), alive=self._key[0]
+            self._check_alive(since_s, on_result),
+            self._note_checked,
+            alive=self._key[0],
         )
 
+    def _note_checked(self) -> None:
+        self._checks -= 1
+
     async def _check_alive(
         self,
         since_s: float,
