--- a/packages/gateway/src/fireflypulley/gateway/answer_progress.py
+++ b/packages/gateway/src/fireflypulley/gateway/answer_progress.py
@@ -11,12 +11,14 @@
 
     ``request_number`` is 1 for the first request of the connection, 0
     before it.  ``unread_since_s`` is when reading was first paused, None if
-    it never was.
+    it never was, or has caught up since.
     """
 
     def __init__(self) -> None:
         self.request_number = 0
         self.unread_since_s: float | None = None
+        self._dry_s: float | None = None
+        """When all had been read after a pause, None if it was not."""
         self.body_bytes = 0
         self._method = b""
         self._framing = answer_ends.Framing.NO_BODY
@@ -24,7 +26,7 @@
     def begin(self, method: bytes) -> None:
         """Await the answer to the next request."""
         self.request_number += 1
-        self.unread_since_s = None
+        self.unread_since_s = self._dry_s = None
         self._method = method
         self._framing = answer_ends.Framing.NO_BODY
 
@@ -33,8 +35,21 @@
         self._framing = _framing_of(self._method, status, headers)
         self.body_bytes = 0
 
+    def note_read(self, is_all: bool, now_s: float) -> None:
+        """Record that bytes were read; ``is_all`` if no more had arrived.
+
+        A close that had arrived in the pause follows all bytes at once.
+        """
+        if self.unread_since_s is None:
+            return
+        if self._dry_s is None:
+            self._dry_s = now_s if is_all else None
+        elif now_s > self._dry_s + answer_ends.SETTLE_S:
+            self.unread_since_s = self._dry_s = None
+
     def note_pause(self, now_s: float) -> None:
         """Record that nothing is read for a while."""
+        self._dry_s = None
         if self.unread_since_s is None:
             self.unread_since_s = now_s
 
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -22,6 +22,8 @@
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 65536
+READ_BYTES = 65536
+"""The most that a transport reads at once."""
 REMEMBERED_REQUESTS = 64
 MAX_PARTS_PER_TURN = 64
 """A chunk is a part, and so is a head.  An endpoint may send thousands of
@@ -61,11 +63,11 @@
 class ConnectionPool(abc.ABC):
     """Manages the connections to one endpoint."""
 
-    @abc.abstractmethod
-    def now_s(self) -> float:
     keep_alive_s = MAX_IDLE_S
     """How long the endpoint keeps idle connections, as far as it said."""
 
+    @abc.abstractmethod
+    def now_s(self) -> float:
         """Return the reactor's time in seconds."""
 
     @abc.abstractmethod
@@ -311,6 +313,8 @@
             self.abort()
             return
         self._pool.note_activity()
+        is_all = len(data) < READ_BYTES
+        self._answer.note_read(is_all, self._pool.now_s())
         self._http.receive_data(data)
         self._read()
 
@@ -390,11 +394,11 @@
                 key, _, text = part.strip().partition(b"=")
                 if key == b"timeout" and text.isdigit():
                     self._keep_alive_s = float(text)
+                    self._pool.keep_alive_s = self._keep_alive_s
 
     def _complete(self, listener: ResponseListener) -> None:
         self._listener = None
         self.answered += 1
-                    self._pool.keep_alive_s = self._keep_alive_s
         has_extra = bool(self._http.trailing_data[0])
         if has_extra:
             self._pool.count_unsolicited()
@@ -422,13 +426,13 @@
 
         The system closes the connections of a process that ends, too.
         """
+        if isinstance(self._listener, _ResponseDiscarder):
+            self._fail(calls.Outcome.CUT, "nobody waits for the answer")
+            return
         since_s = self._answer.unread_since_s
         if since_s is None:
             since_s = self._pool.now_s()
         held = self._held_end = held_end.HeldEnd(
-        if isinstance(self._listener, _ResponseDiscarder):
-            self._fail(calls.Outcome.CUT, "nobody waits for the answer")
-            return
             self._pool.call_later(answer_ends.PROOF_TIMEOUT_S, self._end_late),
             self._judge_end,
         )
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -316,3 +316,64 @@
     endpoint.refuse()
     endpoint.settle()
     assert endpoint.listener.failed is calls.Outcome.CUT
+
+
+# Guards against a long answer that is cut, as its caller paused once and a
+# connection was lost much later.
+def test_a_pause_counts_until_the_connection_has_caught_up(endpoint):
+    other = endpoint.connect()
+    endpoint.pool.release(other)
+    endpoint.connection.pause()
+    endpoint.reactor.advance(0.1)
+    endpoint.connection.resume()
+    endpoint.lose(other)
+    for _ in range(2):
+        endpoint.reactor.advance(0.2)
+        endpoint.connection.dataReceived(b"more")
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.settle()
+    assert endpoint.listener.ended
+
+
+# Guards against a close that had arrived in the pause, after the rest.
+def test_the_rest_after_a_pause_does_not_end_it(endpoint):
+    other = endpoint.connect()
+    endpoint.pool.release(other)
+    endpoint.connection.pause()
+    endpoint.lose(other)
+    endpoint.reactor.advance(1.0)
+    endpoint.connection.resume()
+    endpoint.reactor.advance(0.0)
+    endpoint.connection.dataReceived(b"more")
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.settle()
+    assert endpoint.listener.failed is calls.Outcome.CUT
+
+
+# Guards against requests on a connection that its endpoint is closing.
+def test_an_unused_connection_knows_how_long_the_endpoint_keeps_it():
+    endpoint = Endpoint()
+    fields = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\n"
+    endpoint.connection.dataReceived(fields + b"Content-Length: 0\r\n\r\n")
+    unused = endpoint.connect()
+    endpoint.pool.release(unused)
+    endpoint.reactor.advance(1.1)
+    assert unused.is_stale(endpoint.reactor.seconds())
+
+
+def test_no_connection_is_opened_for_an_answer_that_is_discarded(endpoint):
+    endpoint.connection.discard_response()
+    asked = len(endpoint.reactor.tcpClients)
+    endpoint.lose(endpoint.connection)
+    assert len(endpoint.reactor.tcpClients) == asked
+
+
+def test_a_pool_whose_endpoint_is_being_asked_is_not_dropped(endpoint):
+    endpoint.lose(endpoint.connection)
+    open_count = endpoint.pool.open_count
+    endpoint.accept()
+    endpoint.settle()
+    assert open_count == 2
+    assert endpoint.pool.open_count == 2
