Accept the backlog as a stopping node closes its port

What callers saw: they connected and sent a request 3 s after a SIGTERM, and got a reset without an answer.

Cause: the reactor closes a listening port a turn after stopListening, and the kernel resets what the port's backlog holds then. twisted accepts per turn no more connections than it accepted the turn before, so a burst waits there; under load a turn takes 50 ms and more.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -1,6 +1,7 @@
 """Builds a gateway node from its settings and runs it until it stops."""
 
 import dataclasses
+import functools
 import socket
 import time
 import typing
@@ -45,6 +46,7 @@
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
 from fireflypulley.transport import listening
+from fireflypulley.transport import sockets
 
 TICK_INTERVAL_S = 0.25
 BALANCER_DELAY_S = 3.0
@@ -505,6 +507,10 @@
         self._reactor.callLater(0, self._reactor.stop)
 
     def _close_port(self) -> None:
-        if self._caller_port is not None:
-            self._caller_port.stopListening()
-            self._caller_port = None
+        port, self._caller_port = self._caller_port, None
+        if port is not None:
+            # The reactor closes a port in its next turn, and resets those
+            # who connect in the meantime.
+            accept = functools.partial(sockets.accept_waiting, port)
+            self._reactor.callLater(0, background.guard(accept, loop="stop"))
+            port.stopListening()
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -1,5 +1,6 @@
 """TCP options that detect a dead connection within seconds."""
 
+import select
 import socket
 import typing
 
@@ -15,6 +16,8 @@
 probes; with both, a connection is closed ``SILENCE_DETECTED_S`` after the
 last byte either way."""
 SILENCE_DETECTED_S = 2.0
+MAX_ACCEPTS = 512
+"""Rounds in which a port that closes accepts one connection or more."""
 CALLER_KEEPALIVE_PROBES = 2
 NO_USER_TIMEOUT_MS = 0
 """A user timeout also counts the time for which a caller that is alive
@@ -48,6 +51,19 @@
         return False
 
 
+def accept_waiting(port: typing.Any) -> None:
+    """Accept the connections that wait in the backlog of twisted's port.
+
+    Closing the port would reset them.
+    """
+    poll = select.poll()
+    poll.register(port.fileno(), select.POLLIN)
+    for _ in range(MAX_ACCEPTS):
+        if not poll.poll(0):
+            return
+        port.doRead()
+
+
 def _set_options(
     transport: typing.Any, probes: int, user_timeout_ms: int
 ) -> None:
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -1,5 +1,7 @@
 """Start and shutdown of a node: each accepted caller gets a response."""
 
+import socket
+
 import pytest
 from twisted.internet import task
 from twisted.internet import testing
@@ -21,13 +23,26 @@
 
 
 class Port:
-    """A listening port."""
+    """A listening port; each byte to ``waiting`` is a connection."""
 
     def __init__(self, reactor):
         self.reactor = reactor
         self.closed_s = None
+        self.waiting, self._backlog = socket.socketpair()
+        self.on_accept = None
+
+    def fileno(self):
+        return self._backlog.fileno()
+
+    def doRead(self):
+        assert self.closed_s is None
+        self._backlog.recv(1)
+        self.on_accept()
 
     def stopListening(self):
+        self.reactor.callLater(0, self._close)
+
+    def _close(self):
         self.closed_s = self.reactor.seconds()
 
 
@@ -210,6 +225,29 @@
     assert node.reactor.ports[80].closed_s < node.reactor.stopped_s
 
 
+# Guards against resets of callers that had connected and sent a request, and
+# whose connections a stopping node had not accepted as it closed its port.
+def test_callers_in_the_backlog_are_accepted_before_the_port_closes(node):
+    port = node.reactor.ports[80]
+    _run(node, service.BALANCER_DELAY_S - 0.1)
+    callers = [Caller(node, is_idle=True) for _ in range(3)]
+    waiting = iter(callers)
+    port.on_accept = lambda: node.connection_opened(next(waiting))
+    stop_listening = port.stopListening
+
+    def connect_and_stop_listening():
+        stop_listening()
+        port.waiting.send(b"123")
+
+    port.stopListening = connect_and_stop_listening
+    while port.closed_s is None:
+        node.reactor.advance(0.05)
+    assert node._caller_connections == set(callers)
+    assert not any(caller.closed for caller in callers)
+    _run(node, service.BALANCER_DELAY_S + 1.0)
+    assert all(caller.closed for caller in callers)
+
+
 def test_idle_callers_are_closed_and_open_ones_are_waited_for(node):
     idle, busy = Caller(node, True), Caller(node, False)
     node.connection_opened(idle)
--- a/tests/transport/test_sockets.py
+++ b/tests/transport/test_sockets.py
@@ -1,7 +1,11 @@
 """Tests of TCP options, with and without TLS."""
 
+import contextlib
 import socket
 
+from twisted.internet import epollreactor
+from twisted.internet import protocol
+
 from fireflypulley.transport import sockets
 
 
@@ -33,6 +37,13 @@
         return object()
 
 
+class Accepted(protocol.Protocol):
+    """A connection that was accepted."""
+
+    def connectionMade(self):
+        self.factory.accepted.append(self)
+
+
 def _user_timeout_ms(handle):
     return handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
 
@@ -71,3 +82,21 @@
         assert not sockets.has_unread_input(transport)
         far.close()
         assert not sockets.has_unread_input(transport)
+
+
+# Guards against resets of callers that connect in a burst as a port closes.
+def test_all_that_wait_in_the_backlog_are_accepted():
+    reactor = epollreactor.EPollReactor()
+    factory = protocol.Factory.forProtocol(Accepted)
+    factory.accepted = []
+    port = reactor.listenTCP(0, factory, 512, "127.0.0.1")
+    address = ("127.0.0.1", port.getHost().port)
+    with contextlib.ExitStack() as stack:
+        for count in (1, 60):
+            for _ in range(count):
+                caller = socket.create_connection(address, 1.0)
+                stack.enter_context(caller)
+            sockets.accept_waiting(port)
+        assert len(factory.accepted) == 61
+        sockets.accept_waiting(port)
+        port.connectionLost(None)
