Strike endpoints that end their answers in order, and judge whole bodies

- Endpoints answer a share of plain requests without a length, in six parts 30 ms apart that their close ends.
- A strike "drop": an endpoint closes all connections in order at once, as the system does for a process that is killed, and listens again 2 s later.
LOST and ORDER excuse a run that was dropped.
- MIXED wants the whole body of every success, of streams too, without an excuse.

--- a/standins/fireflystandins/soak/answers.py
+++ b/standins/fireflystandins/soak/answers.py
@@ -8,6 +8,11 @@
 PART_BYTES = 4096
 
 
+def expected_body(request_id: str) -> bytes:
+    """Return the whole body of an endpoint's answer that is no stream."""
+    return b"answer to " + request_id.encode()
+
+
 class EndedEarly(Exception):
     """The connection ended in order before its answer."""
 
--- a/standins/fireflystandins/soak/checks.py
+++ b/standins/fireflystandins/soak/checks.py
@@ -10,6 +10,7 @@
 import dataclasses
 import re
 
+from fireflystandins.soak import answers
 from fireflystandins.soak import callers
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
@@ -165,7 +166,10 @@
 
 
 class Mixed(Checker):
-    """Answers that belong to another request or to no endpoint."""
+    """Answers of another request or of no endpoint, or not whole.
+
+    An answer that looks complete and isn't has no excuse.
+    """
 
     rule = "MIXED"
     sentence = "a caller gets its own answer, as its endpoint gave it"
@@ -176,12 +180,12 @@
             if not answer.status and answer.how != "invalid":
                 continue
             checked += 1
-            problem = self._find_problem(answer)
+            problem = self._find_problem(answer, seen.plan.load.events)
             if problem:
                 breaks.append(_of(self, answer, problem))
         return Verdict(checked, breaks)
 
-    def _find_problem(self, answer: callers.Answer) -> str:
+    def _find_problem(self, answer: callers.Answer, events: int) -> str:
         if answer.how == "invalid":
             return "bytes that are no answer"
         if answer.names not in ("", answer.request_id):
@@ -191,14 +195,24 @@
         if not answer.seal:
             return "a success without a seal"
         if answer.route in STREAM_ROUTES:
-            names = {found[2] for found in _EVENT.finditer(answer.body)}
-            others = names - {answer.request_id.encode()}
-            return f"events of {others}" if others else ""
-        expected = b"answer to " + answer.request_id.encode()
+            return self._find_event_problem(answer, events)
+        expected = answers.expected_body(answer.request_id)
         if answer.how == "whole" and answer.body != expected:
             return f"the body {answer.body[:60]!r}"
         return ""
 
+    def _find_event_problem(self, answer: callers.Answer, events: int) -> str:
+        found = list(_EVENT.finditer(answer.body))
+        others = {one[2] for one in found} - {answer.request_id.encode()}
+        if others:
+            return f"events of {others}"
+        size = sum(len(one[0]) for one in found)
+        if answer.how != "whole":
+            return ""
+        if len(found) != events or size != len(answer.body):
+            return f"success with {len(found)} of {events} events"
+        return ""
+
 
 class Twice(Checker):
     """Requests with an effect that run more than once."""
--- a/standins/fireflystandins/soak/endpoint.py
+++ b/standins/fireflystandins/soak/endpoint.py
@@ -1,14 +1,18 @@
 """An endpoint that streams slowly, falls silent and leaves.
 
 The body of a request is a JSON object: ``events``, ``event_bytes``,
-``event_ms`` and ``framed``.  Each run is written to standard output, a JSON
+``event_ms`` and ``framed``; an answer that is not framed comes in parts and
+ends with its connection.  Each run is written to standard output, a JSON
 object a line: ``run`` when it begins, ``end`` with what was written.
 ``POST /silence`` sends nothing for ``for_s``; ``POST /leave`` removes the
-entry, serves on for ``serve_s`` and exits, in order or by resets.
+entry, serves on for ``serve_s`` and exits, in order or by resets; ``POST
+/drop`` closes all connections in order at once, as the system does for a
+process that is killed, and refuses new ones for ``for_s``.
 """
 
 import collections.abc
 import json
+import math
 import os
 import time
 
@@ -18,9 +22,12 @@
 from twisted.internet import threads
 
 from fireflystandins import replica
+from fireflystandins.soak import answers
 from fireflystandins import web
 
 SILENCE_CHECK_S = 0.05
+PARTS = 6
+PART_INTERVAL_S = 0.03
 
 
 class SoakReplica(replica.Replica):
@@ -40,13 +47,30 @@
     def leave(self, serve_s: float, how: str) -> None:
         """Remove the entry now, and exit after ``serve_s``."""
         self._has_left = True
-        self._heartbeat_loop.stop()
+        if self._heartbeat_loop.running:
+            self._heartbeat_loop.stop()
         self.note(left=self.identity.replica_id)
         threads.deferToThread(
             self._put, {"remove": [self._row_key()]}
         ).addErrback(lambda _: None)
         reactor.callLater(serve_s, self._exit, how)
 
+    def drop(self, for_s: float) -> None:
+        """Close all connections in order, and listen again later."""
+        if self._port is None or self._has_left:
+            return
+        self._port.stopListening()
+        self._port = None
+        self._heartbeat_loop.stop()
+        for connection in list(self._connections):
+            connection.end_run("dropped")
+            connection.transport.loseConnection()
+        reactor.callLater(for_s, self._listen_again)
+
+    def _listen_again(self) -> None:
+        if not self._has_left:
+            self.start()
+
     def _exit(self, how: str) -> None:
         if how == "reset":
             for connection in list(self._connections):
@@ -76,16 +100,21 @@
             order = json.loads(self._body)
             self._replica.leave(order["serve_s"], order["how"])
             self._write(200, {}, b"{}")
+        elif target == "/drop":
+            for_s = json.loads(self._body)["for_s"]
+            self._write(200, {}, b"{}")
+            self._replica.drop(for_s)
         else:
             super()._serve()
 
     def connectionLost(self, reason: object = protocol.connectionDone) -> None:
         super().connectionLost(reason)
+        self.end_run("lost")
+
+    def end_run(self, how: str) -> None:
+        """Write how the run ended, if one is under way; nothing follows."""
         if self._next is not None and self._next.active():
             self._next.cancel()
-        self._end_run("lost")
-
-    def _end_run(self, how: str) -> None:
         run, self._run = self._run, None
         if run is not None:
             self._replica.note(end=run[0], how=how, events=run[1])
@@ -105,8 +134,28 @@
     ) -> None:
         if self._wait_out(self._respond, fault, identity_fields, fields):
             return
+        if not fault and not self._is_framed():
+            self._is_chunked = False
+            self._write_head(identity_fields)
+            body = answers.expected_body(fields["attempt-id"])
+            self._send_part(body, math.ceil(len(body) / PARTS))
+            return
         super()._respond(fault, identity_fields, fields)
-        self._end_run("failed" if fault else "whole")
+        self.end_run("failed" if fault else "whole")
+
+    def _is_framed(self) -> bool:
+        is_framed: bool = json.loads(self._body)["framed"]
+        return is_framed
+
+    def _send_part(self, body: bytes, size: int) -> None:
+        if not body:
+            self.end_run("whole")
+            self._end_stream()
+            return
+        self._write_chunk(body[:size])
+        self._next = reactor.callLater(
+            PART_INTERVAL_S, self._send_part, body[size:], size
+        )
 
     def _wait_out(
         self, call: collections.abc.Callable[..., None], *parts: object
@@ -134,7 +183,7 @@
         if self._wait_out(self._send_event, event_id, order):
             return
         if event_id > order["events"]:
-            self._end_run("whole")
+            self.end_run("whole")
             self._end_stream()
             return
         filler = order["id"].encode() + b" " + b"x" * order["event_bytes"]
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -28,7 +28,10 @@
 
 @dataclasses.dataclass
 class Run:
-    """A run of a request at an endpoint; ``how`` it ended, whole or lost."""
+    """A run of a request at an endpoint; ``how`` it ended.
+
+    That is whole, failed, lost (by its connection) or dropped (by a strike).
+    """
 
     request_id: str
     endpoint: str
@@ -90,7 +93,8 @@
         exited_s = self.exits.get(run.endpoint, math.inf)
         failed = frozenset({plan.Kind.FAIL})
         has_exited = run.began_s <= exited_s <= ended_s and run.how != "whole"
-        return has_exited or self.was_disturbed(run.began_s, ended_s, failed)
+        has_ended = has_exited or run.how == "dropped"
+        return has_ended or self.was_disturbed(run.began_s, ended_s, failed)
 
     def read_endpoint(self, name: str, log: pathlib.Path) -> None:
         """Add what an endpoint wrote of its runs and its end."""
--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -8,11 +8,14 @@
 import pydantic.dataclasses
 
 DOMAINS = "aabbcd"
+REGISTRIES = ("r1", "r2", "r3")
 SETTLE_S = 4.0
 """No strike comes earlier after the start of the callers."""
 SILENCE_S = 1.4
 GAPS_S = (0.5, 2.0, 6.0)
 """Between strikes; shorter than most of them last, so that they overlap."""
+DROPPED_S = 2.0
+MAX_DROPS = 3
 ALL_SHARE = 0.25
 """Share of stops and silences that strike all nodes or endpoints at once."""
 
@@ -28,6 +31,11 @@
     LEAVE = "leave"
     FAIL = "fail"
     LINK = "link"
+    DROP = "drop"
+
+
+_DRAWN = tuple(kind for kind in Kind if kind is not Kind.DROP)
+"""Kinds in series; drops are drawn apart."""
 
 
 @pydantic.dataclasses.dataclass(frozen=True)
@@ -35,7 +43,8 @@
     """One strike; its moment counts from the start of the callers.
 
     ``for_s`` is how long a pause, a silence or a fault of the store or of a
-    node's link to it lasts, or how long an endpoint that leaves serves on.
+    node's link to it lasts, how long an endpoint that leaves serves on, or
+    how long one that dropped its connections refuses new ones.
     ``how`` is the fault of the store, of a link or of an endpoint, or how an
     endpoint exits.
     """
@@ -119,6 +128,7 @@
     while at_s < lasts_s - 12:
         strikes.extend(_draw(chance, at_s, names, sources))
         at_s += chance.choice(GAPS_S)
+    strikes.extend(_draw_drops(seed, lasts_s, [*sources, *REGISTRIES]))
     return Plan(
         seed,
         nodes,
@@ -139,7 +149,7 @@
     at_s = round(at_s + chance.random(), 2)
     node, source = chance.choice(names), chance.choice(sources)
     for_s = round(chance.uniform(0.5, 4.0), 2)
-    kind = chance.choice((Kind.STOP, Kind.STOP, *Kind))
+    kind = chance.choice((Kind.STOP, Kind.STOP, *_DRAWN))
     if kind is Kind.STORE:
         how = chance.choice(("busy", "silent", "lost", "compacted"))
         return [Strike(at_s, kind, "store", for_s, how)]
@@ -155,12 +165,23 @@
         return [Strike(at_s, kind, source, 2.0 + for_s, how)]
     if kind is Kind.FAIL:
         how = chance.choice(("shed", "errors", "reset", "crossed"))
-        source = chance.choice((*sources, "r1", "r2", "r3"))
+        source = chance.choice((*sources, *REGISTRIES))
         return [Strike(at_s, kind, source, how=how, times=20)]
     struck = names if strikes_all and kind is Kind.STOP else [node]
     return [Strike(at_s, kind, name, for_s) for name in struck]
 
 
+def _draw_drops(seed: int, lasts_s: float, sources: list[str]) -> list[Strike]:
+    """Draw from a generator of their own, so that old seeds stay theirs."""
+    chance = random.Random(f"drops {seed}")
+    count = chance.randint(0, MAX_DROPS)
+    moments_s = [chance.uniform(SETTLE_S, lasts_s - 12) for _ in range(count)]
+    return [
+        Strike(round(at_s, 2), Kind.DROP, chance.choice(sources), DROPPED_S)
+        for at_s in moments_s
+    ]
+
+
 def stops_in_turn(
     seed: int,
     load: Load,
--- a/standins/fireflystandins/soak/system.py
+++ b/standins/fireflystandins/soak/system.py
@@ -212,6 +212,13 @@
         self._start_endpoint(strike.target, "speech", domain, name)
         return True
 
+    def _drop(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        is_done = self._order(strike, "drop", for_s=strike.for_s)
+        time.sleep(strike.for_s)
+        return is_done
+
     def _order(
         self, strike: plan.Strike, path: str, **fields: typing.Any
     ) -> bool:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -120,6 +120,7 @@
         ({"sent_s": 93.0}, {}, None, {}),
         ({"ended_s": 107.4}, {"ended_s": 107.3}, None, {}),
         ({}, {"how": "lost"}, None, {"s1": 101.0}),
+        ({}, {"how": "dropped"}, None, {}),
     ],
     ids=[
         "kill",
@@ -129,6 +130,7 @@
         "deadline",
         "late-work",
         "exited",
+        "dropped",
     ],
 )
 def test_lost_excuses(answer, run, strike, exits):
@@ -208,6 +210,40 @@
     assert len(_breaks(checks.Mixed(), _seen([_answer(**answer)]))) == 1
 
 
+# Guards against answers without a length that end early and look complete.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"body": _events(2)},
+        {"body": b""},
+        {"body": _events(2) + b"id: 3\nda"},
+        {"body": _events(3) + b"HTTP/1.1 200 X"},
+        {"route": "fetch", "body": b"answer to"},
+        {"route": "file", "body": b""},
+    ],
+    ids=["events", "no-event", "half-an-event", "more", "body", "no-body"],
+)
+@pytest.mark.parametrize("exits", [{}, {"s1": 101.0}], ids=["", "exited"])
+def test_mixed_speaks_of_a_success_that_is_not_whole(answer, exits):
+    runs = [_run(how="dropped", events=2)]
+    seen = _seen([_answer(**answer)], runs, exits=exits)
+    assert len(_breaks(checks.Mixed(), seen)) == 1
+
+
+@pytest.mark.parametrize("how", ["reset", "closed"])
+@pytest.mark.parametrize(
+    "answer", [{"body": _events(2)}, {"route": "fetch", "body": b"answer"}]
+)
+def test_mixed_allows_an_answer_that_visibly_ends_early(answer, how):
+    seen = _seen([_answer(how=how, **answer)])
+    assert _breaks(checks.Mixed(), seen) == []
+
+
+def test_mixed_allows_whole_answers():
+    whole = [_answer(), _answer("fetch", body=b"answer to c1")]
+    assert _breaks(checks.Mixed(), _seen(whole)) == []
+
+
 @pytest.mark.parametrize("route", ["stream", "file"])
 def test_twice_speaks_of_a_second_run(route):
     runs = [_run(), _run(endpoint="s2", began_s=100.0)]
--- a/tests/soak/test_endpoint.py
+++ b/tests/soak/test_endpoint.py
@@ -1,4 +1,4 @@
-"""Endpoints of the soak fall silent."""
+"""Endpoints of the soak fall silent, drop connections, give no length."""
 
 import json
 import socket
@@ -10,6 +10,8 @@
 
 from fireflystandins import local
 
+HEAD_END = b"\r\n\r\n"
+REFUSED_S = 0.5
 SILENCE_S = 0.3
 
 
@@ -69,3 +71,31 @@
     with _send(address, path, **order) as here:
         assert here.recv(9) == b"HTTP/1.1 "
     assert time.monotonic() - began_s >= SILENCE_S / 2
+
+
+def test_an_answer_without_a_length_comes_in_parts_and_ends_by_its_close(
+    address,
+):
+    began_s = time.monotonic()
+    here = _send(address, "/fetch/x", framed=False)
+    head, _, body = _read_all(here).partition(HEAD_END)
+    assert time.monotonic() - began_s >= 0.15
+    assert b"length" not in head.lower()
+    assert b"transfer-encoding" not in head.lower()
+    assert body == b"answer to c1"
+
+
+def test_a_drop_ends_answers_in_order_and_refuses_connections_for_a_while(
+    address,
+):
+    order = {"events": 50, "event_ms": 20, "event_bytes": 1, "framed": False}
+    stream = _send(address, "/stream/x", **order)
+    assert stream.recv(10, socket.MSG_PEEK)
+    dropped_s = time.monotonic()
+    _read_all(_send(address, "/drop", for_s=REFUSED_S))
+    body = _read_all(stream)
+    assert b"id: 1\n" in body
+    assert b"id: 50\n" not in body
+    assert not _connects(address)
+    local.wait_for("endpoint again", lambda: _connects(address))
+    assert time.monotonic() - dropped_s >= REFUSED_S
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -5,6 +5,12 @@
 
 from fireflystandins.soak import plan
 
+STRIKES_OF_SEED_0 = [
+    (4.84, "fail", "r2"),
+    (6.58, "stop", "node2"),
+    (12.8, "stop", "node5"),
+]
+
 
 def test_a_seed_gives_the_same_plan():
     assert plan.build(7) == plan.build(7)
@@ -32,3 +38,20 @@
     assert moments_s == sorted(moments_s)
     assert plan.SETTLE_S <= moments_s[0]
     assert moments_s[-1] < played.lasts_s
+
+
+def test_drops_leave_the_other_strikes_of_a_seed_as_they_were():
+    built = [plan.build(seed) for seed in range(20)]
+    drops = [
+        strike
+        for played in built
+        for strike in played.strikes
+        if strike.kind is plan.Kind.DROP
+    ]
+    assert {strike.target[0] for strike in drops} == {"s", "r"}
+    others = [
+        (strike.at_s, strike.kind.value, strike.target)
+        for strike in built[0].strikes
+        if strike.kind is not plan.Kind.DROP
+    ]
+    assert others[:3] == STRIKES_OF_SEED_0
