--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -1,6 +1,7 @@
 """Builds a gateway node from its settings and runs it until it stops."""
 
 import dataclasses
+import functools
 import socket
 import time
 import typing
@@ -46,6 +47,7 @@
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
 from fireflypulley.transport import listening
+from fireflypulley.transport import sockets
 
 TICK_INTERVAL_S = 0.25
 START_CHECK_INTERVAL_S = 0.01
@@ -473,9 +475,13 @@
         )
 
     def refuse_callers(self) -> None:
-        if self._caller_port is not None:
-            self._caller_port.stopListening()
-            self._caller_port = None
+        port, self._caller_port = self._caller_port, None
+        if port is not None:
+            # The reactor closes a port in its next turn, and resets those
+            # who connect in the meantime.
+            accept = functools.partial(sockets.accept_waiting, port)
+            self._reactor.callLater(0, background.guard(accept, loop="stop"))
+            port.stopListening()
         for caller in list(self._caller_connections):
             background.guard(caller.close_idle, loop="stop")()
 
