Let tunnels outlast a caller or endpoint that pauses

What callers saw: nothing measured with whole nodes. A caller behind a tunnel that pauses closes the window between the two nodes, and loses its answer by that.

Cause: TCP_USER_TIMEOUT (2.5 s) counts the time for which the window of the other side is closed. It was set for the streams of tunnels, where the connection to the endpoint that uses one sets it again, and for a carrier's connection to the endpoint.

Change: transport.peer_watch sets no user timeout and looks at TCP_INFO each 0.5 s, with the verdict that callers have. Tunnels set it after their user has set its options, with older peers too.

Looked over, not changed: streams between nodes (a window that closes there is a loop that stands still) and long polls keep the user timeout, rightly.

Evidence: with the options before, test_a_peer_that_pauses_gets_all (real sockets, 16 MiB, a pause of 4 s) is reset, and three tests of tests/gateway/test_tunnel_options.py find 2500 ms; the latter three failed on the code before, too. With the change all hold.

Run: tests of transport's sockets, tunnels, last bytes; real nodes: tests/processes/test_stranded_node.py, one run, green.

--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -17,7 +17,7 @@
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import dialing
-from fireflypulley.transport import sockets
+from fireflypulley.transport import peer_watch
 
 MAX_TUNNELS = 400
 """Each takes two descriptors of this node."""
@@ -26,8 +26,12 @@
 class _EndpointPipe(tunnels.Pipe):
     """The side of the endpoint."""
 
+    def __init__(self, reactor: interfaces.IReactorTime) -> None:
+        super().__init__()
+        self._reactor = reactor
+
     def connectionMade(self) -> None:
-        sockets.set_tcp_options(self.transport)
+        peer_watch.PeerWatch(self._reactor, self.transport)
 
 
 class _NodePipe(tunnels.Pipe):
@@ -156,7 +160,9 @@
             self._reactor, registration.address, pools.CONNECT_TIMEOUT_S
         )
         now_s = self._reactor.seconds
-        factory = protocol.Factory.forProtocol(_EndpointPipe)
+        factory = protocol.Factory.forProtocol(
+            lambda: _EndpointPipe(self._reactor)
+        )
         factory.noisy = False
         try:
             there = await endpoint.connect(factory)
@@ -178,5 +184,5 @@
         carries_for_s = self._carries_for_s() if self._is_stopping else None
         response = messages.TunnelResponse("", carries_for_s=carries_for_s)
         stream.send(response)
-        tunnel_transport.connect(stream, here)
+        tunnel_transport.connect(self._reactor, stream, here)
         here.join(there)
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -15,6 +15,7 @@
 
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
+from fireflypulley.transport import peer_watch
 
 FEATURE = "tunnel-messages"
 SINGLE_FEATURE = "tunnel-single"
@@ -29,6 +30,7 @@
 
 
 def connect(
+    reactor: interfaces.IReactorTime,
     stream: streams.NodeStream,
     user: protocol.Protocol,
     on_closing: _OnClosing = _ignore,
@@ -40,13 +42,18 @@
     Return whether the end of its connection is told by a message, which
     older nodes don't do.
     """
-    if not stream.supports(FEATURE):
+    socket_transport = stream.transport
+    tells_end = stream.supports(FEATURE)
+    if tells_end:
+        transport = TunnelTransport(stream, user, on_closing)
+        stream.set_owner(transport)
+        user.makeConnection(transport)
+    else:
         stream.hand_over(user)
-        return False
-    transport = TunnelTransport(stream, user, on_closing)
-    stream.set_owner(transport)
-    user.makeConnection(transport)
-    return True
+    # The user may have set the options of a connection to an endpoint; here
+    # the other side reads as slowly as a caller behind it.
+    peer_watch.PeerWatch(reactor, socket_transport)
+    return tells_end
 
 
 class TunnelTransport(streams.StreamOwner):
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -192,7 +192,7 @@
             connection.retire()
 
         tells_end = tunnel_transport.connect(
-            opened.stream, connection, closing
+            self._reactor, opened.stream, connection, closing
         )
         is_single = opened.left_s is not None
         return Tunnel(peer.node_id, tells_end, is_single)
