--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -120,7 +120,10 @@
             except (error.ConnectError, error.ConnectionClosed):
                 if not self._is_cut_off:
                     raise
-        return await self._connect_through_peer(needed_s)
+        try:
+            return await self._connect_through_peer(needed_s)
+        except tunnels.DirectAgain:
+            return await self._connect_directly()
 
     async def _connect_directly(self) -> outbound.EndpointConnection:
         self.opened += 1
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -5,6 +5,7 @@
 
 from fireflypulley.core.gateway import loads
 from fireflypulley.gateway import pools
+from fireflypulley.gateway import tunnels
 
 from ..core.gateway import builders
 from . import test_inbound
@@ -79,3 +80,21 @@
     system.remove_entry()
     system.return_entry()
     assert system.pool is not first
+
+
+class NoLongerNeeded(tunnels.TunnelSource):
+    """Finds that the direct way is open again."""
+
+    async def connect(self, key, connection, needed_s=0.0):
+        raise tunnels.DirectAgain(string="direct")
+
+
+# Guards against a request that waited for a peer and fails, as the direct way
+# opened before.
+def test_a_request_goes_directly_once_that_is_possible_again():
+    system = System()
+    system.connections.paths.tunnels = NoLongerNeeded()
+    for key in (system.pool._key, ("e2", 1)):
+        system.connections.paths.direct.note_direct(key, False, 0.0)
+    assert system.pool._is_cut_off
+    assert system.connect().is_usable
