--- a/tests/gateway/test_ambiguous_answers.py
+++ b/tests/gateway/test_ambiguous_answers.py
@@ -50,6 +50,16 @@
         assert not world.scheduler.loads.of(member).is_suspected(0.0)
 
 
+def test_the_only_endpoint_may_serve_the_repeat():
+    world = exchanges.World()
+    world.scheduler.fleet.remove("e2", 0.0, False)
+    first = _begin_unframed(world, True)
+    first.listener.response_head(200, list(exchanges.SEALED))
+    second = world.sent[-1]
+    assert second is not first
+    assert second.endpoint_id == first.endpoint_id
+
+
 @pytest.mark.parametrize("kind", list(document.RouteKind))
 def test_an_answer_on_an_unused_connection_is_taken(kind):
     world = exchanges.World(kind)
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -255,6 +255,32 @@
     assert endpoint.listener.failed is calls.Outcome.CUT
 
 
+# Guards against a tunnel that is lost as soon as it stands: that says nothing
+# of the endpoint, and so does not show that it goes on.
+def test_a_tunnel_that_is_lost_at_once_shows_nothing(endpoint):
+    endpoint.paths.tunnels = OnePeer()
+    before = set(endpoint.pool._open)
+    endpoint.lose(endpoint.connection)
+    endpoint.refuse(error.TCPTimedOutError())
+    (tunnel,) = set(endpoint.pool._open) - before
+    endpoint.lose(tunnel, error.ConnectionLost())
+    endpoint.settle()
+    assert endpoint.listener.failed is calls.Outcome.CUT
+    assert endpoint.paths.closes == {answer_ends.Doubt.LOST_AFTER: 1}
+
+
+# Guards against a doubt that this node brings about itself.
+def test_a_connection_that_the_node_closes_is_no_loss(endpoint):
+    other = endpoint.connect()
+    endpoint.pool.release(other)
+    other.abort()
+    endpoint.lose(other)
+    endpoint.lose(endpoint.connection)
+    endpoint.accept()
+    endpoint.settle()
+    assert endpoint.listener.ended
+
+
 def test_an_end_is_not_held_back_for_ever(endpoint):
     endpoint.lose(endpoint.connection)
     endpoint.reactor.advance(answer_ends.PROOF_TIMEOUT_S)
