--- a/tests/processes/test_early_ends.py
+++ b/tests/processes/test_early_ends.py
@@ -56,3 +56,28 @@
     verdict = checks.Lost().judge(seen)
     assert verdict.checked > 0
     assert [one.text for one in verdict.breaks] == []
+
+
+PARTS = plan.Load(
+    callers=25,
+    pause_s=0.1,
+    styles=("whole",),
+    routes=("fetch",),
+    unframed_share=0.5,
+)
+"""Half of the answers have no length and come in parts over 0.2 s."""
+
+
+# Guards against answers that look complete and are not: their endpoint ended
+# all its connections in order, as the system does for a killed process.
+def test_an_endpoint_that_drops_its_answers_gives_no_cut_success(tmp_path):
+    drops = [
+        plan.Strike(5.0 + 2.5 * number, plan.Kind.DROP, name, plan.DROPPED_S)
+        for number, name in enumerate(("r1", "r2", "r3", "r1", "r2", "r3"))
+    ]
+    played = plan.Plan(49, 2, 1, 22.0, PARTS, tuple(drops))
+    seen, _ = command.play(tmp_path, played)
+    assert len(seen.performed(plan.Kind.DROP)) == len(drops)
+    verdict = checks.Mixed().judge(seen)
+    assert verdict.checked > 0
+    assert [one.text for one in verdict.breaks] == []
