Replace no connection that an endpoint has reset at once

Found by reading the diff: a full endpoint resets each connection beyond its most, and the one beside answers without a length was opened again at every reset, for as long as such an answer lasts.

--- a/packages/gateway/src/fireflypulley/gateway/liveness.py
+++ b/packages/gateway/src/fireflypulley/gateway/liveness.py
@@ -8,11 +8,16 @@
 import collections.abc
 
 from twisted.internet import error
+from twisted.internet import interfaces
 
 from fireflypulley.gateway import background
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import outbound
 
+MIN_STOOD_S = 1.0
+"""One that was lost sooner is not replaced: an endpoint that is full may
+reset each new connection."""
+
 _Open = collections.abc.Callable[
     [], collections.abc.Awaitable[outbound.EndpointConnection]
 ]
@@ -27,14 +32,20 @@
     """
 
     def __init__(
-        self, endpoint_id: str, open_one: _Open, give_back: _GiveBack
+        self,
+        reactor: interfaces.IReactorTime,
+        endpoint_id: str,
+        open_one: _Open,
+        give_back: _GiveBack,
     ) -> None:
+        self._reactor = reactor
         self._endpoint_id = endpoint_id
         self._open_one = open_one
         self._give_back = give_back
         self._connection: outbound.EndpointConnection | None = None
         self._answering: set[outbound.EndpointConnection] = set()
         self._is_opening = False
+        self._opened_s = 0.0
 
     def begin(self, answering: outbound.EndpointConnection) -> None:
         """Keep a connection open at least until one has ended."""
@@ -46,7 +57,8 @@
         self._answering.discard(closed)
         if closed is self._connection:
             self._connection = None
-            self._open()
+            if self._reactor.seconds() >= self._opened_s + MIN_STOOD_S:
+                self._open()
         self._end_if_unneeded()
 
     def _open(self) -> None:
@@ -57,6 +69,7 @@
     async def _keep_one(self) -> None:
         try:
             self._connection = await self._open_one()
+            self._opened_s = self._reactor.seconds()
         except (error.ConnectError, error.ConnectionClosed) as problem:
             decision_log.note(
                 "liveness", endpoint=self._endpoint_id, problem=str(problem)
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -70,7 +70,7 @@
         self._open: set[outbound.EndpointConnection] = set()
         self._losses = answer_ends.ConnectionLosses()
         self._liveness = liveness.LivenessConnection(
-            key[0], self._acquire_any, self.release
+            reactor, key[0], self._acquire_any, self.release
         )
         self._checks = 0
         """How many connections show at this time whether it is alive."""
