--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -349,19 +349,7 @@
         if listener is None:
             return
         if isinstance(event, h11.Response):
-            headers = list(event.headers)
-            if stray_answers.is_joined(headers):
-                self._pool.count_unsolicited()
-                self._fail(calls.Outcome.GARBAGE, "two heads in one")
-                return
-            self._answer.note_head(event.status_code, headers)
-            if self._answer.is_unframed:
-                self._pool.begin_unframed(self)
-            self._note_keep_alive(headers)
-            self._stray_answers = stray_answers.StrayAnswerFinder(
-                self._request_ids
-            )
-            listener.response_head(event.status_code, headers)
+            self._handle_head(listener, event)
         elif isinstance(event, h11.InformationalResponse):
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
@@ -377,6 +365,23 @@
         elif isinstance(event, h11.ConnectionClosed):
             self._fail(calls.Outcome.CUT, "closed before a response")
 
+    def _handle_head(
+        self, listener: ResponseListener, event: h11.Response
+    ) -> None:
+        headers = list(event.headers)
+        if stray_answers.is_joined(headers):
+            self._pool.count_unsolicited()
+            self._fail(calls.Outcome.GARBAGE, "two heads in one")
+            return
+        self._answer.note_head(event.status_code, headers)
+        if self._answer.is_unframed:
+            self._pool.begin_unframed(self)
+        self._note_keep_alive(headers)
+        self._stray_answers = stray_answers.StrayAnswerFinder(
+            self._request_ids
+        )
+        listener.response_head(event.status_code, headers)
+
     def _handle_body(self, listener: ResponseListener, data: bytes) -> None:
         if self._stray_answers.feed(data):
             self._pool.count_unsolicited()
