--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -75,3 +75,17 @@
                 self._stopping.set()
         for one in running:
             one.result()
+
+
+def call_once(node, request_id, path):
+    """Return the status and the body, 0 if there is no whole answer."""
+    connection = http.client.HTTPConnection(node.callers, timeout=5)
+    fields = gateways.caller_headers(request_id, "key-court", 3000)
+    try:
+        connection.request("POST", path, b"3", fields)
+        reply = connection.getresponse()
+        return reply.status, reply.read()
+    except (OSError, http.client.HTTPException):
+        return 0, b""
+    finally:
+        connection.close()
--- a/tests/processes/test_endpoint_ends.py
+++ b/tests/processes/test_endpoint_ends.py
@@ -1,7 +1,6 @@
 """Answers that end with their connection, while their endpoints end."""
 
 import concurrent.futures
-import http.client
 import threading
 import time
 
@@ -9,26 +8,14 @@
 
 from fireflystandins import gateways
 
+from . import callers
+
 pytestmark = pytest.mark.processes
 
 CALLERS = 12
 ROUNDS = 3
 
 
-def _call(node, request_id, path):
-    """Return the status and the body, 0 if there is no whole answer."""
-    connection = http.client.HTTPConnection(node.callers, timeout=5)
-    fields = gateways.caller_headers(request_id, "key-court", 3000)
-    try:
-        connection.request("POST", path, b"3", fields)
-        reply = connection.getresponse()
-        return reply.status, reply.read()
-    except (OSError, http.client.HTTPException):
-        return 0, b""
-    finally:
-        connection.close()
-
-
 def _is_wrong(request_id, answer):
     status, body = answer
     return status == 200 and body != b"answer to " + request_id.encode()
@@ -39,7 +26,7 @@
     answers = {}
     while not stopped.is_set():
         request_id = f"caller-{caller}-{len(answers)}"
-        answers[request_id] = _call(node, request_id, path)
+        answers[request_id] = callers.call_once(node, request_id, path)
     return answers
 
 
@@ -98,10 +85,10 @@
         system.wait_ready()
         wrong = []
         for number in range(6):
-            assert _call(node, f"first-{number}", path)[0] == 200
+            assert callers.call_once(node, f"first-{number}", path)[0] == 200
             system.set_faults(replica.address, mode=mode, times=1)
             request_id = f"next-{number}"
-            answer = _call(node, request_id, path)
+            answer = callers.call_once(node, request_id, path)
             if _is_wrong(request_id, answer):
                 wrong.append(answer)
         runs = [run["id"] for run in system.all_runs()]
