Log which run gave which events of a stream

`events_from` lists the runs with their first and last event, `caller_has` is the caller's Last-Event-Id. How the end was told stands there already (`framing`). No decision depends on it.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -89,6 +89,7 @@
 
     def _begin(self, run: runs.Run) -> None:
         part = self._relay.start_attempt()
+        self._record.run_parts.append(record.RunPart(run, part))
         begun = attempt.Attempt(
             self._dependencies, self, self._incoming, run, part
         )
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -9,6 +9,7 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import metrics
+from fireflypulley.gateway import relay
 
 _REFUSED_BY_ROWS = frozenset(
     {
@@ -19,6 +20,14 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunPart:
+    """A run of a request, and the part of the answer that came from it."""
+
+    run: runs.Run
+    part: relay.Part
+
+
 @dataclasses.dataclass(slots=True)
 class RequestRecord:
     """What is known of a request so far."""
@@ -27,6 +36,8 @@
     metadata: calls.RequestMetadata = calls.RequestMetadata()
     request: calls.AdmittedRequest | None = None
     last_run: runs.Run | None = None
+    run_parts: list[RunPart] = dataclasses.field(default_factory=list)
+    """The runs in the order in which they began."""
     through: str = ""
     """The node that the last attempt was sent through, "" if direct."""
     answer_end: answer_ends.AnswerEnd | None = None
@@ -99,6 +110,7 @@
             took_ms=_ms(took_s),
             nodes_alive=node_scheduler.nodes_alive,
             **self._last_choice(),
+            **self._event_fields(),
             **self._end_fields(),
             **self._delivery_fields(now_s),
             **_rows_age(result, node_scheduler, now_s),
@@ -118,6 +130,25 @@
             fields["first_event_ms"] = _ms(run.first_event_s - run.began_s)
         return fields | self._through() | _limit_fields(run)
 
+    def _event_fields(self) -> dict[str, object]:
+        """Return which run gave which events, and where the caller stood."""
+        fields: dict[str, object] = {}
+        if self.metadata.last_event_id is not None:
+            fields["caller_has"] = self.metadata.last_event_id
+        sources = [
+            {
+                "endpoint": one.run.member.endpoint_id,
+                "first": one.part.first_event_id,
+                "last": one.part.last_event_id,
+                "events": one.part.event_count,
+            }
+            for one in self.run_parts
+            if one.part.event_count
+        ]
+        if sources:
+            fields["events_from"] = sources
+        return fields
+
     def _end_fields(self) -> dict[str, object]:
         """Return how the end of the endpoint's answer was told."""
         end = self.answer_end
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -26,7 +26,12 @@
 
 
 class Part:
-    """What has arrived of one attempt's answer and was not sent yet."""
+    """What has arrived of one attempt's answer and was not sent yet.
+
+    ``first_event_id`` and ``last_event_id`` are those of the events that
+    the caller was sent of it, None without any; ``event_count`` counts
+    them, without comments.
+    """
 
     def __init__(self) -> None:
         self.status = 0
@@ -35,6 +40,18 @@
         self.held_bytes = 0
         self.splitter = events.EventSplitter()
         self.has_events = False
+        self.first_event_id: int | None = None
+        self.last_event_id: int | None = None
+        self.event_count = 0
+
+    def note_event(self, event: events.Event) -> None:
+        """Record an event that the caller gets."""
+        self.event_count += not event.is_comment
+        if event.event_id is None:
+            return
+        if self.first_event_id is None:
+            self.first_event_id = event.event_id
+        self.last_event_id = event.event_id
 
     @property
     def is_framed(self) -> bool:
@@ -223,6 +240,7 @@
         elif not event.is_comment:
             self._has_unnumbered = True
         self.event_count += not event.is_comment
+        self._part.note_event(event)
         self._part.hold(event.data)
 
     def _flush(self) -> None:
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -130,7 +130,9 @@
 class World:
     """An exchange of one request with two endpoints."""
 
-    def __init__(self, kind=document.RouteKind.IDEMPOTENT, **fields):
+    def __init__(
+        self, kind=document.RouteKind.IDEMPOTENT, caller_fields=(), **fields
+    ):
         config = builders.a_document(builders.route(kind, **fields))
         self.clock = task.Clock()
         self.scheduler = builders.a_scheduler(
@@ -178,7 +180,7 @@
         request = inbound.IncomingRequest(
             b"POST",
             b"/a/x",
-            [(b"host", b"h"), (b"x-request-id", b"q1")],
+            [(b"host", b"h"), (b"x-request-id", b"q1"), *caller_fields],
             0.0,
             b"body",
         )
