Show a number that goes back after a caller has come back

Real processes, a route whose streams may be resumed, a caller that has event 3 and asks for the rest.

--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -35,6 +35,10 @@
 CUT_COPY_BYTES = len("HTTP/")
 """Of a second answer that is cut off inside its head."""
 STREAM_PREFIXES = ("/stream/", "/resumed/")
+RESUME_OFFSETS = {"goes-on-behind": -2, "goes-on-ahead": 2}
+"""By how many events a run goes on too early or too late, by fault."""
+GOES_ON_ANEW = "goes-on-anew"
+"""The fault of a run that goes on with the first event of all."""
 _Fields = dict[str, str]
 
 
@@ -354,7 +358,10 @@
         self._is_chunked = not fault.startswith("unframed")
         self._write_head(identity_fields)
         cut_after = total // 2 if fault.endswith("cut") else None
-        event_ids = iter(range(last_event_id + 1, total + 1))
+        first_event_id = last_event_id + 1 + RESUME_OFFSETS.get(fault, 0)
+        if fault == GOES_ON_ANEW:
+            first_event_id = 1
+        event_ids = iter(range(first_event_id, total + 1))
 
         def send_next_event() -> None:
             if time.monotonic() < self._replica.silent_until_s:
