Pass on no run that does not follow the event the caller has

Callers who came back with Last-Event-Id after event 3 got events 1 to 6, 2 to 6 or 6 alone, in an answer that looked whole: a number went back, or two were missing. What a run begins with was compared with the events of the same answer only, so the first event of an answer was believed whatever its number. The caller's Last-Event-Id was decoded and read nowhere.

On a route that may be resumed the first event of an answer now has to follow the one that the caller has. A run that does anything else is garbage: another one follows if the budget and the attempts allow it, else the caller gets 502, for a run may be under way.

--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -57,6 +57,8 @@
             return
         self._record.request = admitted
         self._relay.is_stream = admitted.route.is_stream
+        if admitted.route.resumable:
+            self._relay.caller_has = self._record.metadata.last_event_id
         left_s = admitted.deadline_s - self._now_s()
         self._timer = self._dependencies.reactor.callLater(
             max(0.0, left_s), self.timed_out
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -94,6 +94,8 @@
         comments are held until an event decides."""
         self.is_stream = False
         self.head_sent = False
+        self.caller_has: int | None = None
+        """The event that the caller asks to go on after, None if none."""
         self.last_event_id: int | None = None
         self.event_count = 0
         """The events, without comments, that the caller was sent."""
@@ -226,11 +228,18 @@
             return "ended before an event"
         return ""
 
+    @property
+    def _followed_id(self) -> int | None:
+        """Return the event that the next one has to follow, None if any."""
+        if self.last_event_id is None:
+            return self.caller_has
+        return self.last_event_id
+
     def _queue(self, event: events.Event) -> None:
         self._comments = self._comments + 1 if event.is_comment else 0
         if self._comments > events.MAX_COMMENTS:
             raise InvalidStream("comments without end")
-        last_id, new_id = self.last_event_id, event.event_id
+        last_id, new_id = self._followed_id, event.event_id
         if new_id is not None:
             if last_id is not None and new_id != last_id + 1:
                 raise InvalidStream(f"event {new_id} after {last_id}")
--- /dev/null
+++ b/tests/gateway/test_caller_resumes.py
@@ -0,0 +1,103 @@
+"""Callers that come back and ask for the events after their last one."""
+
+import pytest
+
+from fireflypulley.core.gateway import calls
+
+from . import exchanges
+
+HAS = 3
+WRONG_FIRST_IDS = [1, 2, 3, 5, 6]
+
+
+def _events(*numbers):
+    return b"".join(b"id: %d\ndata: x\n\n" % one for one in numbers)
+
+
+def _world(**fields):
+    has = [(b"last-event-id", b"%d" % HAS)]
+    options = {"resumable": True, "max_attempts": 2} | fields
+    return exchanges.World(exchanges.STREAM, has, **options)
+
+
+def _begin_answer(sent, data):
+    sent.listener.response_head(200, list(exchanges.SEALED))
+    sent.listener.response_data(data)
+
+
+# Guards against event numbers that go back, or skip some, in an answer that
+# looks whole: the first event was compared with no other.
+@pytest.mark.parametrize("number", WRONG_FIRST_IDS)
+def test_a_run_that_does_not_go_on_after_the_callers_event_is_no_answer(
+    number,
+):
+    world = _world()
+    first = world.begin()
+    _begin_answer(first, _events(number))
+    assert first.aborted
+    assert world.sink.body == b""
+    second = world.sent[-1]
+    assert second.endpoint_id != first.endpoint_id
+    exchanges.answer(second, body=_events(4, 5))
+    assert (world.sink.status, world.sink.state) == (200, "whole")
+    assert world.sink.body == _events(4, 5)
+    assert world.finished()
+
+
+@pytest.mark.parametrize("number", WRONG_FIRST_IDS)
+def test_a_caller_whose_runs_all_go_on_wrongly_gets_no_event(number):
+    world = _world()
+    _begin_answer(world.begin(), _events(number))
+    _begin_answer(world.sent[-1], _events(number))
+    assert world.sink.status == 502
+    assert world.sink.body == b""
+    assert len(world.sent) == 2
+    assert world.scheduler.outcomes[calls.Outcome.GARBAGE] == 2
+
+
+def test_an_event_without_an_id_does_not_follow_the_callers_event():
+    world = _world(max_attempts=1)
+    _begin_answer(world.begin(), b"data: x\n\n")
+    assert world.sink.status == 502
+
+
+def test_comments_before_the_first_event_are_passed_on():
+    world = _world()
+    exchanges.answer(world.begin(), body=b": ping\n\n" + _events(4))
+    assert world.sink.body == b": ping\n\n" + _events(4)
+    assert world.sink.state == "whole"
+
+
+def test_a_run_that_goes_on_is_followed_by_one_after_its_last_event():
+    world = _world()
+    first = world.begin()
+    _begin_answer(first, _events(4, 5))
+    first.listener.response_failed(calls.Outcome.CUT, "test")
+    second = world.sent[-1]
+    assert second.headers[b"last-event-id"] == b"5"
+    exchanges.answer(second, body=_events(6))
+    assert world.sink.body == _events(4, 5, 6)
+    assert world.sink.state == "whole"
+
+
+def test_a_run_without_events_is_whole_for_a_caller_that_has_all():
+    world = _world()
+    chunked = (b"transfer-encoding", b"chunked")
+    exchanges.answer(
+        world.begin(), body=b"", headers=[*exchanges.SEALED, chunked]
+    )
+    assert (world.sink.status, world.sink.state) == (200, "whole")
+
+
+def test_a_route_that_may_not_go_on_begins_with_any_event():
+    world = _world(resumable=False, max_attempts=1)
+    exchanges.answer(world.begin(), body=_events(1, 2))
+    assert world.sink.body == _events(1, 2)
+    assert world.sink.state == "whole"
+
+
+def test_an_endpoint_is_asked_to_go_on_in_the_callers_words():
+    world = exchanges.World(
+        exchanges.STREAM, [(b"last-event-id", b"003")], resumable=True
+    )
+    assert world.begin().headers[b"last-event-id"] == b"003"
