End no stream that lacks an event a run had begun to send

A stream broke off inside an event, or fell silent there; the run that went on had no events and ended in chunks, and the caller got an answer that looked whole and lacked the rest. The end of a run was believed by its framing and by its own events; what the run before had shown was forgotten.

The relay now remembers that a part of the next event had arrived from a run that broke off or is late, until an event is passed on. An end without one is a cut: a late run is waited for, another one follows if it may, else the caller's answer is cut or is 502. Garbage after the last event shows nothing and does not count.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -304,6 +304,9 @@
         if sent is self.failed:
             sent.is_complete = True
             return
+        for other in self._under_way:
+            if other is not sent:
+                self._relay.note_unfinished(other.part)
         problem = self._relay.find_end_problem(sent.part)
         if problem:
             self._end_attempt(sent, calls.Outcome.CUT, problem)
@@ -333,6 +336,8 @@
         """End an attempt, and go on with another one if there may be one."""
         if self._relay.is_finished or ended not in self._under_way:
             return
+        if outcome is calls.Outcome.CUT:
+            self._relay.note_unfinished(ended.part)
         if outcome is not calls.Outcome.AMBIGUOUS:
             # A new connection to the same endpoint will do.
             self._chooser.excluded |= {ended.key}
--- a/packages/gateway/src/fireflypulley/gateway/events.py
+++ b/packages/gateway/src/fireflypulley/gateway/events.py
@@ -24,8 +24,7 @@
     @property
     def is_comment(self) -> bool:
         """Return whether the event holds nothing but comments."""
-        lines = self.data.split(b"\n")
-        return all(not line or line.startswith(b":") for line in lines)
+        return _is_comment(self.data)
 
 
 class EventSplitter:
@@ -46,6 +45,11 @@
         """Return the number of bytes after the last complete event."""
         return len(self._remainder)
 
+    @property
+    def has_begun_event(self) -> bool:
+        """Return whether a part of an event has arrived, not a comment's."""
+        return not _is_comment(self._remainder)
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that they complete.
 
@@ -65,6 +69,12 @@
         return complete
 
 
+def _is_comment(data: bytes | bytearray) -> bool:
+    """Return whether no line belongs to an event."""
+    lines = data.split(b"\n")
+    return all(not line or line.startswith(b":") for line in lines)
+
+
 def _parse_event(data: bytes) -> Event:
     for line in data.split(b"\n"):
         name, _, value = line.partition(b":")
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -88,6 +88,9 @@
         self._content_type = b""
         self._has_unnumbered = False
         self._comments = 0
+        self._begun_after: int | None = None
+        """How many events the caller had when a part of the next arrived
+        from a run that gave no more, None if that never was."""
         self._part = Part()
         self.is_contested = False
         """Whether another attempt may still serve the caller, so that
@@ -214,6 +217,11 @@
         if self._part.held and (has_event or not self.is_contested):
             self._flush()
 
+    def note_unfinished(self, part: Part) -> None:
+        """Record that a run has not sent all, as far as its events show."""
+        if self.is_event_stream(part) and part.splitter.has_begun_event:
+            self._begun_after = self.event_count
+
     def find_end_problem(self, part: Part) -> str:
         """Return why an answer that has ended was broken off, or "".
 
@@ -226,6 +234,8 @@
             return "ended inside an event"
         if not (part.has_events or part.is_framed):
             return "ended before an event"
+        if self._begun_after == self.event_count:
+            return "ended before an event that had begun"
         return ""
 
     @property
--- /dev/null
+++ b/tests/gateway/test_lost_events.py
@@ -0,0 +1,91 @@
+"""Runs that go on with no event although one is known to be missing."""
+
+import pytest
+
+from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import response_watchdog
+
+from . import exchanges
+
+CHUNKED = [*exchanges.SEALED, (b"transfer-encoding", b"chunked")]
+BEGUN = [b"id: 3", b"id: 3\nda", b"data: x\n", b": ping\nid: 3\n"]
+NOT_BEGUN = [b"", b"\n", b": ping\n", b": pi"]
+
+
+def _events(*numbers):
+    return b"".join(b"id: %d\ndata: x\n\n" % one for one in numbers)
+
+
+def _cut_after(rest):
+    """Return a world whose first run ended with bytes of no whole event."""
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=3)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2) + rest)
+    first.listener.response_failed(calls.Outcome.CUT, "test")
+    return world
+
+
+# Guards against a stream that looks whole without its last events: the run
+# that should have sent them had none, though one had begun to arrive before.
+@pytest.mark.parametrize("rest", BEGUN)
+def test_a_run_without_events_does_not_end_a_stream_that_lacks_one(rest):
+    world = _cut_after(rest)
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert world.sink.state != "whole"
+    assert world.sink.body == _events(1, 2)
+
+
+@pytest.mark.parametrize("rest", BEGUN)
+def test_a_run_with_the_events_that_were_missing_ends_the_stream(rest):
+    world = _cut_after(rest)
+    exchanges.answer(world.sent[-1], body=_events(3, 4), headers=CHUNKED)
+    assert world.sink.state == "whole"
+    assert world.sink.body == _events(1, 2, 3, 4)
+
+
+@pytest.mark.parametrize("rest", NOT_BEGUN)
+def test_a_run_without_events_ends_a_stream_that_lacks_none(rest):
+    world = _cut_after(rest)
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert world.sink.state == "whole"
+
+
+def test_an_event_that_had_begun_before_the_first_is_missing_too():
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(b"id: 1\nda")
+    first.listener.response_failed(calls.Outcome.CUT, "test")
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert world.sink.status == 502
+
+
+# Guards against the same where the first run is only late: it may go on.
+def test_a_late_run_that_has_begun_an_event_is_waited_for():
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1) + b"id: 2\nda")
+    world.scheduler.loads.of(
+        world.scheduler.fleet.get(first.endpoint_id)
+    ).note_activity(0.0)
+    world.clock.advance(response_watchdog.STREAM_TIMEOUT_S + 0.01)
+    second = world.sent[-1]
+    assert second is not first
+    exchanges.answer(second, body=b"", headers=CHUNKED)
+    assert world.sink.state == "open"
+    first.listener.response_data(b"ta: x\n\n")
+    first.listener.response_end()
+    assert world.sink.body == _events(1) + b"id: 2\ndata: x\n\n"
+    assert world.sink.state == "whole"
+
+
+# What is no event shows nothing of the events before it.
+def test_garbage_after_the_last_event_does_not_count_as_a_begun_one():
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1) + b"oops\n\nmore")
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert world.sink.state == "whole"
