End an event at a blank line however its lines end

An endpoint that ends one event with LF CRLF and the next with LF LF sent two events in what the relay took for one, with the id of the first. When such a stream went on elsewhere, it went on after the first, so that the second came twice; elsewhere it broke at the third. Streams with CRLF or CR throughout never had a whole event and failed at their end.

Lines end in LF, CRLF or CR, also in turns, as in the HTML standard, and of several ids of an event the last one counts, as callers read it.

Failed before: 32 cases of line ends and the one of two ids in tests/gateway/test_events.py (33 of 56); all pass with it, in pieces of 1, 2, 3 and 1,000 bytes. Found by reading and by these tests, not met in a run.

--- a/packages/gateway/src/fireflypulley/gateway/events.py
+++ b/packages/gateway/src/fireflypulley/gateway/events.py
@@ -1,6 +1,7 @@
 """Splits a stream of server-sent events."""
 
 import dataclasses
+import re
 
 MAX_ID_DIGITS = 18
 MAX_EVENT_BYTES = 65536
@@ -11,7 +12,11 @@
 relation to what it sends."""
 MAX_COMMENTS = 1024
 """More comments and blank events in a row are no stream."""
-_EVENT_END = b"\n\n"
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
+"""A blank line; lines end in any of the three ways, also in turns."""
+_MAX_END_BYTES = 4
+_LINES = re.compile(rb"\r\n|\n|\r")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,15 +60,14 @@
 
         What was searched before is not searched again.
         """
-        searched = max(0, len(self._remainder) - 1)
+        searched = max(0, len(self._remainder) - _MAX_END_BYTES + 1)
         self._remainder += data
         complete = []
         start = 0
-        while (end := self._remainder.find(_EVENT_END, searched)) >= 0:
-            searched = end + len(_EVENT_END)
-            block = bytes(self._remainder[start:searched])
+        for end in _EVENT_END.finditer(self._remainder, searched):
+            block = bytes(self._remainder[start : end.end()])
             complete.append(_parse_event(block))
-            start = searched
+            start = end.end()
         del self._remainder[:start]
         self.pieces = 0 if complete else self.pieces + 1
         return complete
@@ -71,16 +75,18 @@
 
 def _is_comment(data: bytes | bytearray) -> bool:
     """Return whether no line belongs to an event."""
-    lines = data.split(b"\n")
+    lines = _LINES.split(data)
     return all(not line or line.startswith(b":") for line in lines)
 
 
 def _parse_event(data: bytes) -> Event:
-    for line in data.split(b"\n"):
+    """Return an event; of several ids the last one counts."""
+    event_id = None
+    for line in _LINES.split(data):
         name, _, value = line.partition(b":")
         text = value.strip()
         if name != b"id" or len(text) > MAX_ID_DIGITS:
             continue
         if text.isdigit():
-            return Event(data, int(text))
-    return Event(data, None)
+            event_id = int(text)
+    return Event(data, event_id)
