Read a node's memory and descriptors, and count what it holds

The settings file names memory-mb and max-fds; both were ignored. They become NodeLimits, which says how much a node may hold for callers and endpoints and how many callers it keeps. MemoryBudget counts what is held, by use, and lets the holder that costs most (bytes times the time without progress) give up when it is too much.

--- /dev/null
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -0,0 +1,119 @@
+"""The memory that a node holds for callers and endpoints.
+
+Whatever was read from one side and not yet taken by the other is counted
+here, in either direction.  When it is too much, the holder that costs most
+and moves least gives up first.
+"""
+
+import abc
+import collections
+import enum
+
+from twisted.internet import interfaces
+
+SCARCE_SHARE = 0.5
+"""Of the bound; beyond it holders keep no more than they need to go on."""
+MIN_IDLE_S = 0.1
+"""So that of holders that have just moved the largest gives up first."""
+
+
+class Use(enum.Enum):
+    """What memory is held for."""
+
+    CONNECTION = "connection"
+    UPLOAD = "upload"
+    """Of a request that is still being read."""
+    REQUEST = "request"
+    """The body of a request under way, which may be sent again."""
+    ANSWER = "answer"
+    """A part of an answer that no caller was sent yet."""
+    CALLER = "caller"
+    """What waits for a caller that reads slowly."""
+    TUNNEL = "tunnel"
+
+
+class Holder(abc.ABC):
+    """Something that holds memory.
+
+    ``held_bytes`` is how much, and ``moved_s`` when some of it last moved
+    on, in the time of the reactor.
+    """
+
+    held_bytes: int = 0
+    moved_s: float = 0.0
+
+    @abc.abstractmethod
+    def give_up(self) -> None:
+        """Release what is held, as the node needs the memory.
+
+        What is released later counts as gone already; the holder is not
+        asked again.
+        """
+
+
+class MemoryBudget:
+    """Counts what all holders of a node hold, and keeps it within a bound."""
+
+    def __init__(
+        self, reactor: interfaces.IReactorTime, bound_bytes: int
+    ) -> None:
+        self._reactor = reactor
+        self.bound_bytes = bound_bytes
+        self.used_bytes: collections.Counter[Use] = collections.Counter()
+        self.given_up = 0
+        """How many holders had to give up."""
+        self._holders: set[Holder] = set()
+        self._ending: set[Holder] = set()
+        """Those that gave up and have not released all yet."""
+        self._total_bytes = 0
+        self._ending_bytes = 0
+
+    @property
+    def total_bytes(self) -> int:
+        """Return what all holders hold that go on."""
+        return self._total_bytes - self._ending_bytes
+
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether no more should be held than is needed."""
+        return self.total_bytes > self.bound_bytes * SCARCE_SHARE
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Return whether so much more may be held."""
+        return self.total_bytes + size_bytes <= self.bound_bytes
+
+    def hold(self, holder: Holder, use: Use, size_bytes: int) -> None:
+        """Count bytes that a holder keeps; let others give up if needed."""
+        self._change(holder, use, size_bytes)
+        if holder not in self._ending:
+            self._holders.add(holder)
+        while self.total_bytes > self.bound_bytes and self._holders:
+            self._let_costliest_give_up()
+
+    def release(self, holder: Holder, use: Use, size_bytes: int) -> None:
+        """Count bytes that a holder no longer keeps."""
+        self._change(holder, use, -size_bytes)
+        if not holder.held_bytes:
+            self._holders.discard(holder)
+            self._ending.discard(holder)
+
+    def _change(self, holder: Holder, use: Use, size_bytes: int) -> None:
+        holder.held_bytes += size_bytes
+        holder.moved_s = self._reactor.seconds()
+        self.used_bytes[use] += size_bytes
+        self._total_bytes += size_bytes
+        if holder in self._ending:
+            self._ending_bytes += size_bytes
+
+    def _let_costliest_give_up(self) -> None:
+        costliest = max(self._holders, key=self._cost)
+        self._holders.discard(costliest)
+        self._ending.add(costliest)
+        self._ending_bytes += costliest.held_bytes
+        self.given_up += 1
+        costliest.give_up()
+
+    def _cost(self, holder: Holder) -> float:
+        """Return bytes times the seconds for which they have not moved."""
+        idle_s = self._reactor.seconds() - holder.moved_s
+        return holder.held_bytes * max(MIN_IDLE_S, idle_s)
--- a/packages/gateway/src/fireflypulley/gateway/settings.py
+++ b/packages/gateway/src/fireflypulley/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from fireflypulley.core.gateway import bounds
 from fireflypulley.core.gateway import caller_ends
+from fireflypulley.core.gateway import node_limits
 from fireflypulley.core.gateway import peer_registry
 
 
@@ -36,3 +37,4 @@
     usage_delay_s: float | None
     scales_replicas: bool
     caller_bounds: caller_ends.CallerBounds = caller_ends.CallerBounds()
+    limits: node_limits.NodeLimits = node_limits.NodeLimits()
--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fireflypulley.core import findings
+from fireflypulley.core.gateway import node_limits
 
 BOOT = {
     "node-name": "edge-a-1",
@@ -78,3 +79,20 @@
 def test_a_missing_file_is_reported(tmp_path):
     with pytest.raises(findings.InvalidInput, match=r"gone\.json"):
         boot.load(tmp_path / "gone.json")
+
+
+def test_the_limits_of_the_machine_become_those_of_the_node(tmp_path):
+    limits = {"limits": {"memory-mb": 300, "max-fds": 4100, "cpu-quota": 0.5}}
+    node = _load(tmp_path, BOOT | limits).node
+    assert node.limits.memory_bytes == 300 << 20
+    assert node.limits.descriptors == 4100
+
+
+def test_a_machine_that_names_no_limits_gets_the_defaults(tmp_path):
+    node = _load(tmp_path, BOOT | {"limits": {"disk-mb": 0}}).node
+    assert node.limits == node_limits.NodeLimits()
+
+
+def test_a_memory_of_nothing_is_reported(tmp_path):
+    with pytest.raises(findings.InvalidInput):
+        _load(tmp_path, BOOT | {"limits": {"memory-mb": 0}})
