Keep the numbers of a run's events, not what was held of it

The record of a request kept the parts of all its attempts until the caller had taken the answer, to log which events came from which run. With them it kept what was held of attempts that were dropped, up to 1 MiB for each failure that another attempt followed.

The record now keeps the first and last number and the count.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -89,7 +89,7 @@
 
     def _begin(self, run: runs.Run) -> None:
         part = self._relay.start_attempt()
-        self._record.run_parts.append(record.RunPart(run, part))
+        self._record.run_events.append(record.RunEvents(run, part.sent_events))
         begun = attempt.Attempt(
             self._dependencies, self, self._incoming, run, part
         )
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -21,11 +21,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RunPart:
-    """A run of a request, and the part of the answer that came from it."""
+class RunEvents:
+    """A run of a request, and the events of the answer that it gave."""
 
     run: runs.Run
-    part: relay.Part
+    events: relay.SentEvents
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,7 +36,7 @@
     metadata: calls.RequestMetadata = calls.RequestMetadata()
     request: calls.AdmittedRequest | None = None
     last_run: runs.Run | None = None
-    run_parts: list[RunPart] = dataclasses.field(default_factory=list)
+    run_events: list[RunEvents] = dataclasses.field(default_factory=list)
     """The runs in the order in which they began."""
     through: str = ""
     """The node that the last attempt was sent through, "" if direct."""
@@ -138,12 +138,12 @@
         sources = [
             {
                 "endpoint": one.run.member.endpoint_id,
-                "first": one.part.first_event_id,
-                "last": one.part.last_event_id,
-                "events": one.part.event_count,
+                "first": one.events.first_id,
+                "last": one.events.last_id,
+                "events": one.events.count,
             }
-            for one in self.run_parts
-            if one.part.event_count
+            for one in self.run_events
+            if one.events.count
         ]
         if sources:
             fields["events_from"] = sources
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -25,14 +25,31 @@
     """Raised for bytes that can't continue the stream."""
 
 
-class Part:
-    """What has arrived of one attempt's answer and was not sent yet.
+class SentEvents:
+    """The events that the caller was sent of one attempt's answer.
 
-    ``first_event_id`` and ``last_event_id`` are those of the events that
-    the caller was sent of it, None without any; ``event_count`` counts
-    them, without comments.
+    ``first_id`` and ``last_id`` are None without any numbered one;
+    ``count`` does not include comments.
     """
 
+    def __init__(self) -> None:
+        self.first_id: int | None = None
+        self.last_id: int | None = None
+        self.count = 0
+
+    def note(self, event: events.Event) -> None:
+        """Record an event that the caller gets."""
+        self.count += not event.is_comment
+        if event.event_id is None:
+            return
+        if self.first_id is None:
+            self.first_id = event.event_id
+        self.last_id = event.event_id
+
+
+class Part:
+    """What has arrived of one attempt's answer and was not sent yet."""
+
     def __init__(self) -> None:
         self.status = 0
         self.headers: header_codec.Headers = []
@@ -40,18 +57,7 @@
         self.held_bytes = 0
         self.splitter = events.EventSplitter()
         self.has_events = False
-        self.first_event_id: int | None = None
-        self.last_event_id: int | None = None
-        self.event_count = 0
-
-    def note_event(self, event: events.Event) -> None:
-        """Record an event that the caller gets."""
-        self.event_count += not event.is_comment
-        if event.event_id is None:
-            return
-        if self.first_event_id is None:
-            self.first_event_id = event.event_id
-        self.last_event_id = event.event_id
+        self.sent_events = SentEvents()
 
     @property
     def is_framed(self) -> bool:
@@ -259,7 +265,7 @@
         elif not event.is_comment:
             self._has_unnumbered = True
         self.event_count += not event.is_comment
-        self._part.note_event(event)
+        self._part.sent_events.note(event)
         self._part.hold(event.data)
 
     def _flush(self) -> None:
--- a/tests/gateway/test_event_sources.py
+++ b/tests/gateway/test_event_sources.py
@@ -1,5 +1,8 @@
 """The log says which run gave which events of a caller's stream."""
 
+import gc
+import weakref
+
 import pytest
 
 from fireflypulley.core.gateway import calls
@@ -62,3 +65,19 @@
     )
     (line,) = ends
     assert "events_from" not in line
+
+
+# Guards against a node that keeps what it held of a failed attempt until the
+# caller has read the whole answer of another one.
+def test_the_record_keeps_nothing_of_a_part_but_its_numbers():
+    world = exchanges.World(max_attempts=2)
+    world.sink.is_taken_at_once = False
+    first = world.begin().listener
+    first.response_head(500, list(exchanges.SEALED))
+    first.response_data(b"x" * 1000)
+    part = weakref.ref(first.part)
+    exchanges.answer(world.sent[-1], body=b"good")
+    assert world.sink.state == "whole"
+    world.sent[0].listener = first = None
+    gc.collect()
+    assert part() is None
