Judge by what shows a missing event, and by no more

Too little: a run that left events out, or whose bytes were garbage inside an event, shows as well that one is missing, and the empty run after it passed for whole. Too much: what the newest run had begun spoke against the end of an older one, which has the caller's events, so that a sound stream was cut; and an event that the caller has counted as a missing one (502 for a caller with all). And the run that ended in order was called cut, which suspects its endpoint of a crash; its bytes are wrong, so it is garbage.

A part of an event counts if its number follows the caller's last event, or if it has none yet and begins like an event; a gap counts; only older runs count at the end of another.

In-process tests only.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -20,6 +20,7 @@
 
 MIN_FAILURE_STATUS = 500
 """Lowest status that counts as a failure of the endpoint."""
+_BROKEN_OFF = frozenset({calls.Outcome.CUT, calls.Outcome.GARBAGE})
 
 
 class AttemptsOwner(abc.ABC):
@@ -304,13 +305,15 @@
         if sent is self.failed:
             sent.is_complete = True
             return
-        for other in self._under_way:
-            if other is not sent:
-                self._relay.note_unfinished(other.part)
         problem = self._relay.find_end_problem(sent.part)
         if problem:
+            self._relay.note_unfinished(sent.part)
             self._end_attempt(sent, calls.Outcome.CUT, problem)
             return
+        if self._lacks_event_at_end(sent):
+            detail = "ended before an event that another run had begun"
+            self._end_attempt(sent, calls.Outcome.GARBAGE, detail)
+            return
         self._prefer(sent)
         self._record.answer_end = sent.end
         is_failure = self._relay.status >= MIN_FAILURE_STATUS
@@ -320,12 +323,24 @@
         )
         self._owner.answered()
 
+    def _lacks_event_at_end(self, ended: attempt.Attempt) -> bool:
+        """Return whether an older attempt has shown a further event."""
+        if not self._relay.is_event_stream(ended.part):
+            return False
+        for older in self._under_way:
+            if older is ended:
+                break
+            self._relay.note_unfinished(older.part)
+        return self._relay.lacks_event
+
     def attempt_failed(
         self, sent: attempt.Attempt, outcome: calls.Outcome, detail: str
     ) -> None:
         if sent is self.failed:
             # It will never be whole.
             self.failed = None
+        if outcome in _BROKEN_OFF and sent in self._under_way:
+            self._relay.note_unfinished(sent.part)
         self._end_attempt(sent, outcome, detail)
 
     # Ends of attempts
@@ -336,8 +351,6 @@
         """End an attempt, and go on with another one if there may be one."""
         if self._relay.is_finished or ended not in self._under_way:
             return
-        if outcome is calls.Outcome.CUT:
-            self._relay.note_unfinished(ended.part)
         if outcome is not calls.Outcome.AMBIGUOUS:
             # A new connection to the same endpoint will do.
             self._chooser.excluded |= {ended.key}
--- a/packages/gateway/src/fireflypulley/gateway/events.py
+++ b/packages/gateway/src/fireflypulley/gateway/events.py
@@ -17,6 +17,7 @@
 """A blank line; lines end in any of the three ways, also in turns."""
 _MAX_END_BYTES = 4
 _LINES = re.compile(rb"\r\n|\n|\r")
+_FIELDS = (b"id:", b"data:", b"event:")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,10 +51,16 @@
         """Return the number of bytes after the last complete event."""
         return len(self._remainder)
 
-    @property
-    def has_begun_event(self) -> bool:
-        """Return whether a part of an event has arrived, not a comment's."""
-        return not _is_comment(self._remainder)
+    def shows_event_after(self, followed_id: int | None) -> bool:
+        """Return whether a part of an event after another has arrived.
+
+        Comments and text that no event begins with show nothing.
+        """
+        lines = _LINES.split(bytes(self._remainder))
+        begun_id = _parse_id(lines[:-1])
+        if begun_id is not None and followed_id is not None:
+            return begun_id > followed_id
+        return any(line.startswith(_FIELDS) for line in lines)
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that they complete.
@@ -80,13 +87,17 @@
 
 
 def _parse_event(data: bytes) -> Event:
-    """Return an event; of several ids the last one counts."""
+    return Event(data, _parse_id(_LINES.split(data)))
+
+
+def _parse_id(lines: list[bytes]) -> int | None:
+    """Return the number that lines give; of several the last one counts."""
     event_id = None
-    for line in _LINES.split(data):
+    for line in lines:
         name, _, value = line.partition(b":")
         text = value.strip()
         if name != b"id" or len(text) > MAX_ID_DIGITS:
             continue
         if text.isdigit():
             event_id = int(text)
-    return Event(data, event_id)
+    return event_id
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -94,9 +94,9 @@
         self._content_type = b""
         self._has_unnumbered = False
         self._comments = 0
-        self._begun_after: int | None = None
-        """How many events the caller had when a part of the next arrived
-        from a run that gave no more, None if that never was."""
+        self._missing_after: int | None = None
+        """How many events the caller had when a run showed that there is
+        another one and did not give it, None if none ever did."""
         self._part = Part()
         self.is_contested = False
         """Whether another attempt may still serve the caller, so that
@@ -225,8 +225,15 @@
 
     def note_unfinished(self, part: Part) -> None:
         """Record that a run has not sent all, as far as its events show."""
-        if self.is_event_stream(part) and part.splitter.has_begun_event:
-            self._begun_after = self.event_count
+        if not self.is_event_stream(part):
+            return
+        if part.splitter.shows_event_after(self._followed_id):
+            self._missing_after = self.event_count
+
+    @property
+    def lacks_event(self) -> bool:
+        """Return whether a run has shown an event that the caller lacks."""
+        return self._missing_after == self.event_count
 
     def find_end_problem(self, part: Part) -> str:
         """Return why an answer that has ended was broken off, or "".
@@ -240,8 +247,6 @@
             return "ended inside an event"
         if not (part.has_events or part.is_framed):
             return "ended before an event"
-        if self._begun_after == self.event_count:
-            return "ended before an event that had begun"
         return ""
 
     @property
@@ -258,6 +263,8 @@
         last_id, new_id = self._followed_id, event.event_id
         if new_id is not None:
             if last_id is not None and new_id != last_id + 1:
+                if new_id > last_id:
+                    self._missing_after = self.event_count
                 raise InvalidStream(f"event {new_id} after {last_id}")
             self.last_event_id = new_id
         elif last_id is not None and not event.is_comment:
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -67,7 +67,7 @@
     found, splitter = _split(data, size)
     assert [event.event_id for event in found] == [1, 2, 3]
     assert b"".join(event.data for event in found) + splitter.remainder == data
-    assert not splitter.has_begun_event
+    assert not splitter.shows_event_after(3)
 
 
 def test_of_several_ids_of_an_event_the_last_one_counts():
--- a/tests/gateway/test_lost_events.py
+++ b/tests/gateway/test_lost_events.py
@@ -89,3 +89,77 @@
     first.listener.response_data(_events(1) + b"oops\n\nmore")
     exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
     assert world.sink.state == "whole"
+
+
+SHOWN = [
+    (calls.Outcome.CUT, b"id: 3\nda"),
+    (calls.Outcome.GARBAGE, b"id: 3\nda"),
+]
+
+
+# Guards against the same where the bytes after the begun event were garbage.
+@pytest.mark.parametrize(("outcome", "rest"), SHOWN)
+def test_a_begun_event_is_missing_however_its_run_failed(outcome, rest):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2) + rest)
+    first.listener.response_failed(outcome, "test")
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert world.sink.state == "cut"
+    assert world.scheduler.outcomes[calls.Outcome.GARBAGE] >= 1
+
+
+# Guards against a stream that looks whole without the events that a run has
+# left out.
+@pytest.mark.parametrize("has", [None, b"2"])
+def test_events_that_a_run_left_out_are_missing(has):
+    fields = [] if has is None else [(b"last-event-id", has)]
+    world = exchanges.World(
+        exchanges.STREAM, fields, resumable=True, max_attempts=2
+    )
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    data = _events(4) if has else _events(1, 2, 4)
+    first.listener.response_data(data)
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert (world.sink.state, world.sink.status) in {
+        ("cut", 200),
+        ("whole", 502),
+    }
+
+
+# Guards against a sound end that is not believed for what a run has begun
+# that was made beside it.
+@pytest.mark.parametrize("begun", [b"id: 1\nda", b"id: 3\nda", b"oops"])
+def test_the_newest_run_does_not_speak_against_the_end_of_a_late_one(begun):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2))
+    world.scheduler.loads.of(
+        world.scheduler.fleet.get(first.endpoint_id)
+    ).note_activity(0.0)
+    world.clock.advance(response_watchdog.STREAM_TIMEOUT_S + 0.01)
+    second = world.sent[-1]
+    second.listener.response_head(200, list(CHUNKED))
+    second.listener.response_data(begun)
+    first.listener.response_end()
+    assert (world.sink.state, world.sink.body) == ("whole", _events(1, 2))
+
+
+# Guards against a caller that has all events and gets 502, for a run began
+# with one that it has.
+def test_a_begun_event_that_the_caller_has_is_not_missing():
+    world = exchanges.World(
+        exchanges.STREAM,
+        [(b"last-event-id", b"3")],
+        resumable=True,
+        max_attempts=2,
+    )
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(b"id: 1\nda")
+    first.listener.response_failed(calls.Outcome.CUT, "test")
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert (world.sink.state, world.sink.status) == ("whole", 200)
