Let a late stream serve only once it sends the next event

Two attempts of a stream are under way, and the caller gets the one that goes on first. Any byte of the late one decided for it: three bytes of a comment, or an event that does not follow, and the newest was closed although it was sound. If the late one then sent nothing that the caller could get, the caller's answer was cut or 502. It is the class of the fault before: what a run sends is believed before it is compared with what the caller has.

An attempt is now preferred when an event of it was accepted, as it was for the newest already; what arrives before is held with its part.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -283,8 +283,8 @@
             self._prefer(sent)
 
     def _receive_events(self, sent: attempt.Attempt, data: bytes) -> None:
-        if sent in self.late:
-            self._prefer(sent)
+        if self.is_contested:
+            self._relay.use(sent.part, True)
         count = self._relay.event_count
         problem: relay.InvalidStream | None = None
         try:
@@ -293,6 +293,8 @@
             problem, has_event = found, False
         if self.is_contested and self._relay.event_count > count:
             self._prefer(sent)
+        elif self.is_contested and self.current is not None:
+            self._relay.use(self.current.part, True)
         if problem is not None:
             sent.abort()
             self._end_attempt(sent, calls.Outcome.GARBAGE, str(problem))
--- a/tests/gateway/test_kept_attempts.py
+++ b/tests/gateway/test_kept_attempts.py
@@ -367,3 +367,43 @@
         other.listener.response_failed(calls.Outcome.CUT, "reset")
     assert world.sink.status == 502
     assert world.finished()
+
+
+# Guards against a sound attempt that is closed for a late one which then
+# sends nothing that the caller can get.
+@pytest.mark.parametrize("data", [b": p", b": ping\n\n", b"id: 2\nda"])
+def test_a_late_stream_serves_only_once_it_sends_an_event(data):
+    world, first, second = _fall_silent(rest=b"")
+    second.listener.response_head(200, list(exchanges.SEALED))
+    first.listener.response_data(data)
+    assert not second.aborted
+    second.listener.response_data(_event(2))
+    assert first.aborted
+    second.listener.response_end()
+    assert world.sink.body == _event(1) + _event(2)
+    assert world.sink.state == "whole"
+    assert world.finished()
+
+
+@pytest.mark.parametrize("number", [1, 3, 4])
+def test_a_late_stream_with_a_wrong_event_leaves_the_other_at_work(number):
+    world, first, second = _fall_silent(rest=b"")
+    second.listener.response_head(200, list(exchanges.SEALED))
+    first.listener.response_data(_event(number))
+    assert first.aborted and not second.aborted
+    second.listener.response_data(_event(2))
+    second.listener.response_end()
+    assert world.sink.body == _event(1) + _event(2)
+    assert world.sink.state == "whole"
+    assert world.finished()
+
+
+def test_a_late_stream_gives_what_it_held_back_with_its_event():
+    world, first, second = _fall_silent(rest=b"")
+    first.listener.response_data(b": ping\n\nid: 2\nda")
+    second.listener.response_data(b": other\n\n")
+    first.listener.response_data(b"ta: x\n\n")
+    assert second.aborted
+    first.listener.response_end()
+    assert world.sink.body == _event(1) + b": ping\n\n" + _event(2)
+    assert world.sink.state == "whole"
