Blame no endpoint for a number that only its caller vouches for

Since a run that does not follow the caller's Last-Event-Id was garbage. A client with a made-up number could thereby have sound endpoints suspected (two such answers in a row), count as failures of a new version, and spend the retries that all share.

Such a run is `unrelated`: still no answer, and another one may follow, but no evidence, and its retry is paid like that of an attempt that is only late.

Found by the review; in-process tests only.

--- a/packages/core/src/fireflypulley/core/gateway/calls.py
+++ b/packages/core/src/fireflypulley/core/gateway/calls.py
@@ -95,6 +95,8 @@
     endpoint's limit had no room.  FAILED: the endpoint reported a failure.
     CUT: the connection broke.  GARBAGE: the bytes are no valid answer.
     AMBIGUOUS: a part of another answer could be in it, unseen.
+    UNRELATED: the run does not follow the event that the caller says it
+    has; the endpoint or the caller is wrong.
     SILENT: nothing arrived in time.  SLOW: the attempt was given up
     while another endpoint could still answer in time.
     """
@@ -108,6 +110,7 @@
     CUT = "cut"
     GARBAGE = "garbage"
     AMBIGUOUS = "ambiguous"
+    UNRELATED = "unrelated"
     SILENT = "silent"
     SLOW = "slow"
 
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -33,10 +33,13 @@
         calls.Outcome.AMBIGUOUS,
         calls.Outcome.FAILED,
         calls.Outcome.SLOW,
+        calls.Outcome.UNRELATED,
         calls.Outcome.WITHHELD,
     }
 )
 """Outcomes that say nothing about the endpoint's health."""
+_NO_EVIDENCE = frozenset({calls.Outcome.AMBIGUOUS, calls.Outcome.UNRELATED})
+"""Outcomes that say nothing about the endpoint's version either."""
 _LATE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
 """Outcomes that a caller who does not read may bring about."""
 
@@ -450,7 +453,7 @@
         request = run.request
         if run.was_held and outcome in _LATE:
             return
-        is_known = outcome is not calls.Outcome.AMBIGUOUS
+        is_known = outcome not in _NO_EVIDENCE
         if is_known and not outcome.certainly_not_run:
             failed = outcome is not calls.Outcome.COMPLETE
             self._observe(run, failed, now_s)
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -297,7 +297,7 @@
             self._relay.use(self.current.part, True)
         if problem is not None:
             sent.abort()
-            self._end_attempt(sent, calls.Outcome.GARBAGE, str(problem))
+            self._end_attempt(sent, problem.outcome, str(problem))
         elif has_event:
             self._accounts.note_event(sent, self._relay.last_event_id)
 
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -4,6 +4,7 @@
 another endpoint can be tried until the head has been sent.
 """
 
+from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import events
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
@@ -22,7 +23,16 @@
 
 
 class InvalidStream(ValueError):
-    """Raised for bytes that can't continue the stream."""
+    """Raised for bytes that can't continue the stream.
+
+    ``outcome`` is what they say of the attempt.
+    """
+
+    def __init__(
+        self, text: str, outcome: calls.Outcome = calls.Outcome.GARBAGE
+    ) -> None:
+        super().__init__(text)
+        self.outcome = outcome
 
 
 class SentEvents:
@@ -265,16 +275,27 @@
             if last_id is not None and new_id != last_id + 1:
                 if new_id > last_id:
                     self._missing_after = self.event_count
-                raise InvalidStream(f"event {new_id} after {last_id}")
+                text = f"event {new_id} after {last_id}"
+                raise InvalidStream(text, self._outcome_of_gap())
             self.last_event_id = new_id
         elif last_id is not None and not event.is_comment:
-            raise InvalidStream(f"event without an id after {last_id}")
+            text = f"event without an id after {last_id}"
+            raise InvalidStream(text, self._outcome_of_gap())
         elif not event.is_comment:
             self._has_unnumbered = True
         self.event_count += not event.is_comment
         self._part.sent_events.note(event)
         self._part.hold(event.data)
 
+    def _outcome_of_gap(self) -> calls.Outcome:
+        """Return what an event that does not follow says of its attempt.
+
+        What the caller says it has may be wrong as well.
+        """
+        if self.last_event_id is None:
+            return calls.Outcome.UNRELATED
+        return calls.Outcome.GARBAGE
+
     def _flush(self) -> None:
         if self._sink is None:
             return
