Begin an answer with the run that goes on, not with one before it

A caller that came back got the head and the seal of a run that had sent nothing but a comment, and then the events of another: the first one did not follow the caller's event, or broke off. Comments now wait until a run has gone on after the event that the caller has; with none of them sent, a caller without any event gets 502, as docs/design/RESUMES.md says.

Failed before: the 2 new cases in tests/gateway/test_caller_resumes.py.

--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -228,11 +228,20 @@
         return bool(complete)
 
     def _flush_events(self, count_before: int) -> None:
-        """Send what is held, unless comments alone have arrived."""
+        """Send what is held, unless comments alone have arrived.
+
+        While it is open which run the answer comes from they wait.
+        """
         has_event = self.event_count > count_before
-        if self._part.held and (has_event or not self.is_contested):
+        may_change = self.is_contested or self._awaits_proof
+        if self._part.held and (has_event or not may_change):
             self._flush()
 
+    @property
+    def _awaits_proof(self) -> bool:
+        """Return whether a run has yet to go on after the caller's event."""
+        return self.caller_has is not None and self.last_event_id is None
+
     def note_unfinished(self, part: Part) -> None:
         """Record that a run has not sent all, as far as its events show."""
         if not self.is_event_stream(part):
--- a/tests/gateway/test_caller_resumes.py
+++ b/tests/gateway/test_caller_resumes.py
@@ -136,3 +136,21 @@
         exchanges.STREAM, [(b"last-event-id", b"003")], resumable=True
     )
     assert world.begin().headers[b"last-event-id"] == b"003"
+
+
+# Guards against an answer with the seal of a run that gave none of it.
+@pytest.mark.parametrize("data", [b": ping\n\n", b": ping\n\n" + _events(1)])
+def test_no_run_begins_the_answer_before_it_has_gone_on(data):
+    world = _world()
+    first = world.begin()
+    _begin_answer(first, data)
+    assert world.sink.status is None
+    if not first.aborted:
+        first.listener.response_failed(calls.Outcome.CUT, "test")
+    second = world.sent[-1]
+    seal = (b"x-seal", b"s2")
+    exchanges.answer(
+        second, body=_events(4), headers=[exchanges.SEALED[0], seal]
+    )
+    assert seal in world.sink.headers
+    assert (world.sink.body, world.sink.state) == (_events(4), "whole")
