Split an event into lines once

Whether an event is a comment was worked out from its bytes each time it was asked, three times an event, by a regular expression since.

--- a/packages/gateway/src/fireflypulley/gateway/events.py
+++ b/packages/gateway/src/fireflypulley/gateway/events.py
@@ -22,15 +22,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
-    """The bytes of an event, and its id or None."""
+    """The bytes of an event, and its id or None.
+
+    ``is_comment`` is whether it holds nothing but comments.
+    """
 
     data: bytes
     event_id: int | None
-
-    @property
-    def is_comment(self) -> bool:
-        """Return whether the event holds nothing but comments."""
-        return _is_comment(self.data)
+    is_comment: bool
 
 
 class EventSplitter:
@@ -80,14 +79,10 @@
         return complete
 
 
-def _is_comment(data: bytes | bytearray) -> bool:
-    """Return whether no line belongs to an event."""
-    lines = _LINES.split(data)
-    return all(not line or line.startswith(b":") for line in lines)
-
-
 def _parse_event(data: bytes) -> Event:
-    return Event(data, _parse_id(_LINES.split(data)))
+    lines = _LINES.split(data)
+    is_comment = all(not line or line.startswith(b":") for line in lines)
+    return Event(data, _parse_id(lines), is_comment)
 
 
 def _parse_id(lines: list[bytes]) -> int | None:
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -79,3 +79,12 @@
     data = b"weight-versions: 7\nid: 4\ndata: x\n\n"
     (event,) = events.EventSplitter().feed(data)
     assert (event.event_id, event.data) == (4, data)
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_lines_of_comments_alone_are_no_event(line_end):
+    data = line_end.join([b": a", b": b", b"", b""])
+    (event,), _ = _split(data, len(data))
+    assert event.is_comment
+    (event,), _ = _split(b": a" + line_end + _numbered(1, b"\n", b"\n\n"), 99)
+    assert not event.is_comment
