Join a document from all events, whatever the caller says it has

What callers could see: a caller of a document (no "stream") that came back with Last-Event-ID at a node that doesn't hold its run got a 200 whose document lacks the start of the text. Found by reading.

Cause: the number was passed on to the node that holds the run, which sends just the events after it; the caller's node joins the document from what it fetched. At the holder itself the document was whole.

The new test fails there: 7 != NO_EVENT.

Why this works: a document has no events, so its caller has none of them. The call says so by NO_EVENT instead of None, which keeps the question to all nodes for callers that come back.

--- a/packages/callers/src/fireflypulley/callers/gateway.py
+++ b/packages/callers/src/fireflypulley/callers/gateway.py
@@ -7,6 +7,9 @@
 from fireflypulley.core import payload
 from fireflypulley.core import problems
 
+NO_EVENT = -1
+"""Stands for the last event of a caller that has none."""
+
 
 class Sink(abc.ABC):
     """Receives the answer to one call."""
@@ -38,7 +41,8 @@
     """A complete HTTP request.
 
     ``last_event_id`` is the id of the last event that a reconnecting
-    caller has, or None.  ``model`` is empty for plain services.
+    caller has, ``NO_EVENT`` if it takes a document, or None.  ``model`` is
+    empty for plain services.
     """
 
     payload: payload.Payload
--- a/packages/callers/src/fireflypulley/callers/site.py
+++ b/packages/callers/src/fireflypulley/callers/site.py
@@ -1,5 +1,6 @@
 """The routes of the callers' HTTP interface."""
 
+import dataclasses
 import hashlib
 import re
 
@@ -120,7 +121,9 @@
         body = request.content.read()
         model = _model_body(body)
         call = _call(request, path, body, model=model.model)
-        sink_class = sinks.StreamSink if model.stream else sinks.HttpSink
+        sink_class = sinks.StreamSink
+        if not model.stream:
+            sink_class, call = sinks.HttpSink, _without_events(call)
         sink = sink_class(request)
         self._notify_on_disconnect(request, sink)
         self._node.submit(call, sink)
@@ -213,6 +216,13 @@
     )
 
 
+def _without_events(call: gateway.Call) -> gateway.Call:
+    """Return the call of a caller that takes a document, which is whole."""
+    if call.last_event_id is None:
+        return call
+    return dataclasses.replace(call, last_event_id=gateway.NO_EVENT)
+
+
 def _token_sha256(request: CallerRequest) -> str:
     header = request.getHeader("Authorization") or ""
     scheme, _, token = header.partition(" ")
--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -141,7 +141,7 @@
             self._dependencies, request, call.payload, key
         )
         self._registry.add(task)
-        task.attach(sink, -1)
+        task.attach(sink, gateway.NO_EVENT)
         self._loop.feed(events.RequestArrived(request))
 
     def _submit_keyed(
@@ -204,8 +204,10 @@
 
 
 def _last_event_id(call: gateway.Call) -> int:
-    """Return the id of the last event a caller has, or -1."""
-    return -1 if call.last_event_id is None else call.last_event_id
+    """Return the id of the last event a caller has, or ``NO_EVENT``."""
+    if call.last_event_id is None:
+        return gateway.NO_EVENT
+    return call.last_event_id
 
 
 def _fingerprint(workspace: str, call: gateway.Call) -> str:
--- a/tests/callers/test_site.py
+++ b/tests/callers/test_site.py
@@ -84,6 +84,16 @@
     assert call.last_event_id == 7
 
 
+# Guards against a document that lacks its start and passes for the whole: it
+# was joined from the events after the caller's Last-Event-ID only.
+def test_a_document_is_made_of_all_events():
+    body = b'{"model": "m", "messages": []}'
+    key, last = "Idempotency-Key: k", "Last-Event-ID: 7"
+    _, recorder = send(post(CHAT, body, TOKEN, key, last))
+    call, _ = recorder.calls[0]
+    assert call.last_event_id == gateway.NO_EVENT
+
+
 def test_bad_requests_are_refused_as_not_run():
     valid = b'{"model": "m"}'
     for data, status, reason in (
