Refuse a caller whose run is gone, instead of a new run from event 0

What callers saw: a caller that had the events of a stream up to N, and came back with Last-Event-ID N after the node that held the run was gone, got a 200 with the events 0, 1, 2, ... of a new run: a number goes back, in an answer that looks whole.

Cause: Frontend._begin starts a request and attaches the caller from the start, for callers that come back as for new ones.

Evidence: tests/daemon/test_returning_callers.py on the code before: the three cases of test_a_caller_whose_run_is_gone_gets_no_other_run fail ([0, 1, 2] == []), with a key, without one and on an at-most-once route; the four tests of what must stay as it is pass before and after.

Why this works: no other run can hold the rest, so nothing is begun, and the caller gets 502 outcome-unknown with run "unknown" before any event: its run may go on at a node that can't be reached. It begins anew without Last-Event-ID. At-most-once calls are refused before they claim, so they still never run twice. The choices are weighed in docs/design/CALLERS.md.

--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -137,6 +137,11 @@
         key: str,
         sink: gateway.Sink,
     ) -> None:
+        last_event_id = _last_event_id(call)
+        if call.model and last_event_id != gateway.NO_EVENT:
+            refusal = tasks.unknown_run(key, last_event_id)
+            self.send_refusal(sink, refusal)
+            return
         task = tasks.RequestTask(
             self._dependencies, request, call.payload, key
         )
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -13,6 +13,7 @@
 from fireflypulley.core import problems
 from fireflypulley.core import requests
 from fireflypulley.core import topology
+from fireflypulley.daemon import logs
 from fireflypulley.daemon import metrics
 from fireflypulley.endpoints import base
 from fireflypulley.endpoints import clients
@@ -20,6 +21,17 @@
 _Feed = collections.abc.Callable[[events.Event], None]
 
 
+def unknown_run(key: str, last_event_id: int) -> problems.Refusal:
+    """Return the refusal of a caller that has events of another run."""
+    detail = f"the run that sent event {last_event_id} is not known here"
+    logs.note("request", key, "run-unknown", detail)
+    return problems.Refusal(
+        problems.Reason.OUTCOME_UNKNOWN,
+        problems.Run.UNKNOWN,
+        f"{detail}; begin anew without Last-Event-ID",
+    )
+
+
 class TaskState(enum.Enum):
     """The state of a task."""
 
--- /dev/null
+++ b/tests/daemon/test_returning_callers.py
@@ -0,0 +1,199 @@
+"""Callers that come back for the rest of a stream's events."""
+
+import dataclasses
+import re
+
+import pytest
+from twisted.internet import testing
+
+from fireflypulley.callers import gateway
+from fireflypulley.core import configuration
+from fireflypulley.core import events
+from fireflypulley.core import payload
+from fireflypulley.core import problems
+from fireflypulley.core import topology
+from fireflypulley.daemon import app
+from fireflypulley.daemon import settings
+
+SETTINGS = """[node]
+node_id = n1
+failure_domain = a
+callers = tcp:1
+operators = tcp:2
+streams = tcp:3
+advertise = 127.0.0.1:3
+key_file = {folder}/keys
+operator_token_file = {folder}/operator
+
+[platform]
+url = http://127.0.0.1:9
+token_file = {folder}/platform
+"""
+TOKEN = "t"
+WORKSPACE = configuration.Workspace(
+    "template",
+    (),
+    (TOKEN,),
+    1.0,
+    (
+        configuration.Service("chat", topology.ServiceKind.MODEL, "v1"),
+        configuration.Service("filing", topology.ServiceKind.PLAIN, "v1"),
+    ),
+    (
+        configuration.Route("chat", "chat", "/v1/chat/completions"),
+        configuration.Route(
+            "once", "chat", "/v1/completions", at_most_once=True
+        ),
+        configuration.Route("filing", "filing", "/filings"),
+    ),
+)
+CALL = gateway.Call(
+    payload.Payload("POST", "/v1/chat/completions", "", b'{"model": "chat"}'),
+    TOKEN,
+    "k1",
+    None,
+    "chat",
+)
+ONCE = dataclasses.replace(
+    CALL, payload=dataclasses.replace(CALL.payload, path="/v1/completions")
+)
+
+
+class Sink(gateway.Sink):
+    """A caller; keeps what it gets."""
+
+    open = True
+
+    def __init__(self):
+        self.received = b""
+        self.refusal = None
+        self.has_end = False
+
+    def events(self, data):
+        self.received += data
+
+    def finish(self, transcript):
+        self.has_end = True
+
+    def answer(self, answer):
+        raise AssertionError("not used here")
+
+    def refuse(self, refusal):
+        self.refusal = refusal
+
+    @property
+    def ids(self):
+        """Return the ids of the events received."""
+        return [int(n) for n in re.findall(rb"id: (\d+)\n", self.received)]
+
+
+class Node:
+    """A node whose runs send what the test says."""
+
+    def __init__(self, folder):
+        for name in ("keys", "operator", "platform"):
+            (folder / name).write_text("secret\n")
+        text = SETTINGS.format(folder=folder)
+        reactor = testing.MemoryReactorClock()
+        self.app = app.App(reactor, settings.parse(text, "n1.ini"))
+        self.app._core.state.config.merge(
+            configuration.Entry(
+                configuration.EntryKind.WORKSPACE, "w", 1, "", WORKSPACE
+            )
+        )
+        self.fed = []
+        self.app._loop.feed = self.fed.append
+
+    def submit(self, call=CALL, last_event_id=None):
+        sink = Sink()
+        call = dataclasses.replace(call, last_event_id=last_event_id)
+        self.app.submit(call, sink)
+        return sink
+
+    @property
+    def begun(self):
+        """Return the requests that have been begun."""
+        return [
+            event.request
+            for event in self.fed
+            if isinstance(event, events.RequestArrived)
+        ]
+
+    def send(self, count):
+        """Let each run send some events."""
+        for task in self.app._registry:
+            task.add_frames([b"data: {}"] * count)
+
+    def finish(self):
+        """Let each run end."""
+        for task in self.app._registry:
+            task.finish()
+
+
+@pytest.fixture
+def node(tmp_path):
+    return Node(tmp_path)
+
+
+def is_refused_as_unknown(sink):
+    """Return whether a caller was refused, truthfully, before any event."""
+    assert sink.refusal is not None
+    reason, run = sink.refusal.reason, sink.refusal.run
+    expected = (problems.Reason.OUTCOME_UNKNOWN, problems.Run.UNKNOWN)
+    return (reason, run) == expected and not sink.received
+
+
+# Guards against numbers that go back: a caller that had events of a run which
+# nobody holds any more got a new run from its first event.
+@pytest.mark.parametrize(
+    ("call", "key"), [(CALL, "k1"), (CALL, ""), (ONCE, "k1")]
+)
+def test_a_caller_whose_run_is_gone_gets_no_other_run(node, call, key):
+    call = dataclasses.replace(call, idempotency_key=key)
+    sink = node.submit(call, last_event_id=9)
+    node.send(3)
+    assert sink.ids == []
+    assert is_refused_as_unknown(sink)
+    assert not node.begun
+    counted = node.app._core.state.counters.refused
+    assert counted[problems.Reason.OUTCOME_UNKNOWN] == 1
+
+
+def test_a_caller_begins_anew_without_a_last_event(node):
+    node.submit(last_event_id=9)
+    sink = node.submit()
+    node.send(3)
+    assert sink.ids == [0, 1, 2]
+    assert len(node.begun) == 1
+
+
+def test_a_caller_of_a_running_stream_gets_just_the_rest(node):
+    node.submit()
+    node.send(5)
+    sink = node.submit(last_event_id=2)
+    node.send(2)
+    assert sink.ids == [3, 4, 5, 6]
+    assert len(node.begun) == 1
+
+
+def test_a_caller_that_has_all_events_gets_the_end(node):
+    node.submit()
+    node.send(5)
+    sink = node.submit(last_event_id=4)
+    node.finish()
+    later = node.submit(last_event_id=4)
+    for caller in (sink, later):
+        assert (caller.ids, caller.has_end) == ([], True)
+    assert len(node.begun) == 1
+
+
+def test_a_plain_service_has_no_events_to_go_on_from(node):
+    call = dataclasses.replace(
+        CALL,
+        model="",
+        service="filing",
+        payload=payload.Payload("POST", "/filings", "", b"{}"),
+    )
+    sink = node.submit(call, last_event_id=9)
+    assert sink.refusal is None
+    assert len(node.begun) == 1
