Refuse a caller that has more events than the run here

What callers saw: a caller that came back with Last-Event-ID N to a run with at most N events got nothing at first and then the run's later events: its numbers went back, or event N came twice, in an answer that looks whole; at an ended run it got the end. So it happened after another caller of the key had begun anew, at the same node or over a fetch. Found by reading.

Cause: RequestTask.attach sends what missing_events finds, which is nothing for a number that the run hasn't reached, and then all that comes.

Evidence: on the code before, the four new cases of tests/daemon/ test_returning_callers.py fail: [5, 6, 7] == [] for N = 5 and N = 9 of a run with events 0 to 4, an end where there was none to give, and events instead of a refusal over a fetch.

Why this works: events that a run hasn't sent are of another one, so the caller gets 502 outcome-unknown, run "unknown", before any event, as where no run is known. attach itself refuses, so that fetches and handovers, which use it, do so too; the frontend asks first, to count the refusal.

--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -139,8 +139,7 @@
     ) -> None:
         last_event_id = _last_event_id(call)
         if call.model and last_event_id != gateway.NO_EVENT:
-            refusal = tasks.unknown_run(key, last_event_id)
-            self.send_refusal(sink, refusal)
+            self._refuse_unknown_run(sink, key, last_event_id)
             return
         task = tasks.RequestTask(
             self._dependencies, request, call.payload, key
@@ -205,7 +204,16 @@
                 "the idempotency key belongs to another request",
             )
             return
-        task.attach(sink, _last_event_id(call))
+        last_event_id = _last_event_id(call)
+        if task.has_sent(last_event_id):
+            task.attach(sink, last_event_id)
+        else:
+            self._refuse_unknown_run(sink, task.key, last_event_id)
+
+    def _refuse_unknown_run(
+        self, sink: gateway.Sink, key: str, last_event_id: int
+    ) -> None:
+        self.send_refusal(sink, tasks.unknown_run(key, last_event_id))
 
 
 def _last_event_id(call: gateway.Call) -> int:
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -149,8 +149,15 @@
 
     # Callers
 
+    def has_sent(self, last_event_id: int) -> bool:
+        """Return whether a caller's last event can be of this run."""
+        return last_event_id < self.tokens
+
     def attach(self, sink: gateway.Sink, last_event_id: int) -> None:
         """Send a caller the events it lacks, and all later ones."""
+        if not self.has_sent(last_event_id):
+            sink.refuse(unknown_run(self.key, last_event_id))
+            return
         missing = bytes(self.transcript)
         if last_event_id >= 0:
             missing = sse.missing_events(missing, last_event_id)
--- a/tests/daemon/test_returning_callers.py
+++ b/tests/daemon/test_returning_callers.py
@@ -14,6 +14,7 @@
 from fireflypulley.core import topology
 from fireflypulley.daemon import app
 from fireflypulley.daemon import settings
+from fireflypulley.nodes import messages
 
 SETTINGS = """[node]
 node_id = n1
@@ -176,6 +177,48 @@
     assert len(node.begun) == 1
 
 
+# Guards against numbers that go back, or a gap: a caller that had more events
+# than the run here got its later events, whatever their numbers.
+@pytest.mark.parametrize("last_event_id", [5, 9])
+def test_a_caller_with_more_events_than_the_run_gets_none(node, last_event_id):
+    first = node.submit()
+    node.send(5)
+    sink = node.submit(last_event_id=last_event_id)
+    node.send(3)
+    node.finish()
+    assert sink.ids == []
+    assert not sink.has_end
+    assert is_refused_as_unknown(sink)
+    assert first.ids == list(range(8))
+    counted = node.app._core.state.counters.refused
+    assert counted[problems.Reason.OUTCOME_UNKNOWN] == 1
+
+
+# Guards against the end of a run for a caller that has more events than it.
+def test_a_caller_with_more_events_than_an_ended_run_gets_no_end(node):
+    node.submit()
+    node.send(5)
+    node.finish()
+    sink = node.submit(last_event_id=5)
+    assert not sink.has_end
+    assert is_refused_as_unknown(sink)
+
+
+# Guards against the same where the run is at another node: its events reach
+# the caller through that node's stream.
+def test_a_node_that_fetches_more_than_the_run_has_is_refused(node):
+    node.submit()
+    node.send(5)
+    sent = []
+    node.app._hub.send = lambda node_id, message: sent.append(message)
+    asked = messages.FetchAsk(1, "w/k1", 9)
+    node.app._peer_dispatcher.message_received("n2", asked)
+    node.send(3)
+    (end,) = sent
+    assert end.refusal.reason is problems.Reason.OUTCOME_UNKNOWN
+    assert end.refusal.run is problems.Run.UNKNOWN
+
+
 def test_a_caller_that_has_all_events_gets_the_end(node):
     node.submit()
     node.send(5)
