Confirm a handover only with the run that was handed over

What callers could see: a caller of a leaving node got its first events from that node and the rest from another run of the same key at the node that took over: the text doesn't fit, or, where that run was behind, the numbers go back. Found by reading.

Cause: Handovers.receive confirms every offer whose key it knows, without a look at which run it holds: one that a caller began anew there, or the same request continued at both nodes after an offer that was confirmed too late. The leaving node then fetches the rest there for its callers.

Why this works: the receiver confirms when it holds that request and its events begin with those that were handed over, so that N+1 follows N in one run. Otherwise it logs "declined" and keeps silent, as if the offer were lost: the leaving node goes on with its own run for its callers after HANDOVER_TIMEOUT_S, and nobody's run is dropped.

--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -12,6 +12,7 @@
 from fireflypulley.daemon import fetches
 from fireflypulley.daemon import jobs
 from fireflypulley.daemon import key_directory
+from fireflypulley.daemon import logs
 from fireflypulley.daemon import registry
 from fireflypulley.daemon import tasks
 from fireflypulley.nodes import hub
@@ -112,7 +113,6 @@
 
     def receive(self, from_node: str, message: messages.Handover) -> None:
         """Take over a request or a job of a leaving node."""
-        request = message.request
         if message.job is not None:
             self._runner.receive(
                 message.job,
@@ -120,19 +120,37 @@
                 message.transcript,
                 message.tokens,
             )
-        elif self._registry.by_key(message.key) is None:
-            task = tasks.RequestTask(
-                self._dependencies, request, message.payload, message.key
-            )
-            task.preload(message.transcript, message.tokens)
-            self._registry.add(task)
-            self._directory.report_holder(message.key)
-            self._loop.feed(
-                events.RequestArrived(request, message.tokens, accepted=True)
-            )
+        elif not self._take_over(message):
+            return
         self._streams.send(
-            from_node, messages.HandoverTaken(request.request_id)
+            from_node, messages.HandoverTaken(message.request.request_id)
+        )
+
+    def _take_over(self, message: messages.Handover) -> bool:
+        """Return whether this node holds the run that was handed over.
+
+        The leaving node fetches the rest for its callers, so a run with
+        other events must not be taken for theirs.
+        """
+        request = message.request
+        held = self._registry.by_key(message.key)
+        if held is not None:
+            is_same = held.request.request_id == request.request_id
+            if is_same and held.transcript.startswith(message.transcript):
+                return True
+            detail = f"holds run {held.request.request_id!r} with other events"
+            logs.note("handover", request.request_id, "declined", detail)
+            return False
+        task = tasks.RequestTask(
+            self._dependencies, request, message.payload, message.key
+        )
+        task.preload(message.transcript, message.tokens)
+        self._registry.add(task)
+        self._directory.report_holder(message.key)
+        self._loop.feed(
+            events.RequestArrived(request, message.tokens, accepted=True)
         )
+        return True
 
     def receive_taken(self, message: messages.HandoverTaken) -> None:
         """Drop what another node took over, and fetch its answer there."""
