End the answer of a caller whose handed-over run was dropped

What callers could see: a caller of a leaving node waited without an end, and the node stayed for its whole grace, when the node that took the run over had ended and dropped it (a run without a key is dropped at its end, a refused one at once) before the rest was asked for. Found by reading.

Cause: Handovers.receive_taken fetched the rest with a "not found" that does nothing, so the sink never ended.

Evidence: test_the_caller_of_a_stream_that_was_dropped_is_refused fails on the code before (no refusal: None has no "reason").

Why this works: the caller gets outcome-unknown, run "unknown": the run may have ended well or not, and what it sent can't be had any more.

--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -4,10 +4,12 @@
 
 from twisted.internet import interfaces
 
+from fireflypulley.callers import gateway
 from fireflypulley.core import actions
 from fireflypulley.core import events
 from fireflypulley.core import job_rows
 from fireflypulley.core import payload
+from fireflypulley.core import problems
 from fireflypulley.daemon import driver
 from fireflypulley.daemon import fetches
 from fireflypulley.daemon import jobs
@@ -166,11 +168,28 @@
             return
         self._registry.drop(task)
         for sink in task.detach_all():
-            self._answer_fetches.begin(
-                task.key,
-                offer.to_node,
-                task.tokens - 1,
-                sink,
-                lambda: None,
-                bytes(task.transcript),
-            )
+            self._fetch_rest(task, offer.to_node, sink)
+
+    def _fetch_rest(
+        self, task: tasks.RequestTask, node_id: str, sink: gateway.Sink
+    ) -> None:
+        last_event_id = task.tokens - 1
+        self._answer_fetches.begin(
+            task.key,
+            node_id,
+            last_event_id,
+            sink,
+            lambda: _refuse_dropped(sink, task.key, node_id),
+            bytes(task.transcript),
+        )
+
+
+def _refuse_dropped(sink: gateway.Sink, key: str, node_id: str) -> None:
+    """Refuse a caller whose run ended before its rest was asked for."""
+    detail = f"node {node_id!r}, which took the run over, has dropped it"
+    logs.note("handover", key, "dropped", detail)
+    sink.refuse(
+        problems.Refusal(
+            problems.Reason.OUTCOME_UNKNOWN, problems.Run.UNKNOWN, detail
+        )
+    )
--- a/tests/daemon/test_shutdown.py
+++ b/tests/daemon/test_shutdown.py
@@ -6,6 +6,7 @@
 from fireflypulley.callers import gateway
 from fireflypulley.core import events
 from fireflypulley.core import payload
+from fireflypulley.core import problems
 from fireflypulley.core import requests
 from fireflypulley.core import topology
 from fireflypulley.daemon import app
@@ -60,6 +61,8 @@
 class Sink(gateway.Sink):
     """A caller that stays."""
 
+    refusal = None
+
     @property
     def open(self):
         return True
@@ -74,7 +77,7 @@
         pass
 
     def refuse(self, refusal):
-        pass
+        self.refusal = refusal
 
 
 class Node:
@@ -113,7 +116,8 @@
         task = tasks.RequestTask(self.app._dependencies, request, body, KEY)
         task.preload(b"id: 0\ndata: {}\n\n", 1)
         self.app._registry.add(task)
-        task.attach(Sink(), 0)
+        self.sink = Sink()
+        task.attach(self.sink, 0)
         self.app._loop.feed(events.RequestArrived(request, 1, accepted=True))
 
     def advance(self, seconds):
@@ -155,6 +159,20 @@
     assert node.has_stopped
 
 
+# Guards against a caller that waits for ever, and a node that stays: the node
+# that took a stream over has dropped it before its rest was asked for.
+def test_the_caller_of_a_stream_that_was_dropped_is_refused(node):
+    node.app.shut_down()
+    node.advance(GRACE_S - 5.0 + 0.1)
+    taken = messages.HandoverTaken("r1")
+    node.app._peer_dispatcher.message_received("n2", taken)
+    ((_, asked),) = node.streams.of_kind(messages.FetchAsk)
+    end = messages.FetchEnd(asked.fetch_id, False)
+    node.app._peer_dispatcher.message_received("n2", end)
+    assert node.sink.refusal.reason is problems.Reason.OUTCOME_UNKNOWN
+    assert node.sink.refusal.run is problems.Run.UNKNOWN
+
+
 # Guards against a daemon whose periodic work has ended by an error.
 def test_the_periodic_work_goes_on_after_an_error(node):
     failures = [KeyError("odd"), KeyError("odd")]
