Append no document to a stream that has begun

What callers could see: a stream whose endpoint broke off, and whose resumed attempt was answered with a document (400, too long), got that document's bytes after its events, then the end of the answer, in order. Found by reading.

Cause: StreamSink inherits HttpSink.answer, which writes a whole answer.

Evidence: test_a_stream_that_has_begun_gets_no_document fails on the code before: the body is "id: 0 ... data: {}" and then {"too": "long"}.

Why this works: what has begun as a stream ends as one, with the error event that refusals use there: retries-exhausted, run "failed".

--- a/packages/callers/src/fireflypulley/callers/sinks.py
+++ b/packages/callers/src/fireflypulley/callers/sinks.py
@@ -83,6 +83,18 @@
         self._request.write(events.DONE)
         self._request.finish()
 
+    def answer(self, answer: ledger_rows.StoredAnswer) -> None:
+        if not self._started:
+            super().answer(answer)
+            return
+        self.refuse(
+            problems.Refusal(
+                problems.Reason.RETRIES_EXHAUSTED,
+                problems.Run.FAILED,
+                f"the engine answered {answer.status} instead of the rest",
+            )
+        )
+
     def refuse(self, refusal: problems.Refusal) -> None:
         if not self._started:
             super().refuse(refusal)
--- a/tests/callers/test_site.py
+++ b/tests/callers/test_site.py
@@ -10,6 +10,7 @@
 from fireflypulley.callers import events
 from fireflypulley.callers import gateway
 from fireflypulley.callers import site
+from fireflypulley.core import ledger_rows
 
 
 class Recorder(gateway.Gateway):
@@ -94,6 +95,25 @@
     assert call.last_event_id == gateway.NO_EVENT
 
 
+# Guards against a document that is appended to a stream's events: the attempt
+# that should have sent the rest was answered with a document.
+def test_a_stream_that_has_begun_gets_no_document():
+    body = b'{"model": "m", "messages": [], "stream": true}'
+    _, recorder = send(post(CHAT, body, TOKEN))
+    _, sink = recorder.calls[0]
+    transport = sink._request.channel.transport
+    sink.events(b"id: 0\ndata: {}\n\n")
+    sink.answer(
+        ledger_rows.stored_answer(400, "application/json", b'{"too": "long"}')
+    )
+    received = transport.value().partition(b"\r\n\r\n")[2]
+    assert b"data: [DONE]" not in received
+    assert b'{"too": "long"}' not in received
+    assert b"event: error\n" in received
+    assert b'"run": "failed"' in received
+    assert not sink.open
+
+
 def test_bad_requests_are_refused_as_not_run():
     valid = b'{"model": "m"}'
     for data, status, reason in (
