Call a token unknown only by a current configuration

What callers could see: a node that had just started, and had not read the configuration yet, refused every caller with 401 "this token belongs to no workspace", which has no Retry-After and says that trying again is useless. So did a node that the store had left without an answer for more than 6 s and that had no peer, for tokens that were added meanwhile.

Cause: Frontend.authenticate takes an entry that it doesn't have for one that doesn't exist.

Why this works: the 401 is sent where readiness too holds that the configuration is known and current (Node.confirmed); otherwise 503 store-unavailable, not-run, which is true, with a time to come back.

Nodes learn of a change within their polling period; that stays as it is.

--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -19,6 +19,7 @@
 
 PREFIX_CHARACTERS = 512
 REQUEST_ID_BYTES = 9
+CONFIGURATION_RETRY_AFTER_S = 2.0
 
 
 class Frontend:
@@ -65,13 +66,28 @@
         name = config.workspace_of_token(call.token_sha256)
         workspace = config.workspace(name) if name else None
         if name is None or workspace is None:
+            self._refuse_token(sink)
+            return None
+        return name, workspace
+
+    def _refuse_token(self, sink: gateway.Sink) -> None:
+        """Refuse a token that no workspace here has."""
+        core = self._loop.core
+        has_configuration = core.state.config.total_version > 0
+        if has_configuration and core.confirmed(self._loop.now_s()):
             self.refuse(
                 sink,
                 problems.Reason.BAD_CREDENTIALS,
                 "this token belongs to no workspace",
             )
-            return None
-        return name, workspace
+            return
+        refusal = problems.Refusal(
+            problems.Reason.STORE_UNAVAILABLE,
+            problems.Run.NOT_RUN,
+            "this node does not know the current configuration",
+            CONFIGURATION_RETRY_AFTER_S,
+        )
+        self.send_refusal(sink, refusal)
 
     def submit(self, call: gateway.Call, sink: gateway.Sink) -> None:
         """Start a request for a call, or attach it to an existing one."""
