Wait until all daemons have the same configuration and their streams

A daemon is ready once it has one entry, and the template had been read by node2's poll 18 to 38 ms before the workspace was written at node1, the one that the client asks. node2 had the workspace 0.44 to 0.47 s later, with its next poll or its first stream. The tests call node2 at once. In the third test node3 was paused 0.4 s before any node had a stream to it (streams open a second after the start), so that no one could lose it.

Why this is as strict: no check or bound of a test changes. What is waited for now is what the tests assume, read from the daemons' own status: one total version (node1 has the workspace when the client returns), and streams to all the others, up to the number that a node dials. That a token is unknown at a node until its next poll is how the configuration spreads.

--- a/standins/fireflystandins/local.py
+++ b/standins/fireflystandins/local.py
@@ -19,6 +19,8 @@
 import urllib.error
 import urllib.request
 
+from fireflypulley.core import membership
+
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
 FIRST_PORT = 20_000
@@ -351,13 +353,31 @@
             )
 
     def wait_ready(self) -> None:
-        """Wait until each running daemon is ready."""
+        """Wait until each running daemon is ready, and all know the same."""
         for daemon in self.daemons:
             if daemon.alive:
                 wait_for(
                     f"{daemon.node_id} ready",
                     lambda d=daemon: self.ready(d),
                 )
+        wait_for("one configuration, and all streams", self._joined)
+
+    def _joined(self) -> bool:
+        """Return whether the running daemons know the same.
+
+        A daemon is ready as soon as it has a first entry, while others may
+        follow, and before its streams to the other daemons.
+        """
+        statuses = [self._status(d) for d in self.daemons if d.alive]
+        versions = {status["config_total_version"] for status in statuses}
+        others = min(len(statuses) - 1, membership.DIALED_PEERS)
+        has_streams = [len(one["peers"]) >= others for one in statuses]
+        return len(versions) <= 1 and all(has_streams)
+
+    def _status(self, daemon: Daemon) -> Json:
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        url = f"{daemon.operators}/v1/status"
+        return json.loads(http("GET", url, headers=headers)[1])
 
     def ready(self, daemon: Daemon) -> bool:
         """Return whether a daemon is ready."""
