Report a listed node that never comes up as down

What operators and callers could see: a node that the platform lists, but that died or stood still before it had a stream to any other node, counted as alive: `node list` showed it so, and, by reading, keys that it owns cost 0.3 s each, and cold endpoints' budgets and rollouts of its stood still.

Cause: only the loss of a stream, or its silence, makes a NodeDown fact; a peer that was dialed in vain made none.

Evidence: the new process test fails on the code before ("node4 is down: not within 15 s") and passes with the fix. Of the four new tests of the membership, the first and the refutation fail before for the behaviour; the other two have no method to call there and hold the bounds of the fix: a node that others reach isn't reported again, a paused node reports no one. After: tests/core, tests/daemon, tests/nodes, tests/proofs, tests/fault_matrix, test_path.py and test_jobs.py pass.

Why this works: who dials a peer in vain for HEARTBEAT_TIMEOUT_S says so, unless a fact about it is known. The report has the incarnation 0, below that of any node, so it overwrites nothing that others know; a node that hears it, because only one side can't reach it, refutes it at once. A node that was paused itself starts its time anew, as for silent peers.

What remains: as with lost nodes, the fact expires after 60 s, and the node counts as alive until the fact is dropped and reported again, some 10 s at most. Of many nodes, one that no other chose to dial (about one in 55, by calculation) isn't noticed in this way.

--- a/packages/core/src/fireflypulley/core/membership.py
+++ b/packages/core/src/fireflypulley/core/membership.py
@@ -15,6 +15,7 @@
 HEARTBEAT_TIMEOUT_S = 3.0
 DOWN_TTL_S = 60.0
 MIN_PAUSE_S = 1.0  # a longer gap between checks means this node was paused
+UNKNOWN_INCARNATION = 0  # of a node of which nothing is known yet
 LEAVING_TTL_S = 120.0
 ALIVE_CACHE_S = 1.0
 MAX_NODES_PER_ENDPOINT = 24
@@ -41,6 +42,7 @@
         self._listed: dict[str, topology.Node] = {this.node_id: this}
         self._peers: dict[str, _Peer] = {}
         self._last_check_s = float("inf")
+        self._missing_since_s: dict[str, float] = {}
         self._changes = 0
         self._alive: list[str] = []
         self._alive_state = (-1, -1)
@@ -243,6 +245,7 @@
         if paused:
             for peer in self._peers.values():
                 peer.last_heartbeat_s = now_s
+            self._missing_since_s.clear()
             return []
         return [
             node_id
@@ -250,13 +253,34 @@
             if now_s - peer.last_heartbeat_s > HEARTBEAT_TIMEOUT_S
         ]
 
+    def missing_peers(
+        self, wanted: tuple[str, ...], now_s: float
+    ) -> list[facts.NodeDown]:
+        """Return the facts about wanted peers that don't come up.
+
+        Where a fact about a node holds, it stays: others may reach it.
+        """
+        self._missing_since_s = {
+            node_id: self._missing_since_s.get(node_id, now_s)
+            for node_id in wanted
+            if node_id not in self._peers
+        }
+        return [
+            facts.NodeDown(
+                node_id, UNKNOWN_INCARNATION, True, now_s + DOWN_TTL_S
+            )
+            for node_id, since_s in self._missing_since_s.items()
+            if now_s - since_s > HEARTBEAT_TIMEOUT_S
+            and self._shared.get("node", node_id) is None
+        ]
+
     def refute(self, fact: facts.NodeDown) -> facts.NodeDown | None:
         """Return the fact that this node is alive, if ``fact`` denies it."""
         if fact.node_id != self._this.node_id or not fact.down:
             return None
-        if fact.incarnation < self._incarnation:
+        if UNKNOWN_INCARNATION < fact.incarnation < self._incarnation:
             return None
-        self._incarnation = fact.incarnation + 1
+        self._incarnation = max(self._incarnation, fact.incarnation + 1)
         return dataclasses.replace(
             fact, incarnation=self._incarnation, down=False
         )
--- a/packages/core/src/fireflypulley/core/peer_handler.py
+++ b/packages/core/src/fireflypulley/core/peer_handler.py
@@ -108,6 +108,9 @@
         for node_id in self._node.members.timed_out_peers(now_s):
             todo.append(actions.DropPeer(node_id))
             todo += self._on_lost(events.PeerLost(node_id), now_s)
+        for fact in self._node.members.missing_peers(self._peers, now_s):
+            changed = actions.StateChanged("node", fact.node_id, "missing")
+            todo += [changed, *self.publish(fact, now_s)]
         if now_s - self._last_choice_s >= PEER_CHOICE_PERIOD_S:
             self._last_choice_s = now_s
             todo += self._choose_peers(now_s)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -102,3 +102,51 @@
         ]
         seen.update(frontier)
     assert len(seen) == 390
+
+
+def _report_missing(members, from_s, to_s):
+    """Let a node report its missing peers for some time."""
+    wanted = members.wanted_peers(from_s)
+    now_s = from_s
+    while now_s < to_s:
+        members.timed_out_peers(now_s)
+        for fact in members.missing_peers(wanted, now_s):
+            members.facts.merge(fact, now_s)
+        now_s += 0.1
+
+
+# Guards against a dead node that counts as alive, and owns keys and budgets:
+# it was lost before it had a stream to any other node.
+def test_a_listed_node_that_never_comes_up_is_down():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    _report_missing(members, 0.0, 2.5)
+    assert members.alive(2.5) == ["n1", "n2", "n3"]
+    _report_missing(members, 2.5, 6.0)
+    assert members.alive(6.0) == ["n1", "n2"]
+    members.facts.merge(members.connect("n3", 7, 6.0), 6.0)
+    assert members.alive(6.0) == ["n1", "n2", "n3"]
+
+
+def test_a_node_that_others_reach_is_not_reported_again():
+    members = _Members()
+    _report_missing(members, 0.0, 6.0)
+    refuted = facts.NodeDown("n3", 9, False, 6.0 + membership.DOWN_TTL_S)
+    assert members.facts.merge(refuted, 6.0)
+    _report_missing(members, 6.0, 20.0)
+    assert "n3" in members.alive(20.0)
+
+
+def test_a_paused_node_reports_no_missing_peers():
+    members = _Members()
+    _report_missing(members, 0.0, 2.0)
+    _report_missing(members, 10.0, 12.0)
+    assert members.alive(12.0) == ["n1", "n2", "n3"]
+
+
+# Guards against a node that is believed down by all who have no stream to it,
+# since one of them can't reach it.
+def test_a_node_refutes_a_report_by_who_never_met_it():
+    members = _Members()
+    fact = members.refute(facts.NodeDown("n1", 0, True, 60.0))
+    assert (fact.incarnation, fact.down) == (1, False)
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -222,26 +222,42 @@
     assert after == before
 
 
+def states_of_nodes(system: local.LocalSystem) -> dict[str, str]:
+    code, printed = system.cli("node", "list", "--json")
+    if code:
+        return {}
+    return {n["node_id"]: n["state"] for n in json.loads(printed)}
+
+
+def seen_down(system: local.LocalSystem, node_id: str) -> bool:
+    return states_of_nodes(system).get(node_id) == "down"
+
+
+def all_seen_alive(system: local.LocalSystem) -> bool:
+    states = states_of_nodes(system)
+    return bool(states) and set(states.values()) == {"alive"}
+
+
 def test_paused_node_is_detected_and_rejoins(system):
     paused = system.daemons[2]
     paused.signal(19)
 
-    def seen_down() -> bool:
-        code, printed = system.cli("node", "list", "--json")
-        return code == 0 and any(
-            n["node_id"] == "node3" and n["state"] == "down"
-            for n in json.loads(printed)
-        )
-
-    local.wait_for("node3 is down", seen_down, 15)
+    local.wait_for("node3 is down", lambda: seen_down(system, "node3"), 15)
     assert chat(system, system.daemons[0])[0] == 200
     paused.signal(18)
 
-    def seen_alive() -> bool:
-        code, printed = system.cli("node", "list", "--json")
-        return code == 0 and all(
-            n["state"] == "alive" for n in json.loads(printed)
-        )
+    local.wait_for("node3 is alive", lambda: all_seen_alive(system), 15)
+    assert chat(system, paused)[0] == 200
+
 
-    local.wait_for("node3 is alive", seen_alive, 15)
+# Guards against a dead node that counts as alive: it was paused before it had
+# a stream to any other node.
+def test_node_paused_before_its_first_stream_is_detected(system):
+    paused = system.start_daemon("node4", "dakar-d")
+    paused.signal(19)
+    local.wait_for("node4 is down", lambda: seen_down(system, "node4"), 15)
+    assert chat(system, system.daemons[0])[0] == 200
+    paused.signal(18)
+    local.wait_for("node4 is alive", lambda: all_seen_alive(system), 15)
+    system.wait_ready()
     assert chat(system, paused)[0] == 200
