Give readers of a job the text that lasts

What callers could see: a reader that goes on by its offset got the first part of a job's text from one run and the rest from another. Found by reading.

Cause: JobFrontend sends all that the owner has in memory; other nodes send the checkpoint. JobProgress says "the events callers may have".

Why this works: the owner too sends just what it has stored, which every later owner begins with. A reader at the owner waits up to a checkpoint's period (5 s) longer for the same text, as it did at all other nodes.

--- a/packages/daemon/src/fireflypulley/daemon/job_frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/job_frontend.py
@@ -181,7 +181,7 @@
         row = await self._find_row(call, job_id, sink)
         if row is None:
             return
-        transcript = self._runner.transcript(job_id)
+        transcript = self._runner.saved_transcript(job_id)
         if transcript is None:
             try:
                 stored = await self._job_store.progress(job_id)
--- a/packages/daemon/src/fireflypulley/daemon/jobs.py
+++ b/packages/daemon/src/fireflypulley/daemon/jobs.py
@@ -56,11 +56,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _LocalJob:
-    """The data of a job that this node runs."""
+    """The data of a job that this node runs.
+
+    ``saved`` is what this node has last stored of the transcript.
+    """
 
     payload: bytes
     transcript: bytes = b""
     tokens: int = 0
+    saved: bytes | None = None
     etag: str | None = None
     task: tasks.RequestTask | None = None
 
@@ -106,6 +110,14 @@
         self._sync_from_task(local_job)
         return local_job.transcript
 
+    def saved_transcript(self, job_id: str) -> bytes | None:
+        """Return the events that last, or None if they are read elsewhere.
+
+        Later ones may be written anew, by a node that takes the job over.
+        """
+        local_job = self._local_jobs.get(job_id)
+        return None if local_job is None else local_job.saved
+
     def tokens(self, job_id: str) -> int:
         """Return the number of tokens of a job in its transcript here."""
         local_job = self._local_jobs.get(job_id)
@@ -166,10 +178,16 @@
                 local_job.transcript = text.encode()
                 local_job.tokens = stored.progress.tokens
         etag = None if stored is None else stored.etag
+        await self._write_progress(job, local_job, etag)
+
+    async def _write_progress(
+        self, job: job_rows.Job, local_job: _LocalJob, etag: str | None
+    ) -> None:
         progress = self._progress(job, local_job)
         local_job.etag = await self._job_store.put_progress(
             job.job_id, progress, etag
         )
+        local_job.saved = progress.transcript.encode()
 
     def _progress(
         self, job: job_rows.Job, local_job: _LocalJob
@@ -206,11 +224,8 @@
         local_job = self._local_jobs.get(job.job_id)
         if local_job is None:
             return True
-        progress = self._progress(job, local_job)
         try:
-            local_job.etag = await self._job_store.put_progress(
-                job.job_id, progress, local_job.etag
-            )
+            await self._write_progress(job, local_job, local_job.etag)
         except base.Conflict:
             return await self._resolve_conflict(job, local_job)
         return True
@@ -227,10 +242,7 @@
         if stored is not None and stored.progress.epoch > job.epoch:
             return False
         local_job.etag = None if stored is None else stored.etag
-        progress = self._progress(job, local_job)
-        local_job.etag = await self._job_store.put_progress(
-            job.job_id, progress, local_job.etag
-        )
+        await self._write_progress(job, local_job, local_job.etag)
         return True
 
     async def _checkpoint(self, action: actions.WriteCheckpoint) -> None:
