--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -19,6 +19,7 @@
 
 PREFIX_CHARACTERS = 512
 REQUEST_ID_BYTES = 9
+CONFIGURATION_RETRY_AFTER_S = 2.0
 
 
 class Frontend:
@@ -65,13 +66,28 @@
         name = config.workspace_of_token(call.token_sha256)
         workspace = config.workspace(name) if name else None
         if name is None or workspace is None:
+            self._refuse_token(sink)
+            return None
+        return name, workspace
+
+    def _refuse_token(self, sink: gateway.Sink) -> None:
+        """Refuse a token that no workspace here has."""
+        core = self._loop.core
+        has_configuration = core.state.config.total_version > 0
+        if has_configuration and core.confirmed(self._loop.now_s()):
             self.refuse(
                 sink,
                 problems.Reason.BAD_CREDENTIALS,
                 "this token belongs to no workspace",
             )
-            return None
-        return name, workspace
+            return
+        refusal = problems.Refusal(
+            problems.Reason.STORE_UNAVAILABLE,
+            problems.Run.NOT_RUN,
+            "this node does not know the current configuration",
+            CONFIGURATION_RETRY_AFTER_S,
+        )
+        self.send_refusal(sink, refusal)
 
     def submit(self, call: gateway.Call, sink: gateway.Sink) -> None:
         """Start a request for a call, or attach it to an existing one."""
@@ -137,11 +153,15 @@
         key: str,
         sink: gateway.Sink,
     ) -> None:
+        last_event_id = _last_event_id(call)
+        if call.model and last_event_id != gateway.NO_EVENT:
+            self._refuse_unknown_run(sink, key, last_event_id)
+            return
         task = tasks.RequestTask(
             self._dependencies, request, call.payload, key
         )
         self._registry.add(task)
-        task.attach(sink, -1)
+        task.attach(sink, gateway.NO_EVENT)
         self._loop.feed(events.RequestArrived(request))
 
     def _submit_keyed(
@@ -200,12 +220,23 @@
                 "the idempotency key belongs to another request",
             )
             return
-        task.attach(sink, _last_event_id(call))
+        last_event_id = _last_event_id(call)
+        if task.has_sent(last_event_id):
+            task.attach(sink, last_event_id)
+        else:
+            self._refuse_unknown_run(sink, task.key, last_event_id)
+
+    def _refuse_unknown_run(
+        self, sink: gateway.Sink, key: str, last_event_id: int
+    ) -> None:
+        self.send_refusal(sink, tasks.unknown_run(key, last_event_id))
 
 
 def _last_event_id(call: gateway.Call) -> int:
-    """Return the id of the last event a caller has, or -1."""
-    return -1 if call.last_event_id is None else call.last_event_id
+    """Return the id of the last event a caller has, or ``NO_EVENT``."""
+    if call.last_event_id is None:
+        return gateway.NO_EVENT
+    return call.last_event_id
 
 
 def _fingerprint(workspace: str, call: gateway.Call) -> str:
--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -4,14 +4,17 @@
 
 from twisted.internet import interfaces
 
+from fireflypulley.callers import gateway
 from fireflypulley.core import actions
 from fireflypulley.core import events
 from fireflypulley.core import job_rows
 from fireflypulley.core import payload
+from fireflypulley.core import problems
 from fireflypulley.daemon import driver
 from fireflypulley.daemon import fetches
 from fireflypulley.daemon import jobs
 from fireflypulley.daemon import key_directory
+from fireflypulley.daemon import logs
 from fireflypulley.daemon import registry
 from fireflypulley.daemon import tasks
 from fireflypulley.nodes import hub
@@ -112,7 +115,6 @@
 
     def receive(self, from_node: str, message: messages.Handover) -> None:
         """Take over a request or a job of a leaving node."""
-        request = message.request
         if message.job is not None:
             self._runner.receive(
                 message.job,
@@ -120,19 +122,37 @@
                 message.transcript,
                 message.tokens,
             )
-        elif self._registry.by_key(message.key) is None:
-            task = tasks.RequestTask(
-                self._dependencies, request, message.payload, message.key
-            )
-            task.preload(message.transcript, message.tokens)
-            self._registry.add(task)
-            self._directory.report_holder(message.key)
-            self._loop.feed(
-                events.RequestArrived(request, message.tokens, accepted=True)
-            )
+        elif not self._take_over(message):
+            return
         self._streams.send(
-            from_node, messages.HandoverTaken(request.request_id)
+            from_node, messages.HandoverTaken(message.request.request_id)
+        )
+
+    def _take_over(self, message: messages.Handover) -> bool:
+        """Return whether this node holds the run that was handed over.
+
+        The leaving node fetches the rest for its callers, so a run with
+        other events must not be taken for theirs.
+        """
+        request = message.request
+        held = self._registry.by_key(message.key)
+        if held is not None:
+            is_same = held.request.request_id == request.request_id
+            if is_same and held.transcript.startswith(message.transcript):
+                return True
+            detail = f"holds run {held.request.request_id!r} with other events"
+            logs.note("handover", request.request_id, "declined", detail)
+            return False
+        task = tasks.RequestTask(
+            self._dependencies, request, message.payload, message.key
+        )
+        task.preload(message.transcript, message.tokens)
+        self._registry.add(task)
+        self._directory.report_holder(message.key)
+        self._loop.feed(
+            events.RequestArrived(request, message.tokens, accepted=True)
         )
+        return True
 
     def receive_taken(self, message: messages.HandoverTaken) -> None:
         """Drop what another node took over, and fetch its answer there."""
@@ -148,11 +168,28 @@
             return
         self._registry.drop(task)
         for sink in task.detach_all():
-            self._answer_fetches.begin(
-                task.key,
-                offer.to_node,
-                task.tokens - 1,
-                sink,
-                lambda: None,
-                bytes(task.transcript),
-            )
+            self._fetch_rest(task, offer.to_node, sink)
+
+    def _fetch_rest(
+        self, task: tasks.RequestTask, node_id: str, sink: gateway.Sink
+    ) -> None:
+        last_event_id = task.tokens - 1
+        self._answer_fetches.begin(
+            task.key,
+            node_id,
+            last_event_id,
+            sink,
+            lambda: _refuse_dropped(sink, task.key, node_id),
+            bytes(task.transcript),
+        )
+
+
+def _refuse_dropped(sink: gateway.Sink, key: str, node_id: str) -> None:
+    """Refuse a caller whose run ended before its rest was asked for."""
+    detail = f"node {node_id!r}, which took the run over, has dropped it"
+    logs.note("handover", key, "dropped", detail)
+    sink.refuse(
+        problems.Refusal(
+            problems.Reason.OUTCOME_UNKNOWN, problems.Run.UNKNOWN, detail
+        )
+    )
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -4,6 +4,7 @@
 another endpoint can be tried until the head has been sent.
 """
 
+from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import events
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
@@ -22,17 +23,43 @@
 
 
 class InvalidStream(ValueError):
-    """Raised for bytes that can't continue the stream."""
+    """Raised for bytes that can't continue the stream.
 
+    ``outcome`` is what they say of the attempt.
+    """
+
+    def __init__(
+        self, text: str, outcome: calls.Outcome = calls.Outcome.GARBAGE
+    ) -> None:
+        super().__init__(text)
+        self.outcome = outcome
 
-class Part:
-    """What has arrived of one attempt's answer and was not sent yet.
 
-    ``first_event_id`` and ``last_event_id`` are those of the events that
-    the caller was sent of it, None without any; ``event_count`` counts
-    them, without comments.
+class SentEvents:
+    """The events that the caller was sent of one attempt's answer.
+
+    ``first_id`` and ``last_id`` are None without any numbered one;
+    ``count`` does not include comments.
     """
 
+    def __init__(self) -> None:
+        self.first_id: int | None = None
+        self.last_id: int | None = None
+        self.count = 0
+
+    def note(self, event: events.Event) -> None:
+        """Record an event that the caller gets."""
+        self.count += not event.is_comment
+        if event.event_id is None:
+            return
+        if self.first_id is None:
+            self.first_id = event.event_id
+        self.last_id = event.event_id
+
+
+class Part:
+    """What has arrived of one attempt's answer and was not sent yet."""
+
     def __init__(self) -> None:
         self.status = 0
         self.headers: header_codec.Headers = []
@@ -40,18 +67,7 @@
         self.held_bytes = 0
         self.splitter = events.EventSplitter()
         self.has_events = False
-        self.first_event_id: int | None = None
-        self.last_event_id: int | None = None
-        self.event_count = 0
-
-    def note_event(self, event: events.Event) -> None:
-        """Record an event that the caller gets."""
-        self.event_count += not event.is_comment
-        if event.event_id is None:
-            return
-        if self.first_event_id is None:
-            self.first_event_id = event.event_id
-        self.last_event_id = event.event_id
+        self.sent_events = SentEvents()
 
     @property
     def is_framed(self) -> bool:
@@ -88,9 +104,9 @@
         self._content_type = b""
         self._has_unnumbered = False
         self._comments = 0
-        self._begun_after: int | None = None
-        """How many events the caller had when a part of the next arrived
-        from a run that gave no more, None if that never was."""
+        self._missing_after: int | None = None
+        """How many events the caller had when a run showed that there is
+        another one and did not give it, None if none ever did."""
         self._part = Part()
         self.is_contested = False
         """Whether another attempt may still serve the caller, so that
@@ -212,15 +228,31 @@
         return bool(complete)
 
     def _flush_events(self, count_before: int) -> None:
-        """Send what is held, unless comments alone have arrived."""
+        """Send what is held, unless comments alone have arrived.
+
+        While it is open which run the answer comes from they wait.
+        """
         has_event = self.event_count > count_before
-        if self._part.held and (has_event or not self.is_contested):
+        may_change = self.is_contested or self._awaits_proof
+        if self._part.held and (has_event or not may_change):
             self._flush()
 
+    @property
+    def _awaits_proof(self) -> bool:
+        """Return whether a run has yet to go on after the caller's event."""
+        return self.caller_has is not None and self.last_event_id is None
+
     def note_unfinished(self, part: Part) -> None:
         """Record that a run has not sent all, as far as its events show."""
-        if self.is_event_stream(part) and part.splitter.has_begun_event:
-            self._begun_after = self.event_count
+        if not self.is_event_stream(part):
+            return
+        if part.splitter.shows_event_after(self._followed_id):
+            self._missing_after = self.event_count
+
+    @property
+    def lacks_event(self) -> bool:
+        """Return whether a run has shown an event that the caller lacks."""
+        return self._missing_after == self.event_count
 
     def find_end_problem(self, part: Part) -> str:
         """Return why an answer that has ended was broken off, or "".
@@ -234,8 +266,6 @@
             return "ended inside an event"
         if not (part.has_events or part.is_framed):
             return "ended before an event"
-        if self._begun_after == self.event_count:
-            return "ended before an event that had begun"
         return ""
 
     @property
@@ -252,16 +282,29 @@
         last_id, new_id = self._followed_id, event.event_id
         if new_id is not None:
             if last_id is not None and new_id != last_id + 1:
-                raise InvalidStream(f"event {new_id} after {last_id}")
+                if new_id > last_id:
+                    self._missing_after = self.event_count
+                text = f"event {new_id} after {last_id}"
+                raise InvalidStream(text, self._outcome_of_gap())
             self.last_event_id = new_id
         elif last_id is not None and not event.is_comment:
-            raise InvalidStream(f"event without an id after {last_id}")
+            text = f"event without an id after {last_id}"
+            raise InvalidStream(text, self._outcome_of_gap())
         elif not event.is_comment:
             self._has_unnumbered = True
         self.event_count += not event.is_comment
-        self._part.note_event(event)
+        self._part.sent_events.note(event)
         self._part.hold(event.data)
 
+    def _outcome_of_gap(self) -> calls.Outcome:
+        """Return what an event that does not follow says of its attempt.
+
+        What the caller says it has may be wrong as well.
+        """
+        if self.last_event_id is None:
+            return calls.Outcome.UNRELATED
+        return calls.Outcome.GARBAGE
+
     def _flush(self) -> None:
         if self._sink is None:
             return
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -67,7 +67,7 @@
     found, splitter = _split(data, size)
     assert [event.event_id for event in found] == [1, 2, 3]
     assert b"".join(event.data for event in found) + splitter.remainder == data
-    assert not splitter.has_begun_event
+    assert not splitter.shows_event_after(3)
 
 
 def test_of_several_ids_of_an_event_the_last_one_counts():
@@ -79,3 +79,12 @@
     data = b"weight-versions: 7\nid: 4\ndata: x\n\n"
     (event,) = events.EventSplitter().feed(data)
     assert (event.event_id, event.data) == (4, data)
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_lines_of_comments_alone_are_no_event(line_end):
+    data = line_end.join([b": a", b": b", b"", b""])
+    (event,), _ = _split(data, len(data))
+    assert event.is_comment
+    (event,), _ = _split(b": a" + line_end + _numbered(1, b"\n", b"\n\n"), 99)
+    assert not event.is_comment
