Count what callers send, and end the costliest when it is too much

Uploads that stop before their end, heads without an end and header fields by the thousand were held as they came, whole and counted by nobody: a crowd took 209, 169 and 313 MB of a machine with 110 (tests/processes/test_crowds.py).

Each caller's connection is now an account of the node's memory budget: its objects, what was read of a request that is not complete, and the body and the fields of one under way. When it is too much, the connection that costs most and moves least ends: an upload with 503, which is true, for nothing was sent on, and a time to come back; an idle one in order; others at once. A caller that waits for the node counts as moving. Large requests are refused while those under way hold half of the budget, since these can't be dropped without an answer that is lost. A body is collected in one buffer, not in pieces whose gaps stay with the process.

Half of the heads' 169 MB belonged to connections that were gone: they refer to their parts and these to them, so that what they had read was freed only by the collector.

Failed before: tests/gateway/test_caller_accounts.py, all (no such accounts).

--- a/packages/core/src/fireflypulley/core/gateway/caller_ends.py
+++ b/packages/core/src/fireflypulley/core/gateway/caller_ends.py
@@ -17,6 +17,8 @@
     ANSWERED = "answered"
     """The last answer that the connection could carry was sent."""
     STOPPING = "node stops"
+    NODE_FULL = "node full"
+    """The node needed the memory or the descriptor for others."""
 
 
 FAILED_CALLERS = frozenset({CallerEnd.DEAD, CallerEnd.TOO_SLOW})
--- a/packages/core/src/fireflypulley/core/gateway/calls.py
+++ b/packages/core/src/fireflypulley/core/gateway/calls.py
@@ -7,6 +7,8 @@
 
 RETRY_ELSEWHERE_S = 0.05
 """Time to wait after a refusal by a node that is stopping."""
+RETRY_WHEN_FULL_S = 1.0
+"""Time to wait after a refusal by a node that holds all it may hold."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +139,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     STOPPING = "stopping"
+    NODE_FULL = "node_full"
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_KEY = "no_key"
@@ -157,6 +160,7 @@
     RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.STOPPING: 503,
+    RefusalReason.NODE_FULL: 503,
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.NO_KEY: 401,
@@ -172,3 +176,8 @@
     RefusalReason.OUTCOME_UNKNOWN: 502,
 }
 """429 and 503 guarantee that the request was not run; 502 and 504 do not."""
+RETRY_AFTER_UNREAD_S = {
+    RefusalReason.STOPPING: RETRY_ELSEWHERE_S,
+    RefusalReason.NODE_FULL: RETRY_WHEN_FULL_S,
+}
+"""When to come back after a refusal by a node that handled nothing."""
--- a/packages/core/src/fireflypulley/core/gateway/node_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/node_limits.py
@@ -11,8 +11,12 @@
 """Of the memory beyond that; copies that are being made and gaps between
 objects take the rest."""
 MIN_HELD_BYTES = 4 * MIB
-OTHER_DESCRIPTORS_SHARE = 0.5
-"""For endpoints, other nodes, the store, readiness and files."""
+CALLERS_SHARE = 1 / 3
+"""Of the descriptors.  Each caller may need one to an endpoint, too; the rest
+is for other nodes, the store, readiness and files."""
+TUNNELS_SHARE = 1 / 8
+"""Of the descriptors: connections that are carried for other nodes, which
+take two each."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,4 +35,9 @@
     @property
     def caller_connections(self) -> int:
         """Return how many connections of callers a node keeps open."""
-        return max(1, int(self.descriptors * (1 - OTHER_DESCRIPTORS_SHARE)))
+        return max(1, int(self.descriptors * CALLERS_SHARE))
+
+    @property
+    def carried_connections(self) -> int:
+        """Return how many connections a node carries for other nodes."""
+        return max(1, int(self.descriptors * TUNNELS_SHARE))
--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -9,9 +9,13 @@
 
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import node_limits
+from fireflypulley.gateway import caller_account
 from fireflypulley.gateway import caller_watch
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import memory
+from fireflypulley.gateway import open_callers
 from fireflypulley.gateway import send_queue
 from fireflypulley.transport import last_bytes
 from fireflypulley.transport import sockets
@@ -20,6 +24,8 @@
 MAX_HEADERS_BYTES = 65536
 """Above any configured limit, so that the configured one applies first."""
 LINGER_TIMEOUT_S = 1.0
+_ENDED = h11.Connection(h11.SERVER)
+"""What connections that are lost have instead of what they had read."""
 
 
 @interface.implementer(interfaces.IHalfCloseableProtocol)
@@ -31,16 +37,17 @@
         reactor: interfaces.IReactorTime,
         receiver: inbound.RequestReceiver,
         held: send_queue.HeldBytes,
+        callers: open_callers.OpenCallers,
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
         self._held = held
+        self._callers = callers
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEADERS_BYTES
         )
         self._request: inbound.IncomingRequest | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._reading_since_s: float | None = None
         self._handler: inbound.RequestHandler | None = None
         self._is_responding = False
@@ -51,6 +58,7 @@
         self._timer: interfaces.IDelayedCall | None = None
         self._watch: caller_watch.CallerWatch
         self._queue: send_queue.SendQueue
+        self._account: caller_account.CallerAccount
         self.end_reason: caller_ends.CallerEnd | None = None
         """Why the connection is closed, None while it is not."""
 
@@ -65,6 +73,29 @@
         self._queue = send_queue.SendQueue(self.transport, self._held, self)
         self._receiver.connection_opened(self)
         self._start_timer(self._receiver.limits.header_timeout_s)
+        self._account = caller_account.CallerAccount(
+            self._callers.budget, self._give_up, self._is_served
+        )
+        self._callers.add(self._account)
+
+    def _is_served(self) -> bool:
+        """Return whether the caller waits for this node."""
+        return self._handler is not None and not self._queue.is_waiting
+
+    def _give_up(self) -> None:
+        """End the connection, as the node needs what it holds.
+
+        A refusal keeps the connection until its caller has read it, so
+        only a caller whose request has a head is told.
+        """
+        if not self._is_open:
+            return
+        if self._request is not None:
+            self._refuse(calls.RefusalReason.NODE_FULL)
+        elif self._is_busy or self._reading_since_s is not None:
+            self._abort(caller_ends.CallerEnd.NODE_FULL)
+        else:
+            self._close(caller_ends.CallerEnd.NODE_FULL)
 
     def _start_timer(self, seconds: float) -> None:
         self._stop_timer()
@@ -163,6 +194,9 @@
         if handler is not None:
             handler.caller_left()
         self._watch.stop(end)
+        self._callers.remove(self._account)
+        # Objects that refer to each other are freed much later.
+        self._http, self._body = _ENDED, bytearray()
         self._receiver.connection_closed(self)
 
     # send_queue.SendQueueUser
@@ -178,6 +212,7 @@
     def queue_moved(self, is_paused: bool) -> None:
         self._watch.note_paused(is_paused)
         if not is_paused:
+            self._account.note_moved()
             self._reactor.callLater(0, self._read_next)
 
     def queue_dropped(self) -> None:
@@ -190,6 +225,9 @@
             return
         if self._reading_since_s is None and not self._is_busy:
             self._begin_reading()
+        self._account.note_read(len(data))
+        if not self._is_open:
+            return
         if self._is_busy:
             self._read_ahead_bytes += len(data)
             if self._read_ahead_bytes > MAX_READ_AHEAD_BYTES:
@@ -244,8 +282,7 @@
         self._request = inbound.IncomingRequest(
             event.method, event.target, headers, arrived_s
         )
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
@@ -253,17 +290,24 @@
             self._write(continue_response)
 
     def _receive_body(self, data: bytes) -> None:
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._receiver.limits.max_body_bytes:
+        self._body += data
+        if len(self._body) > self._receiver.limits.max_body_bytes:
             self._refuse(calls.RefusalReason.BODY_TOO_LARGE)
 
     def _receive_end(self) -> None:
         request, self._request = self._request, None
         if request is None:
             return
-        request.body = b"".join(self._body)
-        self._body = []
+        request.body, self._body = bytes(self._body), bytearray()
+        has_room = self._account.begin_request(
+            request.headers,
+            len(request.body),
+            len(self._http.trailing_data[0]),
+        )
+        if not has_room:
+            self._refuse(calls.RefusalReason.NODE_FULL)
+        if not self._is_open:
+            return
         self._stop_timer()
         self._reading_since_s = None
         self._read_ahead_bytes = 0
@@ -284,6 +328,8 @@
     def _refuse(self, reason: calls.RefusalReason) -> None:
         """Refuse the current request, and close the connection."""
         self._request = None
+        self._body = bytearray()
+        self._account.drop_read()
         self._must_close = True
         self._stop_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -343,6 +389,7 @@
             self._write(h11.EndOfMessage())
         self._handler = None
         self._is_responding = False
+        self._account.end_request()
         if not self._is_open:
             end = self.end_reason or caller_ends.CallerEnd.LEFT
             on_delivery(caller_ends.Delivery(end=end))
@@ -384,10 +431,18 @@
         reactor: interfaces.IReactorTime,
         receiver: inbound.RequestReceiver,
         bounds: caller_ends.CallerBounds = caller_ends.CallerBounds(),
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
         self.held = send_queue.HeldBytes(bounds)
+        if budget is None:
+            budget = memory.MemoryBudget(
+                reactor, node_limits.NodeLimits().held_bytes
+            )
+        self._callers = open_callers.OpenCallers(budget)
 
     def buildProtocol(self, addr: interfaces.IAddress) -> CallerConnection:
-        return CallerConnection(self._reactor, self._receiver, self.held)
+        return CallerConnection(
+            self._reactor, self._receiver, self.held, self._callers
+        )
--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -7,6 +7,7 @@
 
 import abc
 import collections
+import collections.abc
 import enum
 
 from twisted.internet import interfaces
@@ -42,6 +43,11 @@
     held_bytes: int = 0
     moved_s: float = 0.0
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether it does not move because the node works for it."""
+        return False
+
     @abc.abstractmethod
     def give_up(self) -> None:
         """Release what is held, as the node needs the memory.
@@ -88,7 +94,7 @@
         if holder not in self._ending:
             self._holders.add(holder)
         while self.total_bytes > self.bound_bytes and self._holders:
-            self._let_costliest_give_up()
+            self.let_give_up(max(self._holders, key=self._cost))
 
     def release(self, holder: Holder, use: Use, size_bytes: int) -> None:
         """Count bytes that a holder no longer keeps."""
@@ -97,23 +103,36 @@
             self._holders.discard(holder)
             self._ending.discard(holder)
 
+    def note_moved(self, holder: Holder) -> None:
+        """Record that some of what is held has moved on."""
+        holder.moved_s = self._reactor.seconds()
+
     def _change(self, holder: Holder, use: Use, size_bytes: int) -> None:
         holder.held_bytes += size_bytes
-        holder.moved_s = self._reactor.seconds()
+        self.note_moved(holder)
         self.used_bytes[use] += size_bytes
         self._total_bytes += size_bytes
         if holder in self._ending:
             self._ending_bytes += size_bytes
 
-    def _let_costliest_give_up(self) -> None:
-        costliest = max(self._holders, key=self._cost)
-        self._holders.discard(costliest)
-        self._ending.add(costliest)
-        self._ending_bytes += costliest.held_bytes
+    def find_costliest(
+        self, holders: collections.abc.Iterable[Holder]
+    ) -> Holder | None:
+        """Return whom to let give up first, None if there is none."""
+        going_on = (one for one in holders if one in self._holders)
+        return max(going_on, key=self._cost, default=None)
+
+    def let_give_up(self, holder: Holder) -> None:
+        """Let a holder that goes on give up."""
+        self._holders.discard(holder)
+        self._ending.add(holder)
+        self._ending_bytes += holder.held_bytes
         self.given_up += 1
-        costliest.give_up()
+        holder.give_up()
 
     def _cost(self, holder: Holder) -> float:
         """Return bytes times the seconds for which they have not moved."""
+        if holder.is_awaited:
+            return holder.held_bytes * MIN_IDLE_S
         idle_s = self._reactor.seconds() - holder.moved_s
         return holder.held_bytes * max(MIN_IDLE_S, idle_s)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -32,6 +32,7 @@
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import membership
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
@@ -98,6 +99,7 @@
             config.node.node_id,
         )
         self._metrics = metrics.GatewayMetrics()
+        self._memory = memory.MemoryBudget(reactor, config.limits.held_bytes)
         self._connections = pools.ConnectionPools(reactor)
         self._prober = prober.Prober(
             reactor, self._scheduler, self._connections
@@ -171,7 +173,10 @@
         )
         self._open_requests: set[exchange.Exchange] = set()
         self._caller_factory = caller_connection.CallerFactory(
-            reactor, self, config.caller_bounds
+            reactor,
+            self,
+            config.caller_bounds,
+            self._memory,
         )
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
@@ -414,11 +419,8 @@
     ) -> None:
         self._scheduler.refused[reason] += 1
         status = calls.STATUS_BY_REFUSAL[reason]
-        retry_after_s = None
-        if reason is calls.RefusalReason.STOPPING:
-            retry_after_s = calls.RETRY_ELSEWHERE_S
         headers = self._adapters.header_codec.refusal_headers(
-            "", retry_after_s
+            "", calls.RETRY_AFTER_UNREAD_S.get(reason)
         )
         sink.head(status, [*headers, (b"content-length", b"0")])
         sink.end()
--- /dev/null
+++ b/tests/gateway/test_caller_accounts.py
@@ -0,0 +1,140 @@
+"""What callers' connections hold, and how they end when it is too much."""
+
+import pytest
+from twisted.internet import task
+
+from fireflypulley.core.gateway import caller_ends
+from fireflypulley.core.gateway import calls
+from fireflypulley.core.gateway import document
+from fireflypulley.gateway import caller_account
+from fireflypulley.gateway import caller_connection
+from fireflypulley.gateway import memory
+
+from . import test_inbound
+
+BOUND = 1 << 20
+BODY = 100_000
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % BODY
+
+
+class World:
+    """Callers of a node that may hold little for them."""
+
+    def __init__(self, bound_bytes=BOUND, answer=None):
+        self.clock = task.Clock()
+        self.receiver = test_inbound.Receiver(answer)
+        self.receiver.configured_limits = document.CallerLimits(
+            20_000, 10 * BODY, 30.0, 30.0
+        )
+        self.budget = memory.MemoryBudget(self.clock, bound_bytes)
+        self.factory = caller_connection.CallerFactory(
+            self.clock,
+            self.receiver,
+            caller_ends.CallerBounds(),
+            self.budget,
+        )
+
+    def connect(self, data=b""):
+        connection = self.factory.buildProtocol(None)
+        connection.makeConnection(test_inbound.Transport())
+        if data:
+            connection.dataReceived(data)
+        return connection
+
+    def used(self, use):
+        return self.budget.used_bytes[use]
+
+
+def test_what_is_read_counts_until_the_request_is_complete():
+    world = World()
+    caller = world.connect(HEAD + b"x" * (BODY - 1))
+    assert world.used(memory.Use.UPLOAD) == len(HEAD) + BODY - 1
+    caller.dataReceived(b"x")
+    assert world.used(memory.Use.UPLOAD) == 0
+    assert world.used(memory.Use.REQUEST) >= 2 * BODY
+    test_inbound._reply(world.receiver.sinks[0], b"ok")
+    assert world.used(memory.Use.REQUEST) == 0
+
+
+def test_a_connection_that_is_lost_holds_nothing():
+    world = World()
+    for data in (b"", b"GET / HT", HEAD + b"x", HEAD + b"x" * BODY):
+        caller = world.connect(data)
+        assert world.budget.total_bytes > 0
+        caller.connectionLost()
+        assert world.budget.total_bytes == 0
+        assert not any(world.budget.used_bytes.values())
+
+
+def test_requests_that_were_read_ahead_still_count():
+    world = World()
+    get = test_inbound.GET
+    world.connect(get + get + get)
+    assert world.used(memory.Use.UPLOAD) == 2 * len(get)
+
+
+# Guards against memory that is freed long after a connection was lost, since
+# its objects refer to each other.
+def test_a_connection_that_is_lost_keeps_nothing_that_it_read():
+    world = World()
+    caller = world.connect(b"GET / HTTP/1.1\r\nField: " + b"x" * 15_000)
+    body = caller._http
+    caller.connectionLost()
+    assert caller._http is not body
+    caller.dataReceived(b"late")
+
+
+# Guards against nodes that run out of memory by uploads that stop: the
+# stalest is told that it was not run, and those that go on are served.
+def test_uploads_that_stop_are_refused_when_memory_is_short():
+    world = World()
+    stalled = [world.connect(HEAD + b"x" * (BODY - 1)) for _ in range(8)]
+    world.clock.advance(5.0)
+    moving = world.connect(HEAD)
+    for _ in range(3):
+        moving.dataReceived(b"x" * (BODY // 4))
+        world.clock.advance(0.5)
+    refused = [one for one in stalled if one.transport.value()]
+    assert refused
+    for one in refused:
+        assert test_inbound._statuses(one.transport) == [503]
+    assert set(world.receiver.refused) == {calls.RefusalReason.NODE_FULL}
+    assert world.budget.total_bytes <= BOUND
+    moving.dataReceived(b"x" * (BODY // 4))
+    assert len(world.receiver.requests) == 1
+
+
+# Guards against nodes that run out of memory by heads without an end.
+def test_heads_without_an_end_are_dropped_when_memory_is_short():
+    world = World()
+    callers = [
+        world.connect(b"GET / HTTP/1.1\r\nField: " + b"x" * 15_000)
+        for _ in range(60)
+    ]
+    dropped = [one for one in callers if one.transport.aborted]
+    assert dropped and not world.receiver.refused
+    assert world.budget.total_bytes <= BOUND
+
+
+# Guards against bodies under way that take all memory: they can't be dropped
+# without an answer that is lost.
+def test_large_requests_are_refused_while_many_are_under_way():
+    world = World()
+    for _ in range(5):
+        world.connect(HEAD + b"x" * BODY)
+    refused = world.receiver.refused
+    assert refused and set(refused) == {calls.RefusalReason.NODE_FULL}
+    share = BOUND * caller_account.REQUESTS_SHARE
+    assert world.used(memory.Use.REQUEST) <= share
+    small = world.connect(test_inbound.GET)
+    assert small.end_reason is None
+    assert world.receiver.requests[-1].method == b"GET"
+
+
+@pytest.mark.parametrize("fields", [0, 1000])
+def test_a_header_field_costs_more_than_its_bytes(fields):
+    world = World(bound_bytes=4 * BOUND)
+    lines = b"".join(b"h%d: 1\r\n" % number for number in range(fields))
+    world.connect(b"GET / HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n")
+    least = (fields + 1) * caller_account.FIELD_BYTES
+    assert least <= world.used(memory.Use.REQUEST) < 2 * least
