Keep descriptors for endpoints, peers and the store

A process at its limit can't connect to the store or to endpoints and answers no question about readiness.

One connection more ends the one that costs most and moves least among those whose callers don't wait for the node, else the new one.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -432,6 +432,7 @@
         receiver: inbound.RequestReceiver,
         bounds: caller_ends.CallerBounds = caller_ends.CallerBounds(),
         budget: memory.MemoryBudget | None = None,
+        max_connections: int = node_limits.NodeLimits().caller_connections,
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
@@ -440,7 +441,7 @@
             budget = memory.MemoryBudget(
                 reactor, node_limits.NodeLimits().held_bytes
             )
-        self._callers = open_callers.OpenCallers(budget)
+        self._callers = open_callers.OpenCallers(budget, max_connections)
 
     def buildProtocol(self, addr: interfaces.IAddress) -> CallerConnection:
         return CallerConnection(
--- a/packages/gateway/src/fireflypulley/gateway/open_callers.py
+++ b/packages/gateway/src/fireflypulley/gateway/open_callers.py
@@ -1,14 +1,19 @@
-"""The open connections of a node's callers."""
+"""The open connections of a node's callers, and how many there may be."""
 
 from fireflypulley.gateway import caller_account
 from fireflypulley.gateway import memory
 
 
 class OpenCallers:
-    """Counts the connections that are open."""
+    """Keeps the connections within ``limit``.
 
-    def __init__(self, budget: memory.MemoryBudget) -> None:
+    One more than that ends the one that costs most and moves least, of
+    those whose callers do not wait for the node, else the new one.
+    """
+
+    def __init__(self, budget: memory.MemoryBudget, limit: int) -> None:
         self.budget = budget
+        self._limit = limit
         self._accounts: set[caller_account.CallerAccount] = set()
 
     def __len__(self) -> int:
@@ -17,6 +22,10 @@
     def add(self, account: caller_account.CallerAccount) -> None:
         """Add a connection that was opened."""
         self._accounts.add(account)
+        if len(self._accounts) <= self._limit:
+            return
+        idle = (one for one in self._accounts if not one.is_awaited)
+        self.budget.let_give_up(self.budget.find_costliest(idle) or account)
 
     def remove(self, account: caller_account.CallerAccount) -> None:
         """Remove a connection that is closed."""
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -38,6 +38,7 @@
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
+from fireflypulley.gateway import process_limits
 from fireflypulley.gateway import replica_scaler
 from fireflypulley.gateway import rollout_controller
 from fireflypulley.gateway import row_codec
@@ -99,7 +100,8 @@
             config.node.node_id,
         )
         self._metrics = metrics.GatewayMetrics()
-        self._memory = memory.MemoryBudget(reactor, config.limits.held_bytes)
+        limits = process_limits.apply(config.limits)
+        self._memory = memory.MemoryBudget(reactor, limits.held_bytes)
         self._connections = pools.ConnectionPools(reactor)
         self._prober = prober.Prober(
             reactor, self._scheduler, self._connections
@@ -177,6 +179,7 @@
             self,
             config.caller_bounds,
             self._memory,
+            limits.caller_connections,
         )
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -20,7 +20,7 @@
 class World:
     """Callers of a node that may hold little for them."""
 
-    def __init__(self, bound_bytes=BOUND, answer=None):
+    def __init__(self, bound_bytes=BOUND, max_connections=100, answer=None):
         self.clock = task.Clock()
         self.receiver = test_inbound.Receiver(answer)
         self.receiver.configured_limits = document.CallerLimits(
@@ -32,6 +32,7 @@
             self.receiver,
             caller_ends.CallerBounds(),
             self.budget,
+            max_connections,
         )
 
     def connect(self, data=b""):
@@ -45,6 +46,10 @@
         return self.budget.used_bytes[use]
 
 
+def _has_ended(connection):
+    return connection.end_reason is caller_ends.CallerEnd.NODE_FULL
+
+
 def test_what_is_read_counts_until_the_request_is_complete():
     world = World()
     caller = world.connect(HEAD + b"x" * (BODY - 1))
@@ -116,6 +121,40 @@
     assert world.budget.total_bytes <= BOUND
 
 
+def test_an_idle_connection_is_closed_in_order():
+    world = World(max_connections=1)
+    idle = world.connect()
+    world.clock.advance(1.0)
+    newcomer = world.connect()
+    assert _has_ended(idle) and not idle.transport.aborted
+    assert idle.transport.disconnecting
+    assert newcomer.end_reason is None
+
+
+# Guards against nodes without a descriptor for an ordinary caller, as others
+# keep their connections and say nothing.
+def test_more_connections_than_descriptors_end_the_stalest():
+    world = World(max_connections=10)
+    callers = []
+    for _ in range(30):
+        callers.append(world.connect())
+        world.clock.advance(0.1)
+        for one in callers:
+            if one.transport.disconnecting and one.transport.connected:
+                one.transport.connected = False
+                one.connectionLost()
+    assert [_has_ended(one) for one in callers] == [True] * 20 + [False] * 10
+
+
+def test_a_caller_that_waits_for_the_node_is_not_ended_for_a_newcomer():
+    world = World(max_connections=2)
+    busy = [world.connect(test_inbound.GET) for _ in range(2)]
+    world.clock.advance(10.0)
+    newcomer = world.connect()
+    assert not any(_has_ended(one) for one in busy)
+    assert _has_ended(newcomer)
+
+
 # Guards against bodies under way that take all memory: they can't be dropped
 # without an answer that is lost.
 def test_large_requests_are_refused_while_many_are_under_way():
