Count what is held of answers, and hold less as memory gets scarce

What callers saw: a crowd that reads slowly ended its node by memory, or the node dropped most of them before it had sent a byte.

Cause: up to 1 MiB of each answer without events is held before its head is sent, also of failures that are kept and of attempts beside each other. Nobody counted these bytes, and then all went at once to the caller's queue, whose bound for all callers dropped the caller.

Why this works: a part of an answer is a holder in the node's budget. What one may hold is an eighth of what is left until half the budget, so that a crowd shares what there is, and at least 16 KiB, so that a short answer can still be had from a second endpoint. Beyond it the head is sent and the pace of the caller pauses the endpoint. When the budget is spent the costliest is sent as it is; a failure that is kept is dropped, as it was beyond 1 MiB. An error of one that gives up is logged and does not reach the one that needed the memory.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -172,6 +172,7 @@
     def abort(self) -> None:
         """Close the connection, so that the endpoint cancels the run."""
         self._is_over = True
+        self.part.drop()
         self.stop_watching()
         connection, self.connection = self.connection, None
         if connection is not None:
@@ -180,6 +181,7 @@
     def discard(self) -> None:
         """Read and drop the rest of an answer that is not forwarded."""
         self._is_over = True
+        self.part.drop()
         self.stop_watching()
         connection, self.connection = self.connection, None
         if connection is not None:
@@ -216,4 +218,5 @@
     def response_failed(self, outcome: calls.Outcome, detail: str) -> None:
         self.connection = None
         self.stop_watching()
+        self.part.drop()
         self._owner.attempt_failed(self, outcome, detail)
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -88,7 +88,7 @@
             self._begin(run)
 
     def _begin(self, run: runs.Run) -> None:
-        part = self._relay.start_attempt()
+        part = self._relay.start_attempt(lambda: self._send_early(begun))
         self._record.run_parts.append(record.RunPart(run, part))
         begun = attempt.Attempt(
             self._dependencies, self, self._incoming, run, part
@@ -269,16 +269,29 @@
     def _hold_failure(self, failed: attempt.Attempt, data: bytes) -> None:
         """Keep a part of a failure, which is no use if it is too large."""
         failed.part.hold(data)
-        if failed.part.held_bytes > relay.MAX_HELD_BYTES:
+        if failed.part.is_large:
             self._drop_failed()
 
+    def _send_early(self, holding: attempt.Attempt) -> None:
+        """Send what an attempt holds, as the node needs the memory.
+
+        A failure that is kept for later is dropped.
+        """
+        if holding is self.failed:
+            self._drop_failed()
+        elif holding in self._under_way:
+            self._prefer(holding)
+            self._relay.send_held()
+        else:
+            holding.part.drop()
+
     def _receive_plain(self, sent: attempt.Attempt, data: bytes) -> None:
         """Hold a body beside another attempt's, unless it is too large."""
         if not self.is_contested:
             self._relay.receive_data(data)
             return
         sent.part.hold(data)
-        if sent.part.held_bytes > relay.MAX_HELD_BYTES:
+        if sent.part.is_large:
             self._prefer(sent)
 
     def _receive_events(self, sent: attempt.Attempt, data: bytes) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/dependencies.py
+++ b/packages/gateway/src/fireflypulley/gateway/dependencies.py
@@ -12,6 +12,7 @@
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 
 
@@ -28,5 +29,6 @@
     crash_detector: crash_detector.CrashDetector
     limit_reader: limit_reader.LimitReader
     done: collections.abc.Callable[[inbound.RequestHandler], None]
+    memory: memory.MemoryBudget
     stops_at_s: collections.abc.Callable[[], float] = lambda: math.inf
     """When this node ends what still runs, infinite unless it is stopping."""
--- a/packages/gateway/src/fireflypulley/gateway/exchange.py
+++ b/packages/gateway/src/fireflypulley/gateway/exchange.py
@@ -24,7 +24,9 @@
     ) -> None:
         self._dependencies = shared
         self._incoming = request
-        self._relay = relay.ResponseRelay(shared.header_codec, sink)
+        self._relay = relay.ResponseRelay(
+            shared.header_codec, sink, shared.memory
+        )
         self._record = record.RequestRecord(request.arrived_s)
         self._attempts: attempts.Attempts | None = None
         self._timer: interfaces.IDelayedCall | None = None
--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -11,8 +11,15 @@
 
 from twisted.internet import interfaces
 
+from fireflypulley.gateway import background
+from fireflypulley.gateway import decision_log
+
 SCARCE_SHARE = 0.5
 """Of the bound; beyond it holders keep no more than they need to go on."""
+LARGEST_SHARE = 0.125
+"""Of what is left until memory is scarce, for one holder of many."""
+MIN_SHARE_BYTES = 16 << 10
+"""A short answer, which any holder may keep."""
 MIN_IDLE_S = 0.1
 """So that of holders that have just moved the largest gives up first."""
 
@@ -78,6 +85,16 @@
         """Return whether no more should be held than is needed."""
         return self.total_bytes > self.bound_bytes * SCARCE_SHARE
 
+    def share_bytes(self, most_bytes: int) -> int:
+        """Return how much a holder may keep that could go on without.
+
+        The more others hold, the less; all get by, and nobody has to give
+        up what it was allowed before.
+        """
+        left_bytes = self.bound_bytes * SCARCE_SHARE - self.total_bytes
+        share_bytes = max(MIN_SHARE_BYTES, int(left_bytes * LARGEST_SHARE))
+        return min(most_bytes, share_bytes)
+
     def has_room(self, size_bytes: int) -> bool:
         """Return whether so much more may be held."""
         return self.total_bytes + size_bytes <= self.bound_bytes
@@ -111,7 +128,16 @@
         self._ending.add(costliest)
         self._ending_bytes += costliest.held_bytes
         self.given_up += 1
-        costliest.give_up()
+        decision_log.note(
+            "memory",
+            holder=type(costliest).__name__,
+            held_bytes=costliest.held_bytes,
+            still_ms=round(
+                (self._reactor.seconds() - costliest.moved_s) * 1000
+            ),
+            bound_bytes=self.bound_bytes,
+        )
+        background.guard(costliest.give_up, memory="give up")()
 
     def _cost(self, holder: Holder) -> float:
         """Return bytes times the seconds for which they have not moved."""
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.gateway import memory
 
 REQUEST_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 12.0)
 FIRST_EVENT_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.0)
@@ -59,6 +60,13 @@
         self._held = self._gauge(
             "callers_held_bytes", "Bytes that wait for slow callers."
         )
+        self._memory = self._gauge(
+            "memory_held_bytes",
+            "Bytes held for callers and endpoints, by use.",
+        )
+        self._given_up = self._counter(
+            "memory_given_up", "How often memory had to be released."
+        )
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
@@ -112,6 +120,14 @@
         """Set the metric of what waits for callers."""
         self._held.set({}, held_bytes)
 
+    def collect_memory(
+        self, used_bytes: collections.Counter[memory.Use], given_up: int
+    ) -> None:
+        """Set the metrics of what the node holds."""
+        for use in memory.Use:
+            self._memory.set({"use": use.value}, used_bytes[use])
+        self._given_up.set({}, given_up)
+
     def observe_attempt(self, run: runs.Run, now_s: float) -> None:
         """Record the time to the first event, or to the end without one."""
         first_s = run.first_event_s
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -4,11 +4,15 @@
 another endpoint can be tried until the head has been sent.
 """
 
+import collections.abc
+
 from fireflypulley.gateway import events
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import memory
 
 MAX_HELD_BYTES = 1 << 20
+"""Less while the node holds much; see ``memory``."""
 BAD_GATEWAY = 502
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that the request did not run."""
@@ -25,7 +29,7 @@
     """Raised for bytes that can't continue the stream."""
 
 
-class Part:
+class Part(memory.Holder):
     """What has arrived of one attempt's answer and was not sent yet.
 
     ``first_event_id`` and ``last_event_id`` are those of the events that
@@ -33,11 +37,16 @@
     them, without comments.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        budget: memory.MemoryBudget,
+        on_give_up: collections.abc.Callable[[], None],
+    ) -> None:
+        self._budget = budget
+        self._on_give_up = on_give_up
         self.status = 0
         self.headers: header_codec.Headers = []
         self.held: list[bytes] = []
-        self.held_bytes = 0
         self.splitter = events.EventSplitter()
         self.has_events = False
         self.first_event_id: int | None = None
@@ -62,14 +71,26 @@
     def hold(self, data: bytes) -> None:
         """Keep bytes until they are sent."""
         self.held.append(data)
-        self.held_bytes += len(data)
+        self._budget.hold(self, memory.Use.ANSWER, len(data))
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether no more should be held."""
+        return self.held_bytes > self._budget.share_bytes(MAX_HELD_BYTES)
 
     def take_held(self) -> bytes:
         """Return what is held, which is to be sent now."""
         held, self.held = self.held, []
-        self.held_bytes = 0
+        self._budget.release(self, memory.Use.ANSWER, self.held_bytes)
         return b"".join(held)
 
+    def drop(self) -> None:
+        """Drop what is held, as the caller won't get it."""
+        self.take_held()
+
+    def give_up(self) -> None:
+        self._on_give_up()
+
 
 class ResponseRelay:
     """The response to one request, from one endpoint or several.
@@ -79,9 +100,13 @@
     """
 
     def __init__(
-        self, codec: header_codec.HeaderCodec, sink: inbound.CallerSink
+        self,
+        codec: header_codec.HeaderCodec,
+        sink: inbound.CallerSink,
+        budget: memory.MemoryBudget,
     ) -> None:
         self._header_codec = codec
+        self._budget = budget
         self._sink: inbound.CallerSink | None = sink
         self._headers: header_codec.Headers = []
         self._sent_status = 0
@@ -91,7 +116,7 @@
         self._begun_after: int | None = None
         """How many events the caller had when a part of the next arrived
         from a run that gave no more, None if that never was."""
-        self._part = Part()
+        self._part = Part(budget, self.send_held)
         self.is_contested = False
         """Whether another attempt may still serve the caller, so that
         comments are held until an event decides."""
@@ -136,9 +161,15 @@
     def _is_event_status(self, status: int) -> bool:
         return self.is_stream and status < 300
 
-    def start_attempt(self) -> Part:
-        """Use a new part; return it."""
-        self._part = Part()
+    def start_attempt(
+        self, on_give_up: collections.abc.Callable[[], None] | None = None
+    ) -> Part:
+        """Use a new part; return it.
+
+        ``on_give_up`` is called when the node needs the memory, in place
+        of sending what the part holds.
+        """
+        self._part = Part(self._budget, on_give_up or self.send_held)
         return self._part
 
     def use(self, part: Part, is_contested: bool) -> None:
@@ -186,10 +217,15 @@
         if self.is_event_stream(self._part):
             return self._receive_events(data)
         self._part.hold(data)
-        if self.head_sent or self._part.held_bytes > MAX_HELD_BYTES:
+        if self.head_sent or self._part.is_large:
             self._flush()
         return False
 
+    def send_held(self) -> None:
+        """Send what is held of the part in use."""
+        if self._part.held:
+            self._flush()
+
     def _receive_events(self, data: bytes) -> bool:
         splitter = self._part.splitter
         complete = splitter.feed(data)
@@ -264,6 +300,7 @@
 
     def _flush(self) -> None:
         if self._sink is None:
+            self._part.drop()
             return
         self._send_head(self._sink)
         self._sink.data(self._part.take_held())
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -32,6 +32,7 @@
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import membership
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
@@ -98,6 +99,7 @@
             config.node.node_id,
         )
         self._metrics = metrics.GatewayMetrics()
+        self._memory = memory.MemoryBudget(reactor, config.limits.held_bytes)
         self._connections = pools.ConnectionPools(reactor)
         self._prober = prober.Prober(
             reactor, self._scheduler, self._connections
@@ -167,6 +169,7 @@
                 self._limit_changed,
             ),
             self._request_done,
+            self._memory,
             lambda: self._stop.ends_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
@@ -369,6 +372,9 @@
         )
         self._metrics.collect_closes(self._connections.paths.closes)
         self._metrics.collect_callers(self._caller_factory.held.total_bytes)
+        self._metrics.collect_memory(
+            self._memory.used_bytes, self._memory.given_up
+        )
         self._metrics.collect(
             self._scheduler,
             len(self._open_requests),
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -14,6 +14,7 @@
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
@@ -23,6 +24,7 @@
 from . import header_codecs
 
 SEALED = [(b"x-request-id", b"q1"), (b"x-seal", b"s1")]
+MEMORY_BYTES = 64 << 20
 STREAM = document.RouteKind.STREAM
 AT_MOST_ONCE = document.RouteKind.AT_MOST_ONCE
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -131,7 +133,11 @@
     """An exchange of one request with two endpoints."""
 
     def __init__(
-        self, kind=document.RouteKind.IDEMPOTENT, caller_fields=(), **fields
+        self,
+        kind=document.RouteKind.IDEMPOTENT,
+        caller_fields=(),
+        memory_bytes=MEMORY_BYTES,
+        **fields,
     ):
         config = builders.a_document(builders.route(kind, **fields))
         self.clock = task.Clock()
@@ -160,6 +166,7 @@
         self.permit_requests = []
         self.stops_at_s = math.inf
         self.sink = Sink()
+        self.memory = memory.MemoryBudget(self.clock, memory_bytes)
         shared = dependencies.Dependencies(
             self.clock,
             self.scheduler,
@@ -175,6 +182,7 @@
                 self.limit_reports.append,
             ),
             self.done.append,
+            self.memory,
             lambda: self.stops_at_s,
         )
         request = inbound.IncomingRequest(
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -3,9 +3,11 @@
 import tracemalloc
 
 import pytest
+from twisted.internet import task
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import events
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import relay
 
@@ -122,8 +124,9 @@
 
 def test_an_endless_failure_is_held_within_the_limit():
     sink = exchanges.Sink()
+    budget = memory.MemoryBudget(task.Clock(), exchanges.MEMORY_BYTES)
     response_relay = relay.ResponseRelay(
-        header_codecs.PlainHeaderCodec(), sink
+        header_codecs.PlainHeaderCodec(), sink, budget
     )
     part = response_relay.start_attempt()
     response_relay.set_head(part, 500, list(exchanges.SEALED))
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -111,3 +111,15 @@
                 each.held_bytes for each in holders if not each.has_given_up
             )
             assert budget.total_bytes == expected
+
+
+# Guards against memory that a few fill so that all others have to give up.
+def test_the_more_is_held_the_less_each_may_keep():
+    _, budget = _budget()
+    assert budget.share_bytes(50) == 50
+    budget.bound_bytes = 1 << 24
+    assert budget.share_bytes(1 << 21) == 1 << 20
+    budget.hold(Holder(budget), memory.Use.ANSWER, 1 << 22)
+    assert budget.share_bytes(1 << 21) == 1 << 19
+    budget.hold(Holder(budget), memory.Use.ANSWER, 1 << 22)
+    assert budget.share_bytes(1 << 21) == memory.MIN_SHARE_BYTES
