Hold a few pieces for each tunnel, and not a megabyte

What callers saw: a node without ways to its endpoints ended by memory as a few hundred callers read slowly what came through a peer.

Cause: msgpack's reader takes a buffer of 1 MiB, and uses all of it in turn, for each stream (measured: 1,075 KiB of RSS for each of 300 readers of pieces of 64 KiB). Besides, a tunnel read and held 64 KiB at a time on each of its four transports.

Why this works: the reader starts with 4 KiB and grows to twice of what is incomplete; a tunnel reads, sends and holds 16 KiB at a time, so that a pause takes effect after one piece. 300 readers of 16 KiB: 79 KiB each; of 64 KiB: 199 KiB each. Whether all of an answer was read after a pause is told by what the transport reads at once, which is less now.

The tests of this commit but for the older ones fail without it.

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -313,11 +313,16 @@
             self.abort()
             return
         self._pool.note_activity()
-        is_all = len(data) < READ_BYTES
+        is_all = len(data) < self._read_bytes
         self._answer.note_read(is_all, self._pool.now_s())
         self._http.receive_data(data)
         self._read()
 
+    @property
+    def _read_bytes(self) -> int:
+        """Return the most that the transport reads at once."""
+        return int(getattr(self.transport, "bufferSize", READ_BYTES))
+
     def _read(self) -> None:
         """Handle what has arrived, the rest of it in later turns."""
         try:
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -31,6 +31,7 @@
         self._reactor = reactor
 
     def connectionMade(self) -> None:
+        self.transport.bufferSize = tunnel_transport.MAX_PIECE_BYTES
         peer_watch.PeerWatch(self._reactor, self.transport)
 
 
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -20,7 +20,9 @@
 FEATURE = "tunnel-messages"
 SINGLE_FEATURE = "tunnel-single"
 """A node that stops may open tunnels for one request each."""
-MAX_PIECE_BYTES = 65536
+MAX_PIECE_BYTES = 16 << 10
+"""Also of what is read at once, and waits in a transport for the other side:
+a node may use hundreds of tunnels, and each side holds a few pieces."""
 
 _OnClosing = collections.abc.Callable[[float | None], None]
 
@@ -43,6 +45,7 @@
     older nodes don't do.
     """
     socket_transport = stream.transport
+    socket_transport.bufferSize = MAX_PIECE_BYTES
     tells_end = stream.supports(FEATURE)
     if tells_end:
         transport = TunnelTransport(stream, user, on_closing)
@@ -59,6 +62,9 @@
 class TunnelTransport(streams.StreamOwner):
     """The transport of a protocol that uses a stream."""
 
+    bufferSize = MAX_PIECE_BYTES
+    """The most that the protocol gets at once."""
+
     def __init__(
         self,
         stream: streams.NodeStream,
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -12,6 +12,8 @@
 from fireflypulley.nodes import messages
 
 MAX_MESSAGE_BYTES = 16 << 20
+FIRST_BUFFER_BYTES = 4096
+"""msgpack takes a megabyte otherwise, and uses all of it in turn."""
 
 
 class BadMessage(ValueError):
@@ -117,7 +119,10 @@
 
     def __init__(self, max_bytes: int) -> None:
         self._unpacker = msgpack.Unpacker(
-            max_buffer_size=max_bytes, raw=False, strict_map_key=False
+            read_size=min(FIRST_BUFFER_BYTES, max_bytes),
+            max_buffer_size=max_bytes,
+            raw=False,
+            strict_map_key=False,
         )
 
     def feed(self, data: bytes) -> list[messages.Message]:
--- a/tests/gateway/test_tunnel_options.py
+++ b/tests/gateway/test_tunnel_options.py
@@ -8,6 +8,7 @@
 
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import tunnel_transport
+from fireflypulley.nodes import messages
 from fireflypulley.transport import sockets
 
 
@@ -15,6 +16,7 @@
     """A TCP transport over a real socket."""
 
     connected = True
+    bufferSize = 65536
 
     def __init__(self, handle):
         self._handle = handle
@@ -32,6 +34,10 @@
     def __init__(self, transport, is_older):
         self.transport = transport
         self._is_older = is_older
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
 
     def supports(self, feature):
         return not self._is_older
@@ -73,3 +79,32 @@
         pipe = tunnel_server._EndpointPipe(task.Clock())
         pipe.makeConnection(_Transport(handle))
         assert _user_timeout_ms(handle) == 0
+
+
+PIECE_BYTES = 16 << 10
+
+
+# Guards against nodes that run out of memory as each of hundreds of tunnels
+# reads and holds a lot at a time.
+@pytest.mark.parametrize("is_older", [False, True])
+def test_a_tunnel_reads_and_holds_little_at_a_time(is_older):
+    with socket.socket() as handle:
+        transport = _Transport(handle)
+        stream = _Stream(transport, is_older)
+        tunnel_transport.connect(task.Clock(), stream, _User())
+        assert transport.bufferSize <= PIECE_BYTES
+        pipe = tunnel_server._EndpointPipe(task.Clock())
+        pipe.makeConnection(_Transport(handle))
+        assert pipe.transport.bufferSize <= PIECE_BYTES
+
+
+def test_what_is_written_to_a_tunnel_goes_in_small_pieces():
+    with socket.socket() as handle:
+        stream = _Stream(_Transport(handle), False)
+        user = _User()
+        tunnel_transport.connect(task.Clock(), stream, user)
+        user.transport.write(b"x" * 100_000)
+    pieces = [message.data for message in stream.sent]
+    assert b"".join(pieces) == b"x" * 100_000
+    assert max(map(len, pieces)) <= PIECE_BYTES
+    assert all(isinstance(one, messages.TunnelData) for one in stream.sent)
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -1,5 +1,7 @@
 """Messages round-trip through the codec; malformed bytes are rejected."""
 
+import tracemalloc
+
 import hypothesis
 from hypothesis import strategies
 import msgpack
@@ -198,3 +200,23 @@
         msgpack.packb(["Proof", {"signatures": [b"s"], "later": 1}])
     )
     assert proof == messages.Proof((b"s",))
+
+
+PIECES = 100
+PIECE_BYTES = 16 << 10
+
+
+# Guards against nodes that run out of memory by the buffers of hundreds of
+# streams, of which each takes a megabyte.
+def test_a_reader_holds_no_more_than_a_few_messages():
+    encoded = codec.encode(messages.TunnelData(b"x" * PIECE_BYTES))
+    codec.Reader(codec.MAX_MESSAGE_BYTES).feed(encoded)
+    tracemalloc.start()
+    try:
+        reader = codec.Reader(codec.MAX_MESSAGE_BYTES)
+        for _ in range(PIECES):
+            assert len(reader.feed(encoded)) == 1
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held_bytes <= 6 * PIECE_BYTES
