Count what waits for callers, and read less while memory is scarce

What callers saw: a crowd that reads slowly took more memory than the machine has, and then all callers lost their node.

Cause: 16 MiB could wait for callers whatever the machine, and what the transports keep of each (32 to 48 KiB) was counted by nobody: 1,500 callers held 70 MB. Whatever one read of an endpoint brings is held until the caller takes it, 64 KiB each.

Why this works: what waits in a queue and what its transport keeps counts in the node's budget. While that is half spent, any byte that waits pauses the endpoint, a transport keeps 8 KiB, and 8 KiB are read at once, so that a crowd costs at least 8 KiB each. When the budget is spent the costliest is dropped, as too slow. total_held_bytes is at most half of the budget; above some 144 MB of memory-mb it is 16 MiB as before.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -137,6 +137,7 @@
         self.connection = connection
         self.peer = connection.peer
         self.was_sent = True
+        connection.read_little(self._shared.memory.is_scarce)
         self._shared.scheduler.note_sent(run, now_s)
         if request.route.repeatable:
             self._watch()
@@ -197,6 +198,7 @@
         """Continue to read the answer."""
         self.run.release(self._shared.reactor.seconds())
         if self.connection is not None:
+            self.connection.read_little(self._shared.memory.is_scarce)
             self.connection.resume()
 
     # outbound.ResponseListener
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -24,6 +24,8 @@
 MAX_HEAD_BYTES = 65536
 READ_BYTES = 65536
 """The most that a transport reads at once."""
+SCARCE_READ_BYTES = 8192
+"""The same while the node's memory is scarce: all that is read is held."""
 REMEMBERED_REQUESTS = 64
 MAX_PARTS_PER_TURN = 64
 """A chunk is a part, and so is a head.  An endpoint may send thousands of
@@ -291,6 +293,15 @@
         if self._is_paused:
             self.resume()
 
+    def read_little(self, is_little: bool) -> None:
+        """Read less at once, or as much as usual.
+
+        A tunnel reads little anyway.
+        """
+        if not self.peer and self._is_open:
+            size_bytes = SCARCE_READ_BYTES if is_little else READ_BYTES
+            self.transport.bufferSize = size_bytes
+
     def pause(self) -> None:
         """Stop reading while the caller accepts no data."""
         self._is_paused = True
--- a/packages/gateway/src/fireflypulley/gateway/send_queue.py
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -8,11 +8,14 @@
 from zope import interface
 
 from fireflypulley.core.gateway import caller_ends
+from fireflypulley.gateway import memory
 from fireflypulley.transport import last_bytes
 
 MAX_PIECE_BYTES = 16384
 TRANSPORT_BYTES = 32768
 """The transport asks for a pause once it holds more than this."""
+SCARCE_TRANSPORT_BYTES = 8192
+"""The same while the node's memory is scarce."""
 
 _Call = collections.abc.Callable[[], None]
 
@@ -22,14 +25,27 @@
 
     def __init__(self, bounds: caller_ends.CallerBounds) -> None:
         self.bounds = bounds
+        self.budget: memory.MemoryBudget | None = None
+        """That of the node, which counts what its transports hold too."""
         self._queues: set[SendQueue] = set()
         self.total_bytes = 0
 
     @property
     def is_scarce(self) -> bool:
         """Return whether callers get no more than they need to go on."""
+        if self.budget is not None and self.budget.is_scarce:
+            return True
         return self.total_bytes * 2 > self.bounds.total_held_bytes
 
+    @property
+    def caller_bytes(self) -> int:
+        """Return how much may wait for one caller."""
+        if self.is_scarce:
+            return 0
+        if self.budget is None:
+            return self.bounds.held_bytes
+        return self.budget.share_bytes(self.bounds.held_bytes)
+
     def add(self, queue: "SendQueue", size_bytes: int) -> None:
         """Record bytes that wait, and drop what costs most if too many."""
         self._queues.add(queue)
@@ -48,6 +64,27 @@
     return queue.held_bytes
 
 
+class _CallerMemory(memory.Holder):
+    """What a queue and its transport hold, in the node's budget."""
+
+    def __init__(self, held: HeldBytes, give_up: _Call) -> None:
+        self._held = held
+        self._give_up = give_up
+
+    def count(self, size_bytes: int) -> None:
+        """Count that much, and no longer what was counted before."""
+        budget, change = self._held.budget, size_bytes - self.held_bytes
+        if budget is None or not change:
+            return
+        if change > 0:
+            budget.hold(self, memory.Use.CALLER, change)
+        else:
+            budget.release(self, memory.Use.CALLER, -change)
+
+    def give_up(self) -> None:
+        self._give_up()
+
+
 class SendQueueUser(typing.Protocol):
     """Who writes to a queue."""
 
@@ -69,7 +106,8 @@
     """What waits for one caller; an answer that fits is taken in whole.
 
     The user is asked to pause once ``bounds.held_bytes`` wait, or any while
-    the node's callers hold half of what they may hold together.
+    the node's callers hold half of what they may hold together, or the
+    node's memory is scarce.
     """
 
     def __init__(
@@ -84,6 +122,7 @@
         self._close_transport: _Call | None = None
         self._is_dropped = False
         self.held_bytes = 0
+        self._memory = _CallerMemory(held, self.drop)
         transport.bufferSize = TRANSPORT_BYTES
         transport.registerProducer(self, True)
 
@@ -96,6 +135,9 @@
         """Send bytes, now or once the caller takes more."""
         if self._is_dropped:
             return
+        self._transport.bufferSize = TRANSPORT_BYTES
+        if self._held.is_scarce:
+            self._transport.bufferSize = SCARCE_TRANSPORT_BYTES
         for start in range(0, len(data), MAX_PIECE_BYTES):
             piece = data[start : start + MAX_PIECE_BYTES]
             if not self._is_paused:
@@ -106,13 +148,20 @@
             self._held.add(self, len(piece))
             if self._is_dropped:
                 return
+        self._count()
         self._check_full()
 
+    def _count(self) -> None:
+        """Count what waits here and in the transport."""
+        transport_bytes = 0
+        if self._is_paused:
+            transport_bytes = _unsent_bytes(self._transport)
+        self._memory.count(self.held_bytes + transport_bytes)
+
     def _check_full(self) -> None:
-        bound_bytes = self._held.bounds.held_bytes
-        if self._held.is_scarce:
-            bound_bytes = 0
-        if self.held_bytes > bound_bytes and not self._is_full:
+        if self._is_dropped or self._is_full:
+            return
+        if self.held_bytes > self._held.caller_bytes:
             self._is_full = True
             self._user.queue_filled()
 
@@ -127,7 +176,8 @@
             self.held_bytes -= len(piece)
             self._held.remove(self, len(piece))
             self._transport.write(piece)
-        if self._is_paused:
+        self._count()
+        if self._is_paused or self._is_dropped:
             return
         self._user.queue_moved(False)
         if self._close_transport is not None:
@@ -148,6 +198,7 @@
 
     def _finish_close(self, close_transport: _Call) -> None:
         self._transport.unregisterProducer()
+        self._memory.count(0)
         close_transport()
 
     def hand_over(self) -> None:
@@ -172,3 +223,10 @@
         size_bytes, self.held_bytes = self.held_bytes, 0
         self._pieces.clear()
         self._held.remove(self, size_bytes)
+        self._memory.count(0)
+
+
+def _unsent_bytes(transport: typing.Any) -> int:
+    """Return what a transport keeps; it frees a buffer once it is sent."""
+    waiting = getattr(transport, "_tempDataLen", 0)
+    return len(getattr(transport, "dataBuffer", b"")) + waiting
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -75,6 +75,15 @@
         self.count(workspace, time.time())
 
 
+def _caller_bounds(config: settings.NodeSettings) -> caller_ends.CallerBounds:
+    """Return what slow callers may cost on the machine of a node."""
+    most = config.limits.held_bytes // 2
+    bounds = config.caller_bounds
+    return dataclasses.replace(
+        bounds, total_held_bytes=min(most, bounds.total_held_bytes)
+    )
+
+
 class Service(inbound.RequestReceiver, stop_order.StoppableNode):
     """One gateway node."""
 
@@ -174,8 +183,9 @@
         )
         self._open_requests: set[exchange.Exchange] = set()
         self._caller_factory = caller_connection.CallerFactory(
-            reactor, self, config.caller_bounds
+            reactor, self, _caller_bounds(config)
         )
+        self._caller_factory.held.budget = self._memory
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -92,6 +92,9 @@
     def discard_response(self):
         self.discarded = True
 
+    def read_little(self, is_little):
+        self.reads_little = is_little
+
     def pause(self):
         pass
 
