--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -137,6 +137,7 @@
         self.connection = connection
         self.peer = connection.peer
         self.was_sent = True
+        connection.read_little(self._shared.memory.is_scarce)
         self._shared.scheduler.note_sent(run, now_s)
         if request.route.repeatable:
             self._watch()
@@ -172,6 +173,7 @@
     def abort(self) -> None:
         """Close the connection, so that the endpoint cancels the run."""
         self._is_over = True
+        self.part.drop()
         self.stop_watching()
         connection, self.connection = self.connection, None
         if connection is not None:
@@ -180,6 +182,7 @@
     def discard(self) -> None:
         """Read and drop the rest of an answer that is not forwarded."""
         self._is_over = True
+        self.part.drop()
         self.stop_watching()
         connection, self.connection = self.connection, None
         if connection is not None:
@@ -195,6 +198,7 @@
         """Continue to read the answer."""
         self.run.release(self._shared.reactor.seconds())
         if self.connection is not None:
+            self.connection.read_little(self._shared.memory.is_scarce)
             self.connection.resume()
 
     # outbound.ResponseListener
@@ -216,4 +220,5 @@
     def response_failed(self, outcome: calls.Outcome, detail: str) -> None:
         self.connection = None
         self.stop_watching()
+        self.part.drop()
         self._owner.attempt_failed(self, outcome, detail)
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -76,6 +76,15 @@
         self.count(workspace, time.time())
 
 
+def _caller_bounds(config: settings.NodeSettings) -> caller_ends.CallerBounds:
+    """Return what slow callers may cost on the machine of a node."""
+    most = config.limits.held_bytes // 2
+    bounds = config.caller_bounds
+    return dataclasses.replace(
+        bounds, total_held_bytes=min(most, bounds.total_held_bytes)
+    )
+
+
 class Service(inbound.RequestReceiver, stop_order.StoppableNode):
     """One gateway node."""
 
@@ -171,16 +180,18 @@
                 self._limit_changed,
             ),
             self._request_done,
+            self._memory,
             lambda: self._stop.ends_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
         self._caller_factory = caller_connection.CallerFactory(
             reactor,
             self,
-            config.caller_bounds,
+            _caller_bounds(config),
             self._memory,
             limits.caller_connections,
         )
+        self._caller_factory.held.budget = self._memory
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
@@ -377,6 +388,9 @@
         )
         self._metrics.collect_closes(self._connections.paths.closes)
         self._metrics.collect_callers(self._caller_factory.held.total_bytes)
+        self._metrics.collect_memory(
+            self._memory.used_bytes, self._memory.given_up
+        )
         self._metrics.collect(
             self._scheduler,
             len(self._open_requests),
