Carry no more for other nodes than the descriptors allow

A node carried up to 400 connections for nodes that are cut off, two descriptors each, whatever its max-fds: on a machine with 400 that leaves none for its own. It is an eighth of max-fds now, at most 400 as before, which is what machines with 3,200 or more keep.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -116,7 +116,10 @@
             reactor, self._scheduler, self._connections
         )
         self._tunnel_server = tunnel_server.TunnelServer(
-            reactor, self._scheduler.fleet, self._connections.paths.direct
+            reactor,
+            self._scheduler.fleet,
+            self._connections.paths.direct,
+            limits.carried_connections,
         )
         self._usage = WallClockUsage(
             config.usage_window_s, config.node.started_ms
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -67,7 +67,9 @@
         reactor: interfaces.IReactorTime,
         endpoint_fleet: fleet.Fleet,
         paths: endpoint_paths.EndpointPaths,
+        max_tunnels: int = MAX_TUNNELS,
     ) -> None:
+        self._max_tunnels = min(max_tunnels, MAX_TUNNELS)
         self._reactor = reactor
         self._fleet = endpoint_fleet
         self._paths = paths
@@ -137,7 +139,7 @@
         """Return why a tunnel can't be opened, or ""."""
         if not self._may_open(stream):
             return "node is stopping"
-        if self.open_count >= MAX_TUNNELS:
+        if self.open_count >= self._max_tunnels:
             return "too many tunnels"
         key = (request.endpoint_id, request.started_ms)
         if member is None or member.registration.key != key:
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -12,6 +12,7 @@
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import node_limits
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import tunnel_search
@@ -443,6 +444,30 @@
     assert system.acquire(stranded, seconds=0.5).check(tunnels.NoTunnel)
 
 
+# Guards against nodes with few descriptors that spend them on other nodes.
+def test_a_node_with_few_descriptors_opens_fewer_tunnels(system, stranded):
+    limits = node_limits.NodeLimits(descriptors=80)
+    for node in system.nodes[1:]:
+        node.tunnel_server._max_tunnels = limits.carried_connections
+        node.tunnel_server._open_pipes = {
+            tunnel_server._NodePipe(None)
+            for _ in range(limits.carried_connections)
+        }
+    assert system.acquire(stranded, seconds=0.5).check(tunnels.NoTunnel)
+
+
+def test_a_service_opens_as_many_tunnels_as_its_machine_allows(system):
+    node = system.nodes[0]
+    for allowed, most in ((10, 10), (4000, tunnel_server.MAX_TUNNELS)):
+        server = tunnel_server.TunnelServer(
+            node.reactor,
+            node.scheduler.fleet,
+            node.connections.paths.direct,
+            allowed,
+        )
+        assert server._max_tunnels == most
+
+
 def test_paths_remember_enough_to_stay_cut_off_between_probes():
     probes_s = endpoint_paths.PROBE_INTERVAL_S
     several = endpoint_paths.MIN_FAILED_ENDPOINTS + 1
