Take a close before the request was taken for a cut

Callers of long uploads got half of an answer as a whole one: the endpoint answered 200 at once without a length, sent half and closed in order while the upload was being written (RFC 9112, 9.6: it gave up).

Cause: an end that only a close tells was judged by whether the endpoint lives on, never by whether it had the request. What was to say that the request is written said so at once, as twisted asks a pull producer when it is registered; so a connection also took its next request after an early answer that was whole. A tunnel told each close in order as such.

Now the socket is asked, while it is open, what was not acknowledged; if anything is left, in the transport or in the system, the end is a cut with the doubt `unsent`. This is exact, since a close acknowledges all that the endpoint's system had. A tunnel's carrier says how many bytes were taken and the node compares; a node that can't compare gets a reset.

Tests changed: the tests' wires and `_ask` of test_held_ends.py now ask pull producers as twisted does; before, none of their requests was ever written.

--- a/packages/core/src/fireflypulley/core/gateway/answer_ends.py
+++ b/packages/core/src/fireflypulley/core/gateway/answer_ends.py
@@ -30,6 +30,7 @@
     LOST_BESIDE = "other connections were lost in that moment"
     LOST_AFTER = "a new connection was lost at once"
     LATE = "endpoint took no new connection in time"
+    UNSENT = "endpoint closed before it had the whole request"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -17,6 +17,7 @@
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import held_end
 from fireflypulley.gateway import stray_answers
+from fireflypulley.transport import early_close
 from fireflypulley.transport import sockets
 
 MAX_IDLE_S = 4.0
@@ -171,7 +172,7 @@
         """Do nothing; the connection is notified of its loss."""
 
 
-class EndpointConnection(protocol.Protocol):
+class EndpointConnection(early_close.EarlyCloseProtocol):
     """A connection that carries one request at a time."""
 
     def __init__(self, pool: ConnectionPool) -> None:
@@ -181,6 +182,8 @@
         )
         self._listener: ResponseListener | None = None
         self._is_flushed = True
+        self._is_closed_early = False
+        """Whether the endpoint closed before it had the whole request."""
         self._is_open = False
         self._is_retired = False
         self._is_paused = False
@@ -269,9 +272,10 @@
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self._interim_answers = 0
+        # A transport asks a pull producer for data when it is registered.
+        self.transport.registerProducer(_FlushNotifier(self), False)
         self._is_flushed = False
         self.transport.write(data)
-        self.transport.registerProducer(_FlushNotifier(self), False)
 
     def note_flushed(self) -> None:
         """Record that the request has been written completely."""
@@ -434,6 +438,9 @@
         if isinstance(self._listener, _ResponseDiscarder):
             self._fail(calls.Outcome.CUT, "nobody waits for the answer")
             return
+        if self._is_closed_early:
+            self._judge_end(answer_ends.Doubt.UNSENT)
+            return
         since_s = self._answer.unread_since_s
         if since_s is None:
             since_s = self._pool.now_s()
@@ -492,26 +499,38 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         was_open, self._is_open = self._is_open, False
+        self._is_closed_early = self._tells_early_close(reason)
         self._pool.remove(self)
         if was_open and not self._ends_with_answer(reason):
             self._note_lost(reason)
         if self._listener is None:
             return
-        if reason.check(error.ConnectionDone) and self.close_ends_answer:
+        is_told = reason.check(error.ConnectionDone) and self.close_ends_answer
+        if is_told or self._is_closed_early:
             self._finish_on_close()
         else:
             self._fail(calls.Outcome.CUT, reason.getErrorMessage())
 
+    def _tells_early_close(self, reason: failure.Failure) -> bool:
+        """Return whether the endpoint gave up before it had the request."""
+        if reason.check(early_close.ClosedEarly):
+            return True
+        is_done = reason.check(error.ConnectionDone) is not None
+        return is_done and not self._is_flushed
+
     def _ends_with_answer(self, reason: failure.Failure) -> bool:
         """Return whether a close is what tells the end of an answer."""
-        if self._listener is None or not reason.check(error.ConnectionDone):
+        if self._listener is None or self._is_closed_early:
+            return False
+        if not reason.check(error.ConnectionDone):
             return False
         has_head = self._http.their_state is h11.SEND_BODY
         return has_head and self.is_unframed
 
     def _note_lost(self, reason: failure.Failure) -> None:
         """Record the loss, unless it may be that of the peer between."""
-        if not self.peer or reason.check(error.ConnectionDone):
+        is_told = reason.check(error.ConnectionDone, early_close.ClosedEarly)
+        if not self.peer or is_told:
             self._pool.note_lost()
 
     def _finish_on_close(self) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -88,6 +88,7 @@
                 crash_detector.FEATURE,
                 tunnel_transport.FEATURE,
                 tunnel_transport.SINGLE_FEATURE,
+                tunnel_transport.COUNT_FEATURE,
                 report_replication.USAGE_FEATURE,
             ),
         )
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -51,6 +51,12 @@
         if isinstance(self.transport, tunnel_transport.TunnelTransport):
             self.transport.announce_closing(carries_for_s)
 
+    def close_early(self, unsent_bytes: int) -> None:
+        if isinstance(self.transport, tunnel_transport.TunnelTransport):
+            self.transport.close_early(unsent_bytes)
+        else:
+            super().close_early(unsent_bytes)
+
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -15,11 +15,15 @@
 
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
+from fireflypulley.transport import early_close
 from fireflypulley.transport import peer_watch
+from fireflypulley.transport import sockets
 
 FEATURE = "tunnel-messages"
 SINGLE_FEATURE = "tunnel-single"
 """A node that stops may open tunnels for one request each."""
+COUNT_FEATURE = "tunnel-counts"
+"""Nodes that compare what a connection took with what they sent."""
 MAX_PIECE_BYTES = 65536
 
 _OnClosing = collections.abc.Callable[[float | None], None]
@@ -68,6 +72,8 @@
         self._stream = stream
         self._user: protocol.Protocol | None = user
         self._on_closing = on_closing
+        self._sent_bytes = 0
+        self._received_bytes = 0
 
     # The protocol's side
 
@@ -76,11 +82,26 @@
         for start in range(0, len(data), MAX_PIECE_BYTES):
             piece = data[start : start + MAX_PIECE_BYTES]
             self._stream.send(messages.TunnelData(piece))
+        self._sent_bytes += len(data)
 
     def loseConnection(self) -> None:
         """Close in order, after what was sent."""
+        self._close(0)
+
+    def close_early(self, unsent_bytes: int) -> None:
+        """Tell that some of what was received has not been taken.
+
+        An older node would take that for a close in order.
+        """
+        if self._stream.supports(COUNT_FEATURE):
+            self._close(unsent_bytes)
+        else:
+            self._stream.close()
+
+    def _close(self, unsent_bytes: int) -> None:
         if self._stream.ready:
-            self._stream.send(messages.TunnelEnd())
+            taken_bytes = self._received_bytes - unsent_bytes
+            self._stream.send(messages.TunnelEnd(taken_bytes))
             self._stream.transport.loseConnection()
 
     def announce_closing(self, carries_for_s: float | None) -> None:
@@ -132,7 +153,7 @@
     @property
     def features(self) -> tuple[str, ...]:
         """Return what the handshake has named already."""
-        return (FEATURE,)
+        return (FEATURE, COUNT_FEATURE)
 
     def stream_up(self, stream: streams.NodeStream) -> None:
         """Do nothing; the stream was up before."""
@@ -143,9 +164,10 @@
         if self._user is None:
             return
         if isinstance(message, messages.TunnelData):
+            self._received_bytes += len(message.data)
             self._user.dataReceived(message.data)
         elif isinstance(message, messages.TunnelEnd):
-            self._lose(error.ConnectionDone())
+            self._lose(early_close.reason_of(self._unsent_bytes(message)))
             stream.close()
         elif isinstance(message, messages.TunnelClosing):
             self._on_closing(message.carries_for_s)
@@ -155,6 +177,12 @@
     def stream_down(self, stream: streams.NodeStream) -> None:
         self._lose(error.ConnectionLost("the tunnel broke off"))
 
+    def _unsent_bytes(self, end: messages.TunnelEnd) -> int:
+        """Return how much of what was sent did not reach the connection."""
+        if end.taken_bytes is None:
+            return sockets.unsent_bytes(self._stream.transport)
+        return max(0, self._sent_bytes - end.taken_bytes)
+
     def _lose(self, reason: Exception) -> None:
         user, self._user = self._user, None
         if user is not None:
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -28,6 +28,7 @@
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import dialing
+from fireflypulley.transport import early_close
 from fireflypulley.transport import reading
 
 OPEN_TIMEOUT_S = 0.6
@@ -288,11 +289,12 @@
         self.stream_down(stream)
 
 
-class Pipe(protocol.Protocol):
+class Pipe(early_close.EarlyCloseProtocol):
     """One side of two connections that are joined.
 
     A close in order at one side is one at the other, and so is a reset: an
-    answer may end with its connection.
+    answer may end with its connection.  A close in order before a side had
+    all that it was sent is told as such.
     """
 
     def __init__(self) -> None:
@@ -329,5 +331,11 @@
         other.transport.unregisterProducer()
         if reason.check(error.ConnectionDone):
             other.transport.loseConnection()
+        elif reason.check(early_close.ClosedEarly):
+            other.close_early(reason.value.unsent_bytes)
         else:
             other.transport.abortConnection()
+
+    def close_early(self, unsent_bytes: int) -> None:
+        """Close, as the other side has not taken all that came from here."""
+        self.transport.abortConnection()
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -256,8 +256,12 @@
     """The connection beyond the tunnel was closed in order.
 
     A stream that is lost without it has broken the connection off.
+    ``taken_bytes`` is how many of the bytes sent to it the connection took;
+    None if the sender is too old to tell.
     """
 
+    taken_bytes: int | None = None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TunnelClosing(Message):
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -1,7 +1,10 @@
 """TCP options that detect a dead connection within seconds."""
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 import typing
 
 KEEPALIVE_IDLE_S = 1
@@ -23,6 +26,8 @@
 """A user timeout also counts the time for which a caller that is alive
 keeps its window closed; ``liveness`` finds those that are gone."""
 
+_INT = struct.Struct("i")
+
 
 def set_tcp_options(transport: typing.Any) -> None:
     """Disable Nagle's algorithm and enable detection of dead peers.
@@ -51,6 +56,27 @@
         return False
 
 
+def unsent_bytes(transport: typing.Any) -> int:
+    """Return how many of the bytes written the other side has not taken.
+
+    These are the transport's own and those that the system has, up to what
+    was acknowledged.
+    """
+    buffered = getattr(transport, "_tempDataLen", 0)
+    buffered += len(getattr(transport, "dataBuffer", b""))
+    buffered -= getattr(transport, "offset", 0)
+    return buffered + _unacknowledged_bytes(transport.getHandle())
+
+
+def _unacknowledged_bytes(handle: typing.Any) -> int:
+    try:
+        answer = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(_INT.size))
+    except (TypeError, ValueError, OSError):
+        return 0
+    count: int = _INT.unpack(answer)[0]
+    return count
+
+
 def accept_waiting(port: typing.Any) -> None:
     """Accept the connections that wait in the backlog of twisted's port.
 
--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -24,6 +24,7 @@
 from twisted.internet import task
 from twisted.internet import threads
 
+from fireflystandins import early_answers
 from fireflystandins import rowstore
 from fireflystandins import web
 
@@ -164,6 +165,7 @@
         self._stream: task.LoopingCall | None = None
         self._is_chunked = True
         self._last_answer = b""
+        self._has_answered = False
 
     def connectionMade(self) -> None:
         self._replica.opened(self)
@@ -182,6 +184,7 @@
                 return
             if isinstance(event, h11.Request):
                 self._request, self._body = event, b""
+                self._answer_early()
             elif isinstance(event, h11.Data):
                 self._body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -194,13 +197,45 @@
         if self._stream is not None and self._stream.running:
             self._stream.stop()
 
-    def _serve(self) -> None:
+    def _answer_early(self) -> None:
+        """Answer before the request's body, if the fault mode says so."""
+        target, fields = self._head_of_request()
+        mode = self._replica.faults.mode
+        request_id = fields.get("attempt-id")
+        if request_id is None or not mode.startswith(early_answers.PREFIX):
+            return
+        if not self._replica.faults.next_mode():
+            return
+        self._record_run(target, fields)
+        self._has_answered = True
+        early_answers.answer(
+            self.transport,
+            mode,
+            self._identity_fields(fields),
+            b"answer to " + request_id.encode(),
+            lambda fields, length: _head(200, fields, length),
+        )
+
+    def _head_of_request(self) -> tuple[str, _Fields]:
         assert self._request is not None
-        target = self._request.target.decode()
         fields = {
             name.decode(): value.decode()
             for name, value in self._request.headers
         }
+        return self._request.target.decode(), fields
+
+    def _identity_fields(self, fields: _Fields) -> _Fields:
+        return {
+            "Attempt-Id": fields.get("attempt-id", ""),
+            "Response-Seal": f"seal-{self._replica.identity.replica_id}",
+        } | self._own_fields()
+
+    def _serve(self) -> None:
+        if self._has_answered:
+            self._has_answered = False
+            self._read_next_request()
+            return
+        target, fields = self._head_of_request()
         if target == "/faults":
             body = json.loads(self._body)
             self._replica.faults = Faults(body["mode"], body.get("times", 1))
@@ -253,10 +288,7 @@
         elif self._holds_deadly_part(fields):
             reactor.callLater(PROCESSING_TIME_S, self._replica.crash)
         elif fault != "mute":
-            identity_fields = {
-                "Attempt-Id": fields.get("attempt-id", ""),
-                "Response-Seal": f"seal-{identity.replica_id}",
-            } | self._own_fields()
+            identity_fields = self._identity_fields(fields)
             respond = self._respond
             if target.startswith(STREAM_PREFIXES):
                 respond = self._start_stream
--- a/tests/endpoints/test_cut_answers.py
+++ b/tests/endpoints/test_cut_answers.py
@@ -62,12 +62,12 @@
         self.outcome = outcome
 
 
-def _outcome(kind, is_retryable, data, end):
+def _outcome(kind, is_retryable, data, end, body=b"{}"):
     """Return the outcome of an attempt with this answer."""
     starter = clients.Clients(testing.MemoryReactorClock())
     endpoint = _Endpoint(starter)
     listener = _Listener()
-    call = payload.Payload("POST", "/", "", b"{}")
+    call = payload.Payload("POST", "/", "", body)
     request = base.AttemptRequest("a1", ADDRESS, call, "")
     starter.start(kind, request, listener, is_retryable)
     endpoint.answer(data, end)
@@ -136,3 +136,25 @@
 def test_a_load_report_with_its_end_is_used():
     head = b"Content-Length: %d\r\n\r\n" % len(REPORT)
     assert _load(head + REPORT, ENDS[0]).running == 3
+
+
+class _BusyTransport(testing.StringTransport):
+    """Has not written what it was given, and so asks for no more."""
+
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        producer.pauseProducing()
+
+
+# Guards against half of an answer that passes for the whole, since its
+# endpoint gave up while the request was being written.
+@pytest.mark.parametrize("is_retryable", [True, False])
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("data", CUT_BODIES.values(), ids=list(CUT_BODIES))
+def test_a_call_that_is_answered_while_it_is_written_is_cut(
+    monkeypatch, data, end, is_retryable
+):
+    monkeypatch.setattr(testing, "StringTransport", _BusyTransport)
+    kind = topology.ServiceKind.PLAIN
+    outcome = _outcome(kind, is_retryable, data, end, b"x" * 1_000_000)
+    assert outcome is requests.Outcome.CUT
--- a/tests/gateway/history_wires.py
+++ b/tests/gateway/history_wires.py
@@ -36,10 +36,12 @@
     unread: list = dataclasses.field(default_factory=list)
     unsent_since_s: float | None = None
     producer: object = None
+    is_streaming: bool = True
 
     def write(self, data):
         if self.is_open:
             self.wires.send(self, data)
+            self.node.reactor.callLater(0, self._ask_for_more)
 
     def abortConnection(self):
         self.wires.abort(self)
@@ -49,7 +51,13 @@
 
     def registerProducer(self, producer, streaming):
         """Stop the producer at the end; nothing waits, so never pause it."""
-        self.producer = producer
+        self.producer, self.is_streaming = producer, streaming
+        self._ask_for_more()
+
+    def _ask_for_more(self):
+        """Ask a pull producer, as Twisted does when all is written."""
+        if self.producer is not None and not self.is_streaming:
+            self.producer.resumeProducing()
 
     def unregisterProducer(self):
         self.producer = None
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -80,6 +80,7 @@
     """Send a request; let it begin an answer without a length."""
     listener = test_outbound.Listener()
     connection.send(b"POST", b"/", [(b"host", b"h")], b"", listener)
+    connection.transport.producer.resumeProducing()
     connection.dataReceived(HEAD + b"ok")
     return listener
 
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -93,6 +93,7 @@
     messages.TunnelResponse("connection refused", True),
     messages.TunnelData(b"\xff\x00"),
     messages.TunnelEnd(),
+    messages.TunnelEnd(4711),
     messages.TunnelResponse("", carries_for_s=2.5),
     messages.TunnelClosing(),
     messages.TunnelClosing(2.5),
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -77,12 +77,12 @@
             one.result()
 
 
-def call_once(node, request_id, path):
+def call_once(node, request_id, path, body=b"3"):
     """Return the status and the body, 0 if there is no whole answer."""
     connection = http.client.HTTPConnection(node.callers, timeout=5)
     fields = gateways.caller_headers(request_id, "key-court", 3000)
     try:
-        connection.request("POST", path, b"3", fields)
+        connection.request("POST", path, body, fields)
         reply = connection.getresponse()
         return reply.status, reply.read()
     except (OSError, http.client.HTTPException):
