Take an answer whose status is none for garbage

Callers got answers with the status 600 or 999 as they were, and the daemon counted an endpoint's 000, 0, -1 and 99 as complete (RFC 9110, 15: a status is 100 to 599).

Cause: h11 takes any three digits from 200 on and twisted any number; who read the status compared it with 500 only.

Such an answer is garbage now: it is repeated where that is allowed, else the caller gets 502, as the request has run. One question, core.statuses.is_final, is asked where answers of endpoints (gateway and daemon) and of the store are read, before anything else looks at the status. The prober only connects; the load report asks for 200 already.

--- a/packages/endpoints/src/fireflypulley/endpoints/http_attempt.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/http_attempt.py
@@ -12,6 +12,7 @@
 from zope import interface
 
 from fireflypulley.core import requests
+from fireflypulley.core import statuses
 from fireflypulley.endpoints import base
 
 CONNECT_TIMEOUT_S = 1.0
@@ -134,7 +135,12 @@
         self._last_activity_s = self._reactor.seconds()
         self._body = ResponseBody(self)
         self.response_started(response)
+        is_answer = statuses.is_final(response.code)
+        if not is_answer:
+            self.end(requests.Outcome.INVALID)
         response.deliverBody(self._body)
+        if not is_answer:
+            self._body.abort()
 
     def response_started(self, response: iweb.IResponse) -> None:
         """Handle the status and headers of the response."""
--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -13,6 +13,7 @@
 
 from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import calls
+from fireflypulley.core import statuses
 from fireflypulley.gateway import answer_progress
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import held_end
@@ -377,6 +378,10 @@
             self._pool.count_unsolicited()
             self._fail(calls.Outcome.GARBAGE, "two heads in one")
             return
+        if not statuses.is_final(event.status_code):
+            detail = f"status {event.status_code}"
+            self._fail(calls.Outcome.GARBAGE, detail)
+            return
         self._answer.note_head(event.status_code, headers)
         if self._answer.is_unframed:
             self._pool.begin_unframed(self)
--- a/packages/platform/src/fireflypulley/platform/http_client.py
+++ b/packages/platform/src/fireflypulley/platform/http_client.py
@@ -12,6 +12,7 @@
 from twisted.web import iweb
 from zope import interface
 
+from fireflypulley.core import statuses
 from fireflypulley.platform import base
 from fireflypulley.transport import watched_endpoint
 
@@ -78,8 +79,8 @@
         """Return the response; raises ``base.Unavailable``.
 
         A 5xx response also raises, since the write may have taken
-        effect, and so does a body without a length: its end can't be told
-        from that of the service.
+        effect, and so does one whose status is none, or a body without a
+        length: its end can't be told from that of the service.
         """
         pending_reply = self._send(method, path, body, headers or {})
         pending_reply.addTimeout(timeout_s, self._reactor)
@@ -98,7 +99,7 @@
             raise base.Unavailable(f"{method} {path}: {failure!r}")
         except client.PartialDownloadError:
             raise base.Unavailable(f"{method} {path}: body without a length")
-        if reply.code >= 500:
+        if reply.code >= 500 or not statuses.is_final(reply.code):
             raise base.Unavailable(f"{method} {path}: {reply.code}")
         return reply
 
--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -26,6 +26,7 @@
 
 from fireflystandins import early_answers
 from fireflystandins import rowstore
+from fireflystandins import status_lines
 from fireflystandins import web
 
 EVENT_S = 0.02
@@ -334,7 +335,10 @@
         self, fault: str, identity_fields: _Fields, fields: _Fields
     ) -> None:
         body = b"answer to " + fields.get("attempt-id", "").encode()
-        if fault == "errors":
+        if fault.startswith(status_lines.PREFIXES):
+            status_lines.answer(self.transport, fault, identity_fields, body)
+            self._read_next_request()
+        elif fault == "errors":
             self._write(500, identity_fields, b"failed")
         elif fault == "crossed":
             self._write(200, identity_fields | {"Attempt-Id": "other"}, body)
--- a/tests/gateway/test_outbound.py
+++ b/tests/gateway/test_outbound.py
@@ -180,6 +180,25 @@
     assert endpoint.transport.aborted
 
 
+# Guards against callers who get an answer whose status is none (RFC 9110,
+# 15: 100 to 599).
+@pytest.mark.parametrize(
+    "status", [b"600", b"999", b"000", b"099", b"abc", b"2000"]
+)
+def test_an_answer_without_a_status_is_garbage(endpoint, status):
+    listener = endpoint.ask()
+    endpoint.answer(WHOLE.replace(b"200", status))
+    assert listener.status is None
+    assert listener.failed is calls.Outcome.GARBAGE
+    assert endpoint.transport.aborted
+
+
+def test_the_last_status_is_one(endpoint):
+    listener = endpoint.ask()
+    endpoint.answer(WHOLE.replace(b"200", b"599"))
+    assert (listener.status, listener.ended) == (599, True)
+
+
 # Guards against a refusal of an earlier request that is taken for one to
 # this request: its copy is cut off where the next head begins.
 @pytest.mark.parametrize("cut_at", range(1, 4))
--- a/tests/platform_client/test_cut_answers.py
+++ b/tests/platform_client/test_cut_answers.py
@@ -29,14 +29,14 @@
         self._connection.makeConnection(testing.StringTransport())
         return defer.succeed(self._connection)
 
-    def answer(self, data, end):
+    def answer(self, data, end, status):
         """Send an answer, and end the connection if there is an ``end``."""
-        self._connection.dataReceived(b"HTTP/1.1 200 OK\r\n" + data)
+        self._connection.dataReceived(b"HTTP/1.1 %s X\r\n" % status + data)
         if end is not None:
             self._connection.connectionLost(failure.Failure(end))
 
 
-def _call(data, end):
+def _call(data, end, status=b"200"):
     """Return what a call with this answer returns or raises."""
     reactor = testing.MemoryReactorClock()
     client = http_client.HttpClient(reactor, "http://127.0.0.1:1")
@@ -44,7 +44,7 @@
     results = []
     call = defer.ensureDeferred(client.request("GET", "/rows-get"))
     call.addBoth(results.append)
-    service.answer(data, end)
+    service.answer(data, end, status)
     (result,) = results
     return result
 
@@ -75,3 +75,11 @@
 )
 def test_an_answer_without_its_end_is_unavailable(data, end):
     assert _call(data, end).check(base.Unavailable)
+
+
+# Guards against an answer of the store that passes for a success although
+# its status is none (RFC 9110, 15).
+@pytest.mark.parametrize("status", [b"000", b"-1", b"99", b"600", b"2000"])
+def test_an_answer_without_a_status_is_not_used(status):
+    result = _call(LENGTH % len(BODY) + BODY, None, status)
+    assert result.check(base.Unavailable)
