Take a close that a reset follows for a cut

Callers still got half of an answer as a whole one where the system of the endpoint had taken all of the upload, though the endpoint gave up without reading it.

Cause: bytes that the endpoint's system took are acknowledged, so nothing was left to send when the close was read. The system resets a connection that is closed with unread bytes, but only after the close, and this side had let its socket go by then.

While the end of an answer is held back anyway, the socket now stays open and is asked for a failure at the verdict; a carrier of a tunnel waits 30 ms before it tells the close. A sound endpoint has read its request, and its system never resets.

Failed before: tests/processes/test_early_answers.py `upload_was_not_read`, 4 of 4 (30 of 32 uploads of 100 kB whole for the caller), and 1 of 12 of tests/gateway/test_early_answers.py. After: 0 of 32, twice; 150 tests passed (early answers, statuses, endpoint ends, late answers, endpoint answers, stranded node; held ends, tunnels, outbound).

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -185,6 +185,10 @@
         self._is_flushed = True
         self._is_closed_early = False
         """Whether the endpoint closed before it had the whole request."""
+        self._is_lost = False
+        self._is_half_open = False
+        """Whether the socket is kept while the end of an answer is held
+        back, since a reset may follow the close."""
         self._is_open = False
         self._is_retired = False
         self._is_paused = False
@@ -464,6 +468,8 @@
     def _judge_end(self, doubt: answer_ends.Doubt | None) -> None:
         """Believe the end of the answer, or not."""
         self._held_end = None
+        if self._close_half_open():
+            doubt = answer_ends.Doubt.UNSENT
         self._pool.count_close(doubt)
         listener = self._listener
         if listener is None:
@@ -496,13 +502,38 @@
         held, self._held_end = self._held_end, None
         if held is not None:
             held.drop()
+            self._close_half_open()
         if self._is_open:
             self._is_open = False
             self.transport.abortConnection()
 
+    def readConnectionLost(self) -> None:
+        if sockets.unsent_bytes(self.transport):
+            super().readConnectionLost()
+            return
+        self._is_half_open = True
+        self.connectionLost(failure.Failure(error.ConnectionDone()))
+        if self._held_end is None:
+            self._close_half_open()
+
+    def _close_half_open(self) -> bool:
+        """Close the socket if it was kept; return whether it was reset.
+
+        Had it been closed earlier, the endpoint's system would say nothing.
+        """
+        if not self._is_half_open:
+            return False
+        self._is_half_open = False
+        was_reset = early_close.was_reset(self.transport.getHandle())
+        super().readConnectionLost()
+        return was_reset
+
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
         was_open, self._is_open = self._is_open, False
         self._is_closed_early = self._tells_early_close(reason)
         self._pool.remove(self)
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -17,6 +17,7 @@
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import dialing
+from fireflypulley.transport import early_close
 from fireflypulley.transport import peer_watch
 
 MAX_TUNNELS = 400
@@ -29,10 +30,33 @@
     def __init__(self, reactor: interfaces.IReactorTime) -> None:
         super().__init__()
         self._reactor = reactor
+        self._closing: interfaces.IDelayedCall | None = None
+        """Set while a reset may still follow the endpoint's close."""
 
     def connectionMade(self) -> None:
         peer_watch.PeerWatch(self._reactor, self.transport)
 
+    def readConnectionLost(self) -> None:
+        self.end_reading()
+        if self._closing is None:
+            self._closing = self._reactor.callLater(
+                early_close.RESET_WAIT_S, self._tell_close
+            )
+
+    def _tell_close(self) -> None:
+        if early_close.was_reset(self.transport.getHandle()):
+            reason = early_close.reason_of(1)
+            self.transport.connectionLost(failure.Failure(reason))
+        else:
+            super().readConnectionLost()
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        if self._closing is not None and self._closing.active():
+            self._closing.cancel()
+        super().connectionLost(reason)
+
 
 class _NodePipe(tunnels.Pipe):
     """The side of the node; ``closed`` is called when the tunnel ends."""
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -315,6 +315,11 @@
         self._reading = reading.LaterReading(self.transport, call_later)
         return self._reading
 
+    def end_reading(self) -> None:
+        """Let nothing resume this side any more."""
+        if self._reading is not None:
+            self._reading.close()
+
     def dataReceived(self, data: bytes) -> None:
         if self._other is not None:
             self._other.transport.write(data)
@@ -322,8 +327,7 @@
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        if self._reading is not None:
-            self._reading.close()
+        self.end_reading()
         other, self._other = self._other, None
         if other is None:
             return
--- a/packages/transport/src/fireflypulley/transport/early_close.py
+++ b/packages/transport/src/fireflypulley/transport/early_close.py
@@ -1,9 +1,13 @@
 """Tells a close that comes before the other side has what was sent to it.
 
 An endpoint that closes in order while its request is being written has
-given up (RFC 9112, 9.6).
+given up (RFC 9112, 9.6).  If its system has taken what it did not read, the
+system resets the connection after the close.
 """
 
+import socket
+import typing
+
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -13,6 +17,10 @@
 from fireflypulley.transport import sockets
 
 
+RESET_WAIT_S = 0.03
+"""How long after a close the reset may come."""
+
+
 class ClosedEarly(error.ConnectionLost):
     """The other side closed in order before it had taken everything."""
 
@@ -28,6 +36,11 @@
     )
 
 
+def was_reset(handle: typing.Any) -> bool:
+    """Return whether a socket was reset, or has failed otherwise."""
+    return bool(handle.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
 @interface.implementer(interfaces.IHalfCloseableProtocol)
 class EarlyCloseProtocol(protocol.Protocol):
     """Is lost with ``ClosedEarly`` where that is how its connection ended.
--- a/standins/fireflystandins/early_answers.py
+++ b/standins/fireflystandins/early_answers.py
@@ -2,6 +2,7 @@
 
 A fault mode is ``early-FRAMING-END``.  FRAMING is ``unframed``, ``length``
 or ``chunks``.  END is ``close`` (half of the body, then closed in order),
+``unread`` (the same, and nothing more of the request is read),
 ``finish`` (half of the body, then nothing more is sent while the connection
 stays open for a while), ``reset`` (half of the body, then a reset) or
 ``whole`` (all of it, and the rest of the request is read).
@@ -34,7 +35,9 @@
         last = b"0\r\n\r\n" if end == "whole" else b""
         part = b"%x\r\n%s\r\n%s" % (len(part), part, last)
     transport.write(write_head(fields, length) + part)
-    if end == "close":
+    if end == "unread":
+        transport.pauseProducing()
+    if end in ("close", "unread"):
         transport.loseConnection()
     elif end == "reset":
         reactor.callLater(RESET_AFTER_S, transport.abortConnection)
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -26,6 +26,8 @@
 """More than the system takes for a connection at once."""
 SHORT = b"x" * 2_000_000
 """The system takes it at once, though the endpoint's end does not."""
+UNREAD = b"x" * 30_000
+"""The endpoint's end takes it at once."""
 
 system = test_tunnels.system
 stranded = test_tunnels.stranded
@@ -59,6 +61,12 @@
         self._there.shutdown(socket.SHUT_WR)
         self._sockets.turn()
 
+    def leave(self):
+        """Close in order; the request is still unread."""
+        self._there.shutdown(socket.SHUT_RDWR)
+        self._there.close()
+        self._sockets.turn()
+
     def read_all(self):
         """Read the request."""
         self._there.setblocking(False)
@@ -89,6 +97,16 @@
     assert endpoint.paths.closes == {answer_ends.Doubt.UNSENT: 1}
 
 
+# Guards against the same where the endpoint's system took all of the request:
+# it resets the connection after the close.
+def test_a_reset_after_the_close_makes_it_a_cut(sockets):
+    endpoint = Endpoint(sockets, UNREAD)
+    endpoint.answer(UNFRAMED)
+    endpoint.leave()
+    assert endpoint.listener.failed is calls.Outcome.CUT
+    assert endpoint.paths.closes == {answer_ends.Doubt.UNSENT: 1}
+
+
 # Nothing listens at the address of this endpoint, which so is found to have
 # ended.
 def test_a_close_after_the_request_was_taken_is_weighed(sockets):
--- a/tests/processes/test_early_answers.py
+++ b/tests/processes/test_early_answers.py
@@ -16,6 +16,8 @@
 CALLS = 8
 BODIES = [b"x" * 300_000, b"x" * 3_500_000]
 """What fits what the system holds for a connection, and what doesn't."""
+UNREAD = b"x" * 100_000
+"""What the endpoint's system takes at once, but no endpoint in one read."""
 CUT_MODES = [
     f"early-{framing}-{end}"
     for framing in ("unframed", "length", "chunks")
@@ -58,14 +60,14 @@
 RUNNING = {"direct": _running_directly, "peer": _running_through_peer}
 
 
-def _answers(system, node, path, mode):
+def _answers(system, node, path, mode, bodies=BODIES):
     """Return the answers to uploads that are answered early, by id."""
     answers = {}
     for number in range(CALLS):
         for replica in system.replicas.values():
             system.set_faults(replica.address, mode=mode, times=1)
         request_id = f"{mode}-{number}"
-        body = BODIES[number % len(BODIES)]
+        body = bodies[number % len(bodies)]
         answers[request_id] = callers.call_once(node, request_id, path, body)
     return answers
 
@@ -106,6 +108,19 @@
         assert len(runs) == len(set(runs))
 
 
+# Guards against callers who get half of an answer as a whole one, since its
+# endpoint gave up and closed in order, though its system had taken all of the
+# upload: it resets the connection after the close.
+@pytest.mark.parametrize("way", RUNNING)
+@pytest.mark.parametrize("path", ["/fetch/x", "/file/x"])
+def test_no_answer_is_whole_whose_upload_was_not_read(tmp_path, path, way):
+    mode = "early-unframed-unread"
+    with RUNNING[way](tmp_path) as (system, node):
+        answers = _answers(system, node, path, mode, [UNREAD])
+        assert callers.call_once(node, "after", path)[0] == 200
+    assert dict(_count_wrong(answers)) == {}
+
+
 # Guards against whole answers that are lost, since they come before their
 # endpoint has read the rest of the upload.
 @pytest.mark.parametrize("way", RUNNING)
