Let the soak's streams break off and callers come back for the rest

- Callers of the route that resumes come back up to twice, at any node, with a new Attempt-Id and the last event they have.
- An event names its request, its run and its number, and is written in two pieces.
- Endpoints' streams may have flaws (soak/streams.py): cut inside an event or behind the last, a late copy beside them, a run that goes on wrongly.
Drops may be by resets.
- ORDER compares with what the chain of a caller's answers has, and judges changes of run.
Its excuses for endpoints that exit or fail go: an end that the node can see to be early has none (MIXED had none either).
The tests of those excuses become tests that they don't excuse.
A run that begins behind the last event and says it is whole excuses ORDER and MIXED: its endpoint alone can know, and its line is the trace.

--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -35,6 +35,7 @@
 CUT_COPY_BYTES = len("HTTP/")
 """Of a second answer that is cut off inside its head."""
 STREAM_PREFIXES = ("/stream/", "/resumed/")
+LAST_CHUNK = b"0\r\n\r\n"
 _Fields = dict[str, str]
 
 
@@ -386,18 +387,21 @@
         if not self._is_chunked:
             self.transport.loseConnection()
             return
-        self.transport.write(b"0\r\n\r\n")
+        self._last_answer += LAST_CHUNK
+        self.transport.write(LAST_CHUNK)
         self._read_next_request()
 
     def _write_head(self, identity_fields: _Fields) -> None:
         fields = identity_fields | {"Content-Type": "text/event-stream"}
         if self._is_chunked:
             fields["Transfer-Encoding"] = "chunked"
-        self.transport.write(_head(200, fields, None))
+        self._last_answer = _head(200, fields, None)
+        self.transport.write(self._last_answer)
 
     def _write_chunk(self, data: bytes) -> None:
         if self._is_chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._last_answer += data
         self.transport.write(data)
 
     def _write(
--- a/standins/fireflystandins/soak/callers.py
+++ b/standins/fireflystandins/soak/callers.py
@@ -1,10 +1,12 @@
 """Callers that keep their connections until the node's process is gone."""
 
 import asyncio
+import collections.abc
 import contextlib
 import dataclasses
 import json
 import random
+import re
 import socket
 import time
 
@@ -17,6 +19,9 @@
 RECONNECT_S = 0.2
 SMALL_BUFFER_BYTES = 4096
 LEAVES_AFTER_EVENTS = 5
+RESUMED_ROUTE = "resumed"
+_BROKEN_OFF = frozenset({"reset", "closed", "left"})
+_EVENT_ID = re.compile(rb"id: (\d+)\ndata: [^\n]*\n\n")
 
 
 @dataclasses.dataclass
@@ -25,7 +30,9 @@
 
     ``how`` is whole, reset, closed (in order, too early), late (no end
     within the caller's patience), left (by the caller) or invalid.
-    ``sent_s`` is 0 if the request was not written.
+    ``sent_s`` is 0 if the request was not written.  ``follows`` is the
+    request whose answer it goes on with after the event ``last``, as the
+    caller came back for the ``turn``-th time.
     """
 
     request_id: str
@@ -39,26 +46,31 @@
     seal: str = ""
     names: str = ""
     body: bytes = b""
+    follows: str = ""
+    last: int = 0
+    turn: int = 0
 
 
 class Caller:
     """One caller: a connection, on which it sends one request after another.
 
     An early caller writes its next request before the answer has ended.
+    One whose stream broke off comes back for the rest, at any node.
     """
 
     def __init__(
         self,
         number: int,
-        node: str,
-        address: str,
+        places: collections.abc.Sequence[tuple[str, str]],
         load: plan.Load,
         chance: random.Random,
         record: list[Answer],
     ) -> None:
         self._name = f"c{number}"
-        self._node = node
-        self._address = address.rsplit(":", 1)
+        self._places = places
+        """The nodes and their addresses, its own one first."""
+        self._node, self._address = places[0]
+        self._broken: Answer | None = None
         self._load = load
         self._chance = chance
         self._record = record
@@ -69,6 +81,10 @@
     async def run(self) -> None:
         """Connect again and again until told to stop."""
         while not self.stopping:
+            self._node, self._address = self._places[0]
+            if self._broken is not None:
+                place = self._chance.choice(self._places)
+                self._node, self._address = place
             try:
                 reader, writer = await self._connect()
             except OSError:
@@ -92,7 +108,7 @@
             sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
             )
-        host, port = self._address
+        host, _, port = self._address.rpartition(":")
         try:
             await asyncio.get_running_loop().sock_connect(
                 sock, (host, int(port))
@@ -125,8 +141,12 @@
         load, chance = self._load, self._chance
         self._count += 1
         request_id = f"{self._name}-{self._count}"
-        route = chance.choice(load.routes)
+        broken, self._broken = self._broken, None
+        route = RESUMED_ROUTE if broken else chance.choice(load.routes)
         answer = Answer(request_id, self._node, route, self._style)
+        if broken is not None:
+            answer.follows, answer.turn = broken.request_id, broken.turn + 1
+            answer.last = find_last(broken)
         self._record.append(answer)
         order = {
             "events": load.events,
@@ -138,6 +158,8 @@
         fields = gateways.caller_headers(
             request_id, "key-court", DEADLINE_MS
         ) | {"Content-Length": str(len(body))}
+        if answer.last:
+            fields["Last-Event-Id"] = str(answer.last)
         lines = [f"POST /{route}/x HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         head = "\r\n".join([*lines, "", ""]).encode()
@@ -185,3 +207,13 @@
     def _end(self, answer: Answer, how: str) -> None:
         answer.how = how
         answer.ended_s = time.monotonic()
+        is_broken = how in _BROKEN_OFF and answer.status == 200
+        if is_broken and answer.route == RESUMED_ROUTE:
+            if answer.turn < self._load.returns:
+                self._broken = answer
+
+
+def find_last(answer: Answer) -> int:
+    """Return the last event that a caller has, from an answer or before."""
+    found = _EVENT_ID.findall(answer.body)
+    return int(found[-1]) if found else answer.last
--- a/standins/fireflystandins/soak/checks.py
+++ b/standins/fireflystandins/soak/checks.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import dataclasses
+import itertools
 import re
 
 from fireflystandins.soak import answers
@@ -20,7 +21,7 @@
 STREAM_ROUTES = frozenset({"stream", "resumed"})
 REPEATABLE_ROUTES = frozenset({"resumed", "fetch"})
 _UNJUDGED = frozenset({"left", "crossed", ""})
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) x*\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\d+) x*\n\n")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,8 +128,30 @@
         return any(seen.broke_off(run, answer.ended_s) for run in runs)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """An event that a caller got: its id, its run and its number there."""
+
+    event_id: int
+    run: str
+    number: int
+
+
+def find_events(answer: callers.Answer) -> list[Event]:
+    """Return the whole events of an answer."""
+    return [
+        Event(int(found[1]), found[3].decode(), int(found[4]))
+        for found in _EVENT.finditer(answer.body)
+    ]
+
+
 class Order(Checker):
-    """Events that are missing, come twice or in another order."""
+    """Events that are missing, come twice, in another order or mixed.
+
+    An answer may go on with another run where the route lets a stream be
+    resumed, but not with one that it has left.  An answer that goes on for a
+    caller that came back begins after the last event that the caller has.
+    """
 
     rule = "ORDER"
     sentence = "a stream's events come once, in order, to the last"
@@ -139,36 +162,56 @@
             if answer.route not in STREAM_ROUTES or answer.status != 200:
                 continue
             checked += 1
-            ids = [int(found[1]) for found in _EVENT.finditer(answer.body)]
-            expected = list(range(1, len(ids) + 1))
-            total = seen.plan.load.events
-            if ids != expected:
-                text = f"events {ids[:3]}..{ids[-3:]}"
-                breaks.append(_of(self, answer, text))
-            elif (
-                answer.how == "whole"
-                and len(ids) != total
-                and not self._is_excused(seen, answer)
-            ):
-                text = f"complete after {len(ids)} of {total} events"
-                breaks.append(_of(self, answer, text))
+            problem = self._find_problem(seen, answer)
+            if problem:
+                breaks.append(_of(self, answer, problem))
         return Verdict(checked, breaks)
 
-    def _is_excused(
+    def _find_problem(
         self, seen: evidence.Evidence, answer: callers.Answer
-    ) -> bool:
-        """Return whether an endpoint exited before it had written all.
+    ) -> str:
+        events = find_events(answer)
+        last, total = self._find_last(seen, answer), seen.plan.load.events
+        ids = [event.event_id for event in events]
+        expected = list(range(last + 1, last + 1 + len(ids)))
+        told = _describe_events(events)
+        if ids != expected:
+            return f"events {told} after {last}"
+        if any(event.event_id != event.number for event in events):
+            return f"events {told} with other numbers"
+        runs = [run for run, _ in itertools.groupby(e.run for e in events)]
+        if len(set(runs)) < len(runs):
+            return f"events {told}: back to a run"
+        if len(runs) > 1 and answer.route not in REPEATABLE_ROUTES:
+            return f"events {told}: two runs"
+        is_short = answer.how == "whole" and last + len(ids) != total
+        if is_short and not seen.has_empty_run(answer):
+            return f"complete after {last + len(ids)} of {total} events"
+        return ""
 
-        Without a length its close in order looks like the end.
-        """
-        runs = seen.runs_of(answer.request_id)
-        return any(seen.broke_off(run, answer.ended_s) for run in runs)
+    def _find_last(
+        self, seen: evidence.Evidence, answer: callers.Answer
+    ) -> int:
+        """Return the last event that the caller had before an answer."""
+        chain = seen.chain_of(answer)
+        ids = [event.event_id for one in chain for event in find_events(one)]
+        return ids[-1] if ids else 0
+
+
+def _describe_events(events: collections.abc.Iterable[Event]) -> str:
+    """Return the event numbers of each run, in their order."""
+    parts = []
+    for run, found in itertools.groupby(events, lambda event: event.run):
+        ids = [event.event_id for event in found]
+        parts.append(f"{ids[0]}-{ids[-1]} ({len(ids)}) of {run}")
+    return ", ".join(parts) or "none"
 
 
 class Mixed(Checker):
     """Answers of another request or of no endpoint, or not whole.
 
-    An answer that looks complete and isn't has no excuse.
+    An answer that looks complete and isn't has no excuse but that its
+    endpoint gave it so: a run without an event that said it was whole.
     """
 
     rule = "MIXED"
@@ -180,7 +223,11 @@
             if not answer.status and answer.how != "invalid":
                 continue
             checked += 1
-            problem = self._find_problem(answer, seen.plan.load.events)
+            events = seen.plan.load.events - answer.last
+            problem = self._find_problem(answer, events)
+            if problem and seen.has_empty_run(answer):
+                events = len(find_events(answer))
+                problem = self._find_problem(answer, events)
             if problem:
                 breaks.append(_of(self, answer, problem))
         return Verdict(checked, breaks)
--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -14,6 +14,7 @@
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
+from fireflystandins.soak import scenarios
 from fireflystandins.soak import system
 
 EXIT_BROKEN = 1
@@ -46,6 +47,13 @@
         bool,
         cappa.Arg(long="--in-turn", help="Stop six nodes one by one."),
     ] = False
+    scenario: typing.Annotated[
+        str,
+        cappa.Arg(
+            long="--scenario",
+            help="Streams that meet one of: " + ", ".join(scenarios.NAMES),
+        ),
+    ] = ""
     plan_file: typing.Annotated[
         pathlib.Path | None,
         cappa.Arg(long="--plan", help="A saved plan to play instead."),
@@ -68,6 +76,9 @@
             raise cappa.Exit(code=EXIT_BROKEN)
 
     def _plans(self) -> list[plan.Plan]:
+        if self.scenario and self.scenario not in scenarios.NAMES:
+            print(f"no scenario {self.scenario!r}", file=sys.stderr)
+            raise cappa.Exit(code=EXIT_INPUT)
         if self.plan_file is None:
             numbers = range(self.seed, self.seed + self.seeds)
             return [self._build(number) for number in numbers]
@@ -78,6 +89,8 @@
             raise cappa.Exit(code=EXIT_INPUT)
 
     def _build(self, seed: int) -> plan.Plan:
+        if self.scenario:
+            return scenarios.build(self.scenario, seed)
         if self.in_turn:
             return plan.stops_in_turn(seed, plan.Load(), silent=True)
         return plan.build(seed, self.nodes, self.lasts_s)
@@ -89,6 +102,7 @@
         seen, judged = play(folder, played)
         print(f"seed {played.seed}, {len(played.strikes)} strikes")
         print(report.table(judged))
+        print(report.summary(seen))
         breaks = [one for _, verdict in judged for one in verdict.breaks]
         for one in breaks[: report.MAX_BREAKS_SHOWN]:
             print(report.describe(seen, one, folder))
--- a/standins/fireflystandins/soak/endpoint.py
+++ b/standins/fireflystandins/soak/endpoint.py
@@ -6,8 +6,10 @@
 object a line: ``run`` when it begins, ``end`` with what was written.
 ``POST /silence`` sends nothing for ``for_s``; ``POST /leave`` removes the
 entry, serves on for ``serve_s`` and exits, in order or by resets; ``POST
-/drop`` closes all connections in order at once, as the system does for a
-process that is killed, and refuses new ones for ``for_s``.
+/drop`` closes all connections at once, in order as the system does for a
+process that is killed or, if ``how`` says so, by resets, and refuses new ones
+for ``for_s``; ``POST /flaw`` lets a share of the streams have the flaw ``how``
+for ``for_s``.  An event is written in two pieces.
 """
 
 import collections.abc
@@ -23,6 +25,7 @@
 
 from fireflystandins import replica
 from fireflystandins.soak import answers
+from fireflystandins.soak import streams
 from fireflystandins import web
 
 SILENCE_CHECK_S = 0.05
@@ -36,6 +39,13 @@
     def __init__(self, identity: replica.Identity) -> None:
         super().__init__(identity)
         self._has_left = False
+        self._run_count = 0
+        self.flaws = streams.Flaws()
+
+    def name_run(self) -> str:
+        """Return the name of a new run."""
+        self._run_count += 1
+        return f"{self.identity.replica_id}.{self._run_count}"
 
     def build_protocol(self) -> replica.ReplicaProtocol:
         return SoakProtocol(self)
@@ -55,8 +65,8 @@
         ).addErrback(lambda _: None)
         reactor.callLater(serve_s, self._exit, how)
 
-    def drop(self, for_s: float) -> None:
-        """Close all connections in order, and listen again later."""
+    def drop(self, for_s: float, how: str) -> None:
+        """Close or reset all connections, and listen again later."""
         if self._port is None or self._has_left:
             return
         self._port.stopListening()
@@ -64,7 +74,7 @@
         self._heartbeat_loop.stop()
         for connection in list(self._connections):
             connection.end_run("dropped")
-            connection.transport.loseConnection()
+            connection.close(how == "reset")
         reactor.callLater(for_s, self._listen_again)
 
     def _listen_again(self) -> None:
@@ -91,6 +101,7 @@
     def __init__(self, owner: SoakReplica) -> None:
         super().__init__(owner)
         self._run: tuple[str, int] | None = None
+        self._name = ""
         self._next: interfaces.IDelayedCall | None = None
 
     def _serve(self) -> None:
@@ -101,9 +112,15 @@
             self._replica.leave(order["serve_s"], order["how"])
             self._write(200, {}, b"{}")
         elif target == "/drop":
-            for_s = json.loads(self._body)["for_s"]
+            order = json.loads(self._body)
+            self._write(200, {}, b"{}")
+            self._replica.drop(order["for_s"], order.get("how", ""))
+        elif target == "/flaw":
+            order = json.loads(self._body)
+            self._replica.flaws.add(
+                order["how"], order["for_s"], order["seed"]
+            )
             self._write(200, {}, b"{}")
-            self._replica.drop(for_s)
         else:
             super()._serve()
 
@@ -119,12 +136,22 @@
         if run is not None:
             self._replica.note(end=run[0], how=how, events=run[1])
 
+    def close(self, by_reset: bool) -> None:
+        """End the connection in order or by a reset."""
+        if by_reset:
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+
     def _record_run(self, target: str, fields: dict[str, str]) -> None:
         super()._record_run(target, fields)
         request_id = fields.get("attempt-id", "")
         self._run = (request_id, 0)
+        self._name = self._replica.name_run()
         last = int(fields.get("last-event-id", "0"))
-        self._replica.note(run=request_id, target=target, last=last)
+        self._replica.note(
+            run=request_id, target=target, last=last, name=self._name
+        )
 
     def _respond(
         self,
@@ -173,23 +200,77 @@
         fields: dict[str, str],
     ) -> None:
         order = json.loads(self._body)
-        order["id"] = fields.get("attempt-id", "")
+        last = int(fields.get("last-event-id", "0"))
+        flaws = self._replica.flaws
+        flaw = flaws.draw(last > 0)
+        stream = streams.Stream(
+            fields.get("attempt-id", ""),
+            self._name,
+            streams.first_event(last, flaw),
+            order["events"],
+            order["event_bytes"],
+            order["event_ms"] / 1000,
+            flaw,
+        )
+        if flaw is not None:
+            self._prepare_flaw(stream, flaw)
         self._is_chunked = order["framed"]
         self._write_head(identity_fields)
-        first = int(fields.get("last-event-id", "0")) + 1
-        self._send_event(first, order)
+        if last < stream.total < stream.number and self._is_chunked:
+            self.end_run("empty")
+        self._send_event(stream)
+
+    def _prepare_flaw(
+        self, stream: streams.Stream, flaw: streams.Flaw
+    ) -> None:
+        chance = self._replica.flaws.chance
+        self._replica.note(flaw=flaw.value, name=stream.run)
+        left = stream.total - stream.number + 1
+        if flaw in streams.CUTS and left > 0:
+            stream.cut_at = chance.randint(stream.number, stream.total)
+        if flaw in streams.COPIES:
+            copy = self._last_answer
+            if flaw is streams.Flaw.CUT_COPY and copy:
+                copy = copy[: chance.randrange(1, len(copy) + 1)]
+            late_s = chance.uniform(0, 1.2 * left * stream.gap_s)
+            reactor.callLater(late_s, self.transport.write, copy)
 
-    def _send_event(self, event_id: int, order: web.Json) -> None:
-        if self._wait_out(self._send_event, event_id, order):
+    def _send_event(self, stream: streams.Stream) -> None:
+        if self._wait_out(self._send_event, stream):
             return
-        if event_id > order["events"]:
-            self.end_run("whole")
-            self._end_stream()
+        chance = self._replica.flaws.chance
+        if stream.number > stream.total:
+            self._finish(stream)
+            return
+        event = stream.next_event()
+        if stream.number == stream.cut_at:
+            kept = chance.randrange(0 if self._is_chunked else 1, len(event))
+            if kept:
+                self._write_chunk(event[:kept])
+            self.end_run("cut")
+            self.close(stream.flaw is streams.Flaw.RESET)
+            return
+        size = chance.randrange(1, len(event))
+        self._write_chunk(event[:size])
+        self._next = reactor.callLater(
+            stream.gap_s / 2, self._send_rest, stream, event[size:]
+        )
+
+    def _send_rest(self, stream: streams.Stream, rest: bytes) -> None:
+        if self._wait_out(self._send_rest, stream, rest):
             return
-        filler = order["id"].encode() + b" " + b"x" * order["event_bytes"]
-        self._write_chunk(b"id: %d\ndata: %s\n\n" % (event_id, filler))
+        self._write_chunk(rest)
         if self._run is not None:
-            self._run = (self._run[0], event_id)
+            self._run = (self._run[0], stream.number)
+        stream.number += 1
         self._next = reactor.callLater(
-            order["event_ms"] / 1000, self._send_event, event_id + 1, order
+            stream.gap_s / 2, self._send_event, stream
         )
+
+    def _finish(self, stream: streams.Stream) -> None:
+        if stream.flaw is streams.Flaw.BEHIND_LAST:
+            self.end_run("cut")
+            self.close(self._replica.flaws.chance.random() < 0.5)
+            return
+        self.end_run("whole")
+        self._end_stream()
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -30,7 +30,9 @@
 class Run:
     """A run of a request at an endpoint; ``how`` it ended.
 
-    That is whole, failed, lost (by its connection) or dropped (by a strike).
+    That is whole, failed, lost (by its connection), dropped (by a strike),
+    cut (by itself) or empty: it began behind the last event and so ended
+    without one.  ``last`` is the event after which it was to go on.
     """
 
     request_id: str
@@ -39,6 +41,9 @@
     how: str = ""
     ended_s: float = math.inf
     events: int = 0
+    name: str = ""
+    last: int = 0
+    flaw: str = ""
 
 
 @dataclasses.dataclass
@@ -72,6 +77,27 @@
         """Return the runs of a request."""
         return self._runs_by_id.get(request_id, [])
 
+    @functools.cached_property
+    def _answers_by_id(self) -> dict[str, callers.Answer]:
+        return {answer.request_id: answer for answer in self.answers}
+
+    def chain_of(self, answer: callers.Answer) -> list[callers.Answer]:
+        """Return the answers that one goes on with, the first one first."""
+        chain: list[callers.Answer] = []
+        while answer.follows:
+            answer = self._answers_by_id[answer.follows]
+            chain.insert(0, answer)
+        return chain
+
+    def has_empty_run(self, answer: callers.Answer) -> bool:
+        """Return whether an endpoint ended its run of a request too early.
+
+        It said that the end was whole, and sent no event.
+        """
+        return any(
+            run.how == "empty" for run in self.runs_of(answer.request_id)
+        )
+
     def performed(self, kind: plan.Kind) -> list[Happening]:
         """Return the strikes of a kind."""
         return [one for one in self.happenings if one.strike.kind is kind]
@@ -91,14 +117,15 @@
     def broke_off(self, run: Run, ended_s: float) -> bool:
         """Return whether an endpoint may have ended a run by itself."""
         exited_s = self.exits.get(run.endpoint, math.inf)
-        failed = frozenset({plan.Kind.FAIL})
+        failed = frozenset({plan.Kind.FAIL, plan.Kind.FLAW})
         has_exited = run.began_s <= exited_s <= ended_s and run.how != "whole"
-        has_ended = has_exited or run.how == "dropped"
+        has_ended = has_exited or run.how in ("dropped", "cut")
         return has_ended or self.was_disturbed(run.began_s, ended_s, failed)
 
     def read_endpoint(self, name: str, log: pathlib.Path) -> None:
         """Add what an endpoint wrote of its runs and its end."""
         open_runs: dict[str, list[Run]] = {}
+        by_name: dict[str, Run] = {}
         for line in log.read_text().splitlines():
             if not line.startswith("{"):
                 continue
@@ -110,8 +137,12 @@
                 self.exits[name] = at_s
             elif "run" in fields:
                 run = Run(fields["run"], name, at_s)
+                run.name, run.last = fields["name"], fields["last"]
+                by_name[run.name] = run
                 self.runs.append(run)
                 open_runs.setdefault(run.request_id, []).append(run)
+            elif "flaw" in fields:
+                by_name[fields["name"]].flaw = fields["flaw"]
             elif open_runs.get(fields["end"]):
                 run = open_runs[fields["end"]].pop(0)
                 run.how, run.ended_s = fields["how"], at_s
--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -32,10 +32,12 @@
     FAIL = "fail"
     LINK = "link"
     DROP = "drop"
+    FLAW = "flaw"
 
 
-_DRAWN = tuple(kind for kind in Kind if kind is not Kind.DROP)
-"""Kinds in series; drops are drawn apart."""
+_APART = frozenset({Kind.DROP, Kind.FLAW})
+_DRAWN = tuple(kind for kind in Kind if kind not in _APART)
+"""Kinds in series; drops are drawn apart, flaws are in scenarios only."""
 
 
 @pydantic.dataclasses.dataclass(frozen=True)
@@ -45,8 +47,8 @@
     ``for_s`` is how long a pause, a silence or a fault of the store or of a
     node's link to it lasts, how long an endpoint that leaves serves on, or
     how long one that dropped its connections refuses new ones.
-    ``how`` is the fault of the store, of a link or of an endpoint, or how an
-    endpoint exits.
+    ``how`` is the fault of the store, of a link or of an endpoint, the flaw
+    of its streams, or how it exits or drops its connections.
     """
 
     at_s: float
@@ -74,6 +76,8 @@
     unframed_share: float = 0.2
     slow_pause_s: float = 0.05
     """A slow caller rests this long after each part of 4 KiB."""
+    returns: int = 2
+    """How often a caller comes back for the rest of a stream."""
 
 
 @pydantic.dataclasses.dataclass(frozen=True)
--- a/standins/fireflystandins/soak/report.py
+++ b/standins/fireflystandins/soak/report.py
@@ -1,5 +1,6 @@
 """The table of a run, and what is known of each break."""
 
+import collections
 import collections.abc
 import json
 import pathlib
@@ -29,6 +30,27 @@
     return "\n".join(rows)
 
 
+def summary(seen: evidence.Evidence) -> str:
+    """Return how answers and runs ended, and what was tried on streams."""
+    counts = {
+        "answers": collections.Counter(one.how for one in seen.answers),
+        "runs": collections.Counter(one.how or "never" for one in seen.runs),
+        "flaws": collections.Counter(
+            run.flaw for run in seen.runs if run.flaw
+        ),
+        "after an event": collections.Counter(
+            "runs" for run in seen.runs if run.last
+        ),
+        "came back": collections.Counter(
+            one.turn for one in seen.answers if one.turn
+        ),
+    }
+    return "\n".join(
+        f"{name}: " + ", ".join(f"{key} {n}" for key, n in found.items())
+        for name, found in counts.items()
+    )
+
+
 def find_lines(folder: pathlib.Path, request_id: str) -> list[str]:
     """Return the log lines of all nodes that name a request."""
     wanted = f'"id":"{request_id}"'
@@ -65,8 +87,9 @@
         rows.append(f"  request {broken.request_id}")
         for run in seen.runs_of(broken.request_id):
             rows.append(
-                f"  run at {run.endpoint}: ended {run.how or 'never'},"
-                f" {run.events} events,"
+                f"  run {run.name} after {run.last}:"
+                f" ended {run.how or 'never'}, {run.events} events,"
+                f" flaw {run.flaw or 'none'},"
                 f" {run.ended_s - broken.at_s:+.3f} s from the break"
             )
         lines = find_lines(folder, broken.request_id)
--- /dev/null
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -0,0 +1,117 @@
+"""Plans of streams that meet one kind of disruption, or all at once."""
+
+import collections.abc
+import dataclasses
+import random
+
+from fireflystandins.soak import plan
+from fireflystandins.soak import streams
+
+NODES = 3
+ENDPOINTS = 4
+LASTS_S = 24.0
+LAST_STRIKE_S = LASTS_S - 4.0
+COUNT = 7
+STREAMS = plan.Load(
+    callers=10,
+    pause_s=0.1,
+    styles=("whole",),
+    routes=("resumed", "resumed", "stream"),
+    events=40,
+    event_ms=30,
+    unframed_share=0.3,
+)
+_CUTS = (streams.Flaw.CLOSED, streams.Flaw.RESET, streams.Flaw.BEHIND_LAST)
+_Strikes = collections.abc.Iterator[plan.Strike]
+
+
+def _moments(chance: random.Random, count: int = COUNT) -> list[float]:
+    drawn = [
+        chance.uniform(plan.SETTLE_S, LAST_STRIKE_S) for _ in range(count)
+    ]
+    return [round(at_s, 2) for at_s in sorted(drawn)]
+
+
+def _endpoint(chance: random.Random) -> str:
+    return f"s{chance.randint(1, ENDPOINTS)}"
+
+
+def _flaws(*flaws: streams.Flaw) -> _Strikes:
+    """All endpoints have flaws from the first moment to the last."""
+    for number in range(1, ENDPOINTS + 1):
+        for flaw in flaws:
+            yield plan.Strike(
+                1.0, plan.Kind.FLAW, f"s{number}", LASTS_S, flaw.value
+            )
+
+
+def _cuts(chance: random.Random) -> _Strikes:
+    yield from _flaws(*_CUTS)
+
+
+def _drops(chance: random.Random) -> _Strikes:
+    for at_s in _moments(chance):
+        for_s = chance.choice((0.0, 0.3, plan.DROPPED_S))
+        how = chance.choice(("order", "order", "reset"))
+        target = _endpoint(chance)
+        yield plan.Strike(at_s, plan.Kind.DROP, target, for_s, how)
+
+
+def _silences(chance: random.Random) -> _Strikes:
+    for at_s in _moments(chance):
+        for_s = round(chance.uniform(0.8, 2.5), 2)
+        yield plan.Strike(at_s, plan.Kind.SILENCE, _endpoint(chance), for_s)
+
+
+def _copies(chance: random.Random) -> _Strikes:
+    yield from _flaws(*streams.COPIES)
+
+
+def _nodes(chance: random.Random) -> _Strikes:
+    kinds = (plan.Kind.STOP, plan.Kind.KILL, plan.Kind.PAUSE)
+    for at_s in _moments(chance):
+        name = f"node{chance.randint(1, NODES)}"
+        for_s = round(chance.uniform(0.5, 3.0), 2)
+        yield plan.Strike(at_s, chance.choice(kinds), name, for_s)
+
+
+def _callers(chance: random.Random) -> _Strikes:
+    yield from _drops(chance)
+
+
+def _resumes(chance: random.Random) -> _Strikes:
+    yield from _flaws(*_CUTS, *streams.RESUME_FLAWS)
+
+
+def _all(chance: random.Random) -> _Strikes:
+    """All but wrong resumes."""
+    yield from _flaws(*_CUTS, *streams.COPIES)
+    for draw in (_drops, _silences, _nodes):
+        yield from draw(chance)
+
+
+_DRAWS: dict[str, collections.abc.Callable[[random.Random], _Strikes]] = {
+    "cuts": _cuts,
+    "drops": _drops,
+    "silences": _silences,
+    "copies": _copies,
+    "nodes": _nodes,
+    "callers": _callers,
+    "resumes": _resumes,
+    "all": _all,
+}
+NAMES = tuple(_DRAWS)
+_READING = ("slow", "leaving", "whole", "early")
+_STYLES = {"callers": _READING, "all": _READING}
+
+
+def build(name: str, seed: int) -> plan.Plan:
+    """Return the plan of a scenario and a seed."""
+    strikes = _DRAWS[name](random.Random(f"{name} {seed}"))
+    load = dataclasses.replace(
+        STREAMS,
+        styles=_STYLES.get(name, STREAMS.styles),
+        event_bytes=1000 if name == "callers" else STREAMS.event_bytes,
+    )
+    ordered = sorted(strikes, key=lambda strike: strike.at_s)
+    return plan.Plan(seed, NODES, ENDPOINTS, LASTS_S, load, tuple(ordered))
--- a/standins/fireflystandins/soak/system.py
+++ b/standins/fireflystandins/soak/system.py
@@ -215,7 +215,17 @@
     def _drop(
         self, strike: plan.Strike, happening: evidence.Happening
     ) -> bool:
-        is_done = self._order(strike, "drop", for_s=strike.for_s)
+        order = {"for_s": strike.for_s, "how": strike.how}
+        is_done = self._order(strike, "drop", **order)
+        time.sleep(strike.for_s)
+        return is_done
+
+    def _flaw(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        seed = f"{self._plan.seed} {strike.target} {strike.how}"
+        order = {"for_s": strike.for_s, "how": strike.how, "seed": seed}
+        is_done = self._order(strike, "flaw", **order)
         time.sleep(strike.for_s)
         return is_done
 
@@ -273,16 +283,16 @@
     played = system.evidence.plan
     chance = random.Random(played.seed)
     record = system.evidence.answers
+    places = [(node.name, node.callers) for node in system.nodes]
     people = [
         callers.Caller(
-            index * len(system.nodes) + number,
-            node.name,
-            node.callers,
+            index * len(places) + number,
+            places[number:] + places[:number],
             played.load,
             random.Random(chance.random()),
             record,
         )
-        for number, node in enumerate(system.nodes)
+        for number in range(len(places))
         for index in range(played.load.callers)
     ]
     loop = asyncio.get_running_loop()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -19,9 +19,10 @@
     return _strike(plan.Kind.STOP, exit_code=0, **fields)
 
 
-def _events(count, request_id="c1", first=1):
+def _events(count, request_id="c1", first=1, run="s1.1", shift=0):
+    names = f"{request_id} {run}".encode()
     return b"".join(
-        b"id: %d\ndata: %s xxx\n\n" % (number, request_id.encode())
+        b"id: %d\ndata: %s %d xxx\n\n" % (number, names, number + shift)
         for number in range(first, first + count)
     )
 
@@ -121,6 +122,8 @@
         ({"ended_s": 107.4}, {"ended_s": 107.3}, None, {}),
         ({}, {"how": "lost"}, None, {"s1": 101.0}),
         ({}, {"how": "dropped"}, None, {}),
+        ({}, {"how": "cut"}, None, {}),
+        ({}, {}, _strike(plan.Kind.FLAW, "s1"), {}),
     ],
     ids=[
         "kill",
@@ -131,6 +134,8 @@
         "late-work",
         "exited",
         "dropped",
+        "cut",
+        "flaw",
     ],
 )
 def test_lost_excuses(answer, run, strike, exits):
@@ -159,39 +164,111 @@
     assert len(_breaks(checks.Order(), _seen([_answer(body=body)]))) == 1
 
 
-def _order_of_a_short_answer(run, strikes=(), exits=None):
-    seen = _seen([_answer(body=_events(2))], [run], strikes, exits=exits or {})
-    return _breaks(checks.Order(), seen)
+def _order_of(*answers, runs=()):
+    return _breaks(checks.Order(), _seen(answers, runs))
+
+
+# Guards against pieces of two runs in one answer.
+@pytest.mark.parametrize(
+    ("route", "body", "expected"),
+    [
+        ("resumed", _events(1) + _events(2, first=2, run="s2.1"), 0),
+        ("stream", _events(1) + _events(2, first=2, run="s2.1"), 1),
+        ("resumed", _events(2) + _events(2, first=2, run="s2.1"), 1),
+        ("resumed", _events(1) + _events(1, first=3, run="s2.1"), 1),
+        (
+            "resumed",
+            _events(1) + _events(1, first=2, run="s2.1") + _events(1, first=3),
+            1,
+        ),
+    ],
+    ids=["resumed", "not-resumable", "again", "gap", "back"],
+)
+def test_order_speaks_of_two_runs(route, body, expected):
+    assert len(_order_of(_answer(route, body=body))) == expected
+
 
+def test_order_speaks_of_a_number_that_is_not_its_run_s():
+    assert len(_order_of(_answer(body=_events(3, shift=1)))) == 1
 
-def test_order_excuses_an_endpoint_that_exited_before_it_had_written_all():
-    run = _run(how="lost", events=2)
-    assert len(_order_of_a_short_answer(run)) == 1
-    assert _order_of_a_short_answer(run, exits={"s1": 101.0}) == []
+
+def _chain(*firsts_and_counts):
+    """Return the answers of a caller that came back after each but one."""
+    answers = []
+    for number, (first, count) in enumerate(firsts_and_counts, start=1):
+        body = _events(count, f"c{number}", first, f"s{number}.1")
+        follows = f"c{number - 1}" if number > 1 else ""
+        answers.append(
+            _answer(
+                request_id=f"c{number}",
+                how="reset",
+                body=body,
+                follows=follows,
+            )
+        )
+    answers[-1].how = "whole"
+    return answers
 
 
 @pytest.mark.parametrize(
-    ("how", "exited_s"),
-    [("whole", 101.0), ("lost", 99.0), ("lost", 102.5)],
-    ids=["wrote-all", "before-the-run", "after-the-answer"],
+    ("chain", "expected"),
+    [
+        ([(1, 1), (2, 1), (3, 1)], 0),
+        ([(1, 2), (1, 0), (3, 1)], 0),
+        ([(1, 3), (1, 0)], 0),
+        ([(1, 2), (1, 3)], 1),
+        ([(1, 2), (2, 2)], 1),
+        ([(1, 1), (3, 1)], 1),
+        ([(1, 1), (2, 1)], 1),
+        ([(1, 1), (1, 0)], 1),
+    ],
+    ids=[
+        "twice",
+        "without-an-event",
+        "had-all",
+        "anew",
+        "earlier",
+        "later",
+        "too-few",
+        "none",
+    ],
 )
-def test_order_does_not_excuse_other_exits(how, exited_s):
-    run = _run(how=how, events=2)
-    assert len(_order_of_a_short_answer(run, exits={"s1": exited_s})) == 1
+def test_order_speaks_of_what_a_caller_gets_that_comes_back(chain, expected):
+    assert len(_order_of(*_chain(*chain))) == expected
+
+
+# An endpoint that sends no event and says that this was all can't be seen
+# through; one that sends too few, or is cut, can.
+@pytest.mark.parametrize("checker", [checks.Order(), checks.Mixed()])
+@pytest.mark.parametrize(
+    ("how", "expected"),
+    [("empty", 0), ("whole", 1), ("lost", 1), ("dropped", 1), ("cut", 1)],
+)
+def test_an_empty_run_alone_excuses_a_short_answer(checker, how, expected):
+    chain = _chain((1, 1), (1, 0))
+    chain[1].last, chain[1].names = 1, "c2"
+    seen = _seen(chain, [_run("c2", how=how)])
+    assert len(_breaks(checker, seen)) == expected
 
 
-def test_order_excuses_endpoints_that_fail_meanwhile_only():
-    during = _strike(plan.Kind.FAIL, "s1")
-    before = _strike(plan.Kind.FAIL, "s1", began_s=90.0, ended_s=91.0)
-    assert _order_of_a_short_answer(_run(), [during]) == []
-    assert len(_order_of_a_short_answer(_run(), [before])) == 1
+def _order_of_a_short_answer(run, strikes=(), exits=None):
+    seen = _seen([_answer(body=_events(2))], [run], strikes, exits=exits or {})
+    return _breaks(checks.Order(), seen)
 
 
 @pytest.mark.parametrize(
-    "kind", [plan.Kind.STOP, plan.Kind.KILL, plan.Kind.PAUSE, plan.Kind.LINK]
+    ("how", "exited_s"),
+    [("whole", 101.0), ("lost", 99.0), ("lost", 101.0), ("lost", 102.5)],
+    ids=["wrote-all", "before-the-run", "meanwhile", "after-the-answer"],
 )
-def test_order_does_not_excuse_strikes_on_nodes(kind):
-    strikes = [_strike(kind)]
+def test_order_does_not_excuse_exits(how, exited_s):
+    run = _run(how=how, events=2)
+    assert len(_order_of_a_short_answer(run, exits={"s1": exited_s})) == 1
+
+
+@pytest.mark.parametrize("kind", plan.Kind)
+def test_order_does_not_excuse_strikes(kind):
+    strikes = [_strike(kind, "s1"), _strike(kind)]
     assert len(_order_of_a_short_answer(_run(), strikes)) == 1
 
 
@@ -239,6 +316,12 @@
     assert _breaks(checks.Mixed(), seen) == []
 
 
+@pytest.mark.parametrize(("first", "expected"), [(3, 0), (2, 1)])
+def test_mixed_counts_from_the_last_event_of_a_caller(first, expected):
+    answer = _answer(body=_events(4 - first, first=first), last=2)
+    assert len(_breaks(checks.Mixed(), _seen([answer]))) == expected
+
+
 def test_mixed_allows_whole_answers():
     whole = [_answer(), _answer("fetch", body=b"answer to c1")]
     assert _breaks(checks.Mixed(), _seen(whole)) == []
