--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -106,6 +106,8 @@
         breaks = [one for _, verdict in judged for one in verdict.breaks]
         for one in breaks[: report.MAX_BREAKS_SHOWN]:
             print(report.describe(seen, one, folder))
+        for one in breaks[report.MAX_BREAKS_SHOWN :]:
+            print(f"{one.rule} {one.request_id} at {one.node}: {one.text}")
         if breaks:
             print(f"again: python -m fireflystandins soak --plan {path}")
         return bool(breaks)
--- a/standins/fireflystandins/soak/endpoint.py
+++ b/standins/fireflystandins/soak/endpoint.py
@@ -65,8 +65,8 @@
         ).addErrback(lambda _: None)
         reactor.callLater(serve_s, self._exit, how)
 
-    def drop(self, for_s: float, how: str) -> None:
-        """Close or reset all connections, and listen again later."""
+    def drop(self, for_s: float, how: str, asker: "SoakProtocol") -> None:
+        """End all connections, by resets but the asker's, and listen later."""
         if self._port is None or self._has_left:
             return
         self._port.stopListening()
@@ -74,7 +74,7 @@
         self._heartbeat_loop.stop()
         for connection in list(self._connections):
             connection.end_run("dropped")
-            connection.close(how == "reset")
+            connection.close(how == "reset" and connection is not asker)
         reactor.callLater(for_s, self._listen_again)
 
     def _listen_again(self) -> None:
@@ -114,7 +114,7 @@
         elif target == "/drop":
             order = json.loads(self._body)
             self._write(200, {}, b"{}")
-            self._replica.drop(order["for_s"], order.get("how", ""))
+            self._replica.drop(order["for_s"], order.get("how", ""), self)
         elif target == "/flaw":
             order = json.loads(self._body)
             self._replica.flaws.add(
--- a/standins/fireflystandins/soak/report.py
+++ b/standins/fireflystandins/soak/report.py
@@ -10,6 +10,7 @@
 from fireflystandins.soak import callers
 from fireflystandins.soak import checks
 from fireflystandins.soak import evidence
+from fireflystandins.soak import plan
 
 MAX_BREAKS_SHOWN = 5
 AROUND_S = 1.0
@@ -95,7 +96,8 @@
         lines = find_lines(folder, broken.request_id)
         rows.extend(f"  | {line}" for line in lines or ["no line names it"])
     for one in seen.happenings:
-        if one.began_s <= broken.at_s <= one.ended_s + 3:
+        is_flaw = one.strike.kind is plan.Kind.FLAW
+        if one.began_s <= broken.at_s <= one.ended_s + 3 and not is_flaw:
             rows.append(
                 f"  {one.strike.kind} {one.strike.target}"
                 f" {one.began_s - broken.at_s:+.2f} s"
--- a/tests/soak/test_endpoint.py
+++ b/tests/soak/test_endpoint.py
@@ -44,13 +44,18 @@
     return True
 
 
-def _send(address, path, **fields):
+def _send(address, path, last=0, **fields):
     here = _connect(address)
+    _ask(here, path, "c1", last, fields)
+    return here
+
+
+def _ask(here, path, request_id, last, fields):
     body = json.dumps(fields).encode()
-    lines = [f"POST {path} HTTP/1.1", "Host: x", "Attempt-Id: c1"]
+    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Attempt-Id: {request_id}"]
+    lines += [f"Last-Event-Id: {last}"] if last else []
     head = "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""])
     here.sendall(head.encode() + body)
-    return here
 
 
 def _read_all(here):
@@ -99,3 +104,86 @@
     assert not _connects(address)
     local.wait_for("endpoint again", lambda: _connects(address))
     assert time.monotonic() - dropped_s >= REFUSED_S
+
+
+ORDER = {"events": 5, "event_ms": 2, "event_bytes": 9, "framed": False}
+
+
+def _streams(address, how, count, last=0, **changes):
+    """Return the bodies of streams while they may have a flaw."""
+    flaw = {"how": how, "for_s": 60.0, "seed": "1"}
+    _send(address, "/flaw", **flaw).recv(9)
+    calls = [
+        _send(address, "/resumed/x", last, **(ORDER | changes))
+        for _ in range(count)
+    ]
+    return [_read_stream(here) for here in calls]
+
+
+def _read_stream(here):
+    """Return the bytes behind the head, and whether they were reset."""
+    data = b""
+    here.settimeout(0.5)
+    with here:
+        try:
+            while part := here.recv(4096):
+                data += part
+        except ConnectionResetError:
+            return data.partition(HEAD_END)[2], True
+        except TimeoutError:
+            pass
+    return data.partition(HEAD_END)[2], False
+
+
+def test_an_event_names_its_request_its_run_and_its_number(address):
+    body, _ = _read_stream(_send(address, "/stream/x", 3, **ORDER))
+    assert body.startswith(b"id: 4\ndata: c1 s1.1 4 xxx")
+    assert body.count(b"id: ") == 2
+
+
+@pytest.mark.parametrize("how", ["closed", "reset"])
+def test_some_streams_are_cut_inside_an_event(address, how):
+    found = _streams(address, how, 20)
+    cut = [one for one in found if not one[0].endswith(b"x\n\n")]
+    assert 0 < len(cut) < 20
+    if how == "closed":
+        assert not any(was_reset for _, was_reset in found)
+
+
+def test_some_streams_are_cut_behind_their_last_event(address):
+    found = _streams(address, "behind-last", 20, framed=True)
+    has_end = {body.endswith(b"0\r\n\r\n") for body, _ in found}
+    assert has_end == {True, False}
+
+
+@pytest.mark.parametrize(
+    ("how", "first"), [("anew", 1), ("earlier", 2), ("later", 6)]
+)
+def test_some_runs_go_on_wrongly(address, how, first):
+    found = _streams(address, how, 20, last=3, events=8)
+    firsts = {int(body.split()[1]) for body, _ in found}
+    assert firsts == {4, first}
+
+
+@pytest.mark.parametrize("how", ["copy", "cut-copy"])
+def test_some_streams_have_a_copy_of_an_earlier_answer(address, how):
+    flaw = {"how": how, "for_s": 60.0, "seed": "1"}
+    _send(address, "/flaw", **flaw).recv(9)
+    here = _connect(address)
+    data = b""
+    for number in range(20):
+        _ask(here, "/stream/x", f"c{number}", 0, ORDER | {"framed": True})
+        while data.count(b"\r\n0\r\n\r\n") <= number:
+            data += here.recv(4096)
+    here.close()
+    counts = {data.count(b"Attempt-Id: c%d\r\n" % n) for n in range(20)}
+    assert {1, 2} <= counts
+
+
+@pytest.mark.parametrize(("how", "expected"), [("order", 0), ("reset", 1)])
+def test_a_drop_ends_streams_in_order_or_by_resets(address, how, expected):
+    stream = _send(address, "/stream/x", **(ORDER | {"events": 500}))
+    assert stream.recv(10, socket.MSG_PEEK)
+    _read_all(_send(address, "/drop", for_s=REFUSED_S, how=how))
+    _, was_reset = _read_stream(stream)
+    assert was_reset == expected
