--- a/standins/fireflystandins/soak/scenarios.py
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -102,7 +102,7 @@
 }
 NAMES = tuple(_DRAWS)
 _READING = ("slow", "leaving", "whole", "early")
-_STYLES = {"callers": _READING, "all": _READING}
+_STYLES = {"callers": _READING, "all": ("whole", "whole", *_READING)}
 
 
 def build(name: str, seed: int) -> plan.Plan:
