Let late copies of the soak come from answers that have ended

A copy was of the answer that its connection had carried before. A run prints how many were written.

--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -387,7 +387,6 @@
         if not self._is_chunked:
             self.transport.loseConnection()
             return
-        self._last_answer += LAST_CHUNK
         self.transport.write(LAST_CHUNK)
         self._read_next_request()
 
--- a/standins/fireflystandins/soak/endpoint.py
+++ b/standins/fireflystandins/soak/endpoint.py
@@ -102,6 +102,7 @@
         super().__init__(owner)
         self._run: tuple[str, int] | None = None
         self._name = ""
+        self._ended_answer = b""
         self._next: interfaces.IDelayedCall | None = None
 
     def _serve(self) -> None:
@@ -229,11 +230,19 @@
         if flaw in streams.CUTS and left > 0:
             stream.cut_at = chance.randint(stream.number, stream.total)
         if flaw in streams.COPIES:
-            copy = self._last_answer
-            if flaw is streams.Flaw.CUT_COPY and copy:
-                copy = copy[: chance.randrange(1, len(copy) + 1)]
-            late_s = chance.uniform(0, 1.2 * left * stream.gap_s)
-            reactor.callLater(late_s, self.transport.write, copy)
+            late_s = chance.uniform(0, 1.5 * left * stream.gap_s)
+            reactor.callLater(late_s, self._write_copy, flaw)
+
+    def _write_copy(self, flaw: streams.Flaw) -> None:
+        """Write the last answer that has ended once more."""
+        copy = self._ended_answer
+        if not copy or not self.transport.connected:
+            return
+        if flaw is streams.Flaw.CUT_COPY:
+            chance = self._replica.flaws.chance
+            copy = copy[: chance.randrange(1, len(copy))]
+        self._replica.note(copied=len(copy))
+        self.transport.write(copy)
 
     def _send_event(self, stream: streams.Stream) -> None:
         if self._wait_out(self._send_event, stream):
@@ -273,4 +282,6 @@
             self.close(self._replica.flaws.chance.random() < 0.5)
             return
         self.end_run("whole")
+        if self._is_chunked:
+            self._ended_answer = self._last_answer + replica.LAST_CHUNK
         self._end_stream()
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -54,6 +54,8 @@
     answers: list[callers.Answer] = dataclasses.field(default_factory=list)
     happenings: list[Happening] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    copies: int = 0
+    """Late copies of answers that endpoints wrote."""
     leaves: dict[str, float] = dataclasses.field(default_factory=dict)
     """When the entry of an endpoint was removed."""
     exits: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -143,6 +145,8 @@
                 open_runs.setdefault(run.request_id, []).append(run)
             elif "flaw" in fields:
                 by_name[fields["name"]].flaw = fields["flaw"]
+            elif "copied" in fields:
+                self.copies += 1
             elif open_runs.get(fields["end"]):
                 run = open_runs[fields["end"]].pop(0)
                 run.how, run.ended_s = fields["how"], at_s
--- a/standins/fireflystandins/soak/report.py
+++ b/standins/fireflystandins/soak/report.py
@@ -39,6 +39,7 @@
         "flaws": collections.Counter(
             run.flaw for run in seen.runs if run.flaw
         ),
+        "copies": {"written": seen.copies},
         "after an event": collections.Counter(
             "runs" for run in seen.runs if run.last
         ),
--- a/standins/fireflystandins/soak/scenarios.py
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -102,6 +102,8 @@
 }
 NAMES = tuple(_DRAWS)
 _READING = ("slow", "leaving", "whole", "early")
+_UNFRAMED = {"copies": 0.0}
+"""With answers without a length, no connection carries two of any kind."""
 _STYLES = {"callers": _READING, "all": ("whole", "whole", *_READING)}
 
 
@@ -111,6 +113,7 @@
     load = dataclasses.replace(
         STREAMS,
         styles=_STYLES.get(name, STREAMS.styles),
+        unframed_share=_UNFRAMED.get(name, STREAMS.unframed_share),
         event_bytes=1000 if name == "callers" else STREAMS.event_bytes,
     )
     ordered = sorted(strikes, key=lambda strike: strike.at_s)
