--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -41,6 +41,7 @@
 """By how many events a run goes on too early or too late, by fault."""
 GOES_ON_ANEW = "goes-on-anew"
 """The fault of a run that goes on with the first event of all."""
+LAST_CHUNK = b"0\r\n\r\n"
 _Fields = dict[str, str]
 
 
@@ -429,18 +430,20 @@
         if not self._is_chunked:
             self.transport.loseConnection()
             return
-        self.transport.write(b"0\r\n\r\n")
+        self.transport.write(LAST_CHUNK)
         self._read_next_request()
 
     def _write_head(self, identity_fields: _Fields) -> None:
         fields = identity_fields | {"Content-Type": "text/event-stream"}
         if self._is_chunked:
             fields["Transfer-Encoding"] = "chunked"
-        self.transport.write(head(200, fields, None))
+        self._last_answer = head(200, fields, None)
+        self.transport.write(self._last_answer)
 
     def _write_chunk(self, data: bytes) -> None:
         if self._is_chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._last_answer += data
         self.transport.write(data)
 
     def _write(
