Count an unrelated run as failed once another one has gone on

An endpoint that goes on wrongly was no longer suspected, since the number might be its caller's fault, so that it was chosen again: each of its requests spent a retry, and the fourth caller of a young node got 502 (retry budget used up).

When another endpoint goes on after the caller's number, the number was right and the first endpoint wrong: it counts as failed, for its load and its version.

--- a/packages/core/src/fireflypulley/core/gateway/retry_policy.py
+++ b/packages/core/src/fireflypulley/core/gateway/retry_policy.py
@@ -14,11 +14,8 @@
 """Outcomes of attempts that no byte was sent of, so that the next one is no
 retry."""
 
-_SPECULATIVE = frozenset(
-    {calls.Outcome.SILENT, calls.Outcome.SLOW, calls.Outcome.UNRELATED}
-)
-"""Outcomes after which the endpoint may still go on, or that a caller can
-bring about by a wrong number."""
+_SPECULATIVE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
+"""Outcomes after which the endpoint may still go on."""
 
 
 class RetryPolicy:
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -438,6 +438,12 @@
         run.load.end(run.is_held)
         self._judge(run, outcome, now_s)
 
+    def note_disproved(self, run: runs.Run, now_s: float) -> None:
+        """Record that another endpoint has shown this one to be wrong."""
+        self._observe(run, True, now_s)
+        if not run.member.leaving:
+            run.load.failed(False, now_s)
+
     def note_abandoned(self, run: runs.Run) -> None:
         """Record that the caller left during an attempt."""
         if run.is_over:
--- a/packages/gateway/src/fireflypulley/gateway/attempt_accounts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt_accounts.py
@@ -22,6 +22,8 @@
         self._shared = shared
         self._record = request_record
         self._is_usage_counted = False
+        self._unrelated: list[runs.Run] = []
+        """Runs that did not follow the caller's event, if it has it."""
 
     def _now_s(self) -> float:
         return self._shared.reactor.seconds()
@@ -43,11 +45,18 @@
     ) -> None:
         """Record an event of a stream."""
         self.count_usage()
+        self._blame_unrelated()
         run = sent.run
         self._shared.scheduler.note_event(run, last_event_id, self._now_s())
         if run.events == prompt_crashes.PROVEN_EVENTS:
             self._shared.crash_detector.note_answered(run)
 
+    def _blame_unrelated(self) -> None:
+        """Count runs as failed, for another one has gone on rightly."""
+        unrelated, self._unrelated = self._unrelated, []
+        for run in unrelated:
+            self._shared.scheduler.note_disproved(run, self._now_s())
+
     def keep(self, sent: attempt.Attempt) -> None:
         """Count an attempt that goes on beside another one."""
         if sent.is_counted:
@@ -63,6 +72,8 @@
             return
         self._count(ended, outcome)
         self._shared.scheduler.note_ended(ended.run, outcome, self._now_s())
+        if outcome is calls.Outcome.UNRELATED:
+            self._unrelated.append(ended.run)
         if outcome is calls.Outcome.COMPLETE:
             self._shared.metrics.observe_attempt(ended.run, self._now_s())
             self._shared.crash_detector.note_answered(ended.run)
--- a/tests/gateway/test_caller_resumes.py
+++ b/tests/gateway/test_caller_resumes.py
@@ -72,6 +72,21 @@
     assert not observed
 
 
+# Guards against an endpoint that is asked again and again, and spends the
+# retries of all, although another one has shown that it goes on wrongly.
+def test_an_endpoint_is_to_blame_once_another_one_has_gone_on():
+    world = _world()
+    observed = []
+    world.scheduler.rollouts.observe = lambda *found: observed.append(found)
+    first = world.begin()
+    _begin_answer(first, _events(1))
+    exchanges.answer(world.sent[-1], body=_events(4))
+    member = world.scheduler.fleet.get(first.endpoint_id)
+    assert world.scheduler.loads.of(member).failures == 1
+    assert not world.scheduler.loads.of(member).is_unreachable
+    assert [found[3] for found in observed] == [True, False]
+
+
 # Guards against a number 0 that passes for none.
 @pytest.mark.parametrize("number", [0, 2])
 def test_a_caller_that_has_event_0_gets_event_1_next(number):
