--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -9,12 +9,11 @@
 
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import calls
-from fireflypulley.core.gateway import node_limits
+from fireflypulley.core.gateway import document
 from fireflypulley.gateway import caller_account
 from fireflypulley.gateway import caller_watch
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import open_callers
 from fireflypulley.gateway import send_queue
 from fireflypulley.transport import last_bytes
@@ -28,6 +27,24 @@
 """What connections that are lost have instead of what they had read."""
 
 
+def _find_head_problem(
+    event: h11.Request,
+    headers: header_codec.Headers,
+    limits: document.CallerLimits,
+) -> calls.RefusalReason | None:
+    """Return why a request is refused for its head, or None."""
+    size_bytes = sum(len(name) + len(value) + 4 for name, value in headers)
+    if size_bytes > limits.max_header_bytes:
+        return calls.RefusalReason.HEADERS_TOO_LARGE
+    names = [name for name, _ in headers]
+    has_both_lengths = (
+        b"content-length" in names and b"transfer-encoding" in names
+    )
+    if has_both_lengths or event.http_version != b"1.1":
+        return calls.RefusalReason.BAD_REQUEST
+    return None
+
+
 @interface.implementer(interfaces.IHalfCloseableProtocol)
 class CallerConnection(protocol.Protocol, inbound.Caller, inbound.CallerSink):
     """One connection from a caller."""
@@ -265,16 +282,9 @@
     def _receive_head(self, event: h11.Request) -> None:
         self._watch.look()
         headers = list(event.headers)
-        size = sum(len(name) + len(value) + 4 for name, value in headers)
-        if size > self._receiver.limits.max_header_bytes:
-            self._refuse(calls.RefusalReason.HEADERS_TOO_LARGE)
-            return
-        names = [name for name, _ in headers]
-        has_both_lengths = (
-            b"content-length" in names and b"transfer-encoding" in names
-        )
-        if has_both_lengths or event.http_version != b"1.1":
-            self._refuse(calls.RefusalReason.BAD_REQUEST)
+        problem = _find_head_problem(event, headers, self._receiver.limits)
+        if problem is not None:
+            self._refuse(problem)
             return
         arrived_s = self._reading_since_s
         if arrived_s is None:
@@ -419,31 +429,3 @@
         self._handler = None
         if self._is_open:
             self._abort(caller_ends.CallerEnd.BROKEN_OFF)
-
-
-class CallerFactory(protocol.Factory):
-    """Builds connections from callers, which share what may be held."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        reactor: interfaces.IReactorTime,
-        receiver: inbound.RequestReceiver,
-        bounds: caller_ends.CallerBounds = caller_ends.CallerBounds(),
-        budget: memory.MemoryBudget | None = None,
-        max_connections: int = node_limits.NodeLimits().caller_connections,
-    ) -> None:
-        self._reactor = reactor
-        self._receiver = receiver
-        self.held = send_queue.HeldBytes(bounds)
-        if budget is None:
-            budget = memory.MemoryBudget(
-                reactor, node_limits.NodeLimits().held_bytes
-            )
-        self._callers = open_callers.OpenCallers(budget, max_connections)
-
-    def buildProtocol(self, addr: interfaces.IAddress) -> CallerConnection:
-        return CallerConnection(
-            self._reactor, self._receiver, self.held, self._callers
-        )
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -20,7 +20,7 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
-from fireflypulley.gateway import caller_connection
+from fireflypulley.gateway import caller_factory
 from fireflypulley.gateway import connector
 from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
@@ -187,7 +187,7 @@
             lambda: self._stop.ends_at_s,
         )
         self._open_requests: set[exchange.Exchange] = set()
-        self._caller_factory = caller_connection.CallerFactory(
+        self._caller_factory = caller_factory.CallerFactory(
             reactor,
             self,
             _caller_bounds(config),
--- a/tests/gateway/slow_callers.py
+++ b/tests/gateway/slow_callers.py
@@ -10,7 +10,7 @@
 
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import document
-from fireflypulley.gateway import caller_connection
+from fireflypulley.gateway import caller_factory
 from fireflypulley.gateway import inbound
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -79,7 +79,7 @@
         self.streams = []
         self.opened = []
         self.closed = []
-        factory = caller_connection.CallerFactory(self.reactor, self, bounds)
+        factory = caller_factory.CallerFactory(self.reactor, self, bounds)
         self.held = factory.held
         self.most_held_bytes = 0
         port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -6,7 +6,7 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
-from fireflypulley.gateway import caller_connection
+from fireflypulley.gateway import caller_factory
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import inbound
@@ -51,7 +51,7 @@
 def _begin(kind, **fields):
     """Send a caller's request; return its transport and the world."""
     world = exchanges.World(kind, **fields)
-    factory = caller_connection.CallerFactory(
+    factory = caller_factory.CallerFactory(
         world.clock, ExchangeReceiver(world)
     )
     connection = factory.buildProtocol(None)
--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -7,7 +7,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import caller_account
-from fireflypulley.gateway import caller_connection
+from fireflypulley.gateway import caller_factory
 from fireflypulley.gateway import memory
 
 from . import test_inbound
@@ -27,7 +27,7 @@
             20_000, 10 * BODY, 30.0, 30.0
         )
         self.budget = memory.MemoryBudget(self.clock, bound_bytes)
-        self.factory = caller_connection.CallerFactory(
+        self.factory = caller_factory.CallerFactory(
             self.clock,
             self.receiver,
             caller_ends.CallerBounds(),
--- a/tests/gateway/test_inbound.py
+++ b/tests/gateway/test_inbound.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import caller_connection
+from fireflypulley.gateway import caller_factory
 from fireflypulley.gateway import inbound
 
 
@@ -118,7 +119,7 @@
 
 def _connect(receiver):
     clock = task.Clock()
-    factory = caller_connection.CallerFactory(clock, receiver)
+    factory = caller_factory.CallerFactory(clock, receiver)
     connection = factory.buildProtocol(None)
     transport = Transport()
     connection.makeConnection(transport)
