Close the part of each attempt as it ends

An attempt now closes its part when it is aborted, discarded or has failed, and the last one when the request ends; the tests of ended requests hold as before.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -173,7 +173,7 @@
     def abort(self) -> None:
         """Close the connection, so that the endpoint cancels the run."""
         self._is_over = True
-        self.part.drop()
+        self.part.close()
         self.stop_watching()
         connection, self.connection = self.connection, None
         if connection is not None:
@@ -182,7 +182,7 @@
     def discard(self) -> None:
         """Read and drop the rest of an answer that is not forwarded."""
         self._is_over = True
-        self.part.drop()
+        self.part.close()
         self.stop_watching()
         connection, self.connection = self.connection, None
         if connection is not None:
@@ -220,5 +220,5 @@
     def response_failed(self, outcome: calls.Outcome, detail: str) -> None:
         self.connection = None
         self.stop_watching()
-        self.part.drop()
+        self.part.close()
         self._owner.attempt_failed(self, outcome, detail)
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -429,10 +429,11 @@
 
     def close(self) -> None:
         """Let go of all attempts, as the request has ended."""
+        for one in [*self._under_way, self.failed]:
+            if one is not None:
+                one.part.close()
         self.current = self.failed = None
         self.late = []
-        for run_part in self._record.run_parts:
-            run_part.part.close()
 
     def pause(self) -> None:
         """Stop reading while the caller accepts no data."""
