Read little of an answer first, and hold less the more callers wait for

What callers saw: of a crowd that reads slowly about half was dropped on a machine with 300 MB before it was sent a byte, far from its memory.

Cause: up to 1 MiB of an answer was held and then went at once to its caller's queue, where 16 MiB may wait for all. And whether to read little was decided when a request was sent; of a crowd all are sent before the first answer comes, so that each first read brought 64 KiB.

Why this works: what an answer may hold is also an eighth of what may still wait for callers before these are held at once. The first read of an answer is 8 KiB, and with each part it is decided again how much the next may bring.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -92,6 +92,12 @@
         """Return the key of the endpoint's start."""
         return self.run.member.registration.key
 
+    @property
+    def _reads_little(self) -> bool:
+        """Return whether a whole read may be more than can be held."""
+        size_bytes = outbound.READ_BYTES
+        return self._shared.memory.share_bytes(size_bytes) < size_bytes
+
     def begin(self) -> None:
         """Connect, and send the request."""
         defer.ensureDeferred(self._connect()).addErrback(self.fail)
@@ -137,7 +143,8 @@
         self.connection = connection
         self.peer = connection.peer
         self.was_sent = True
-        connection.read_little(self._shared.memory.is_scarce)
+        # Of a crowd all may be sent before the first answer comes.
+        connection.read_little(True)
         self._shared.scheduler.note_sent(run, now_s)
         if request.route.repeatable:
             self._watch()
@@ -198,7 +205,6 @@
         """Continue to read the answer."""
         self.run.release(self._shared.reactor.seconds())
         if self.connection is not None:
-            self.connection.read_little(self._shared.memory.is_scarce)
             self.connection.resume()
 
     # outbound.ResponseListener
@@ -209,6 +215,8 @@
         self._owner.attempt_head(self, status, headers)
 
     def response_data(self, data: bytes) -> None:
+        if self.connection is not None:
+            self.connection.read_little(self._reads_little)
         self._owner.attempt_data(self, data)
 
     def response_end(self, end: answer_ends.AnswerEnd | None = None) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -7,7 +7,9 @@
 
 import abc
 import collections
+import collections.abc
 import enum
+import math
 
 from twisted.internet import interfaces
 
@@ -69,6 +71,10 @@
         self.used_bytes: collections.Counter[Use] = collections.Counter()
         self.given_up = 0
         """How many holders had to give up."""
+        self.callers_left: collections.abc.Callable[[], float]
+        self.callers_left = lambda: math.inf
+        """How much more may wait for callers before they are held up; what
+        an answer holds goes there."""
         self._holders: set[Holder] = set()
         self._ending: set[Holder] = set()
         """Those that gave up and have not released all yet."""
@@ -92,8 +98,9 @@
         up what it was allowed before.
         """
         left_bytes = self.bound_bytes * SCARCE_SHARE - self.total_bytes
-        share_bytes = max(MIN_SHARE_BYTES, int(left_bytes * LARGEST_SHARE))
-        return min(most_bytes, share_bytes)
+        left_bytes = min(left_bytes, self.callers_left())
+        share_bytes = max(MIN_SHARE_BYTES, left_bytes * LARGEST_SHARE)
+        return int(min(most_bytes, share_bytes))
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether so much more may be held."""
--- a/packages/gateway/src/fireflypulley/gateway/send_queue.py
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -35,7 +35,12 @@
         """Return whether callers get no more than they need to go on."""
         if self.budget is not None and self.budget.is_scarce:
             return True
-        return self.total_bytes * 2 > self.bounds.total_held_bytes
+        return self.left_bytes < 0
+
+    @property
+    def left_bytes(self) -> float:
+        """Return how much more may wait before callers are held at once."""
+        return self.bounds.total_held_bytes / 2 - self.total_bytes
 
     @property
     def caller_bytes(self) -> int:
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -185,7 +185,9 @@
         self._caller_factory = caller_connection.CallerFactory(
             reactor, self, _caller_bounds(config)
         )
-        self._caller_factory.held.budget = self._memory
+        held = self._caller_factory.held
+        held.budget = self._memory
+        self._memory.callers_left = lambda: held.left_bytes
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -123,3 +123,15 @@
     assert budget.share_bytes(1 << 21) == 1 << 19
     budget.hold(Holder(budget), memory.Use.ANSWER, 1 << 22)
     assert budget.share_bytes(1 << 21) == memory.MIN_SHARE_BYTES
+
+
+# Guards against callers that are dropped because each gets a large part of
+# an answer at once, and these wait for all of them.
+def test_an_answer_holds_less_the_more_waits_for_callers():
+    _, budget = _budget()
+    budget.bound_bytes = 1 << 30
+    assert budget.share_bytes(1 << 20) == 1 << 20
+    budget.callers_left = lambda: 1 << 22
+    assert budget.share_bytes(1 << 20) == 1 << 19
+    budget.callers_left = lambda: -1
+    assert budget.share_bytes(1 << 20) == memory.MIN_SHARE_BYTES
