Count tunnels in the memory of both nodes

What callers saw: a node that gets its answers through a peer was close to its memory, as the budget did not know of its tunnels.

Cause: the buffers of a tunnel, in which messages are put together and from which they are sent, were counted by nobody. Memory did not count as scarce, and answers were read as much as usual.

Why this works: an open tunnel counts two pieces (32 KiB) at each of its nodes, from its opening to the loss of its stream, and is one of those that give up: the one that has stood still longest is closed, which ends its request as any loss of a tunnel does. Tunnels to older nodes, which carry bare bytes, have no such buffers and are not counted.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -116,6 +116,7 @@
         self._tunnel_server = tunnel_server.TunnelServer(
             reactor, self._scheduler.fleet, self._connections.paths.direct
         )
+        self._tunnel_server.budget = self._memory
         self._usage = WallClockUsage(
             config.usage_window_s, config.node.started_ms
         )
@@ -331,6 +332,7 @@
         self._peer_sync = sync
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
         self._follower.feeds_others = lambda: sync.feeds_others
+        sync.tunnel_dialer.budget = self._memory
         self._connections.paths.tunnels = sync.tunnel_dialer
         self._scheduler.ways = sync.tunnel_dialer.join_paths(
             self._connections.paths.direct
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -11,6 +11,7 @@
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.gateway import background
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import tunnel_transport
 from fireflypulley.gateway import tunnels
@@ -71,6 +72,8 @@
         self._reactor = reactor
         self._fleet = endpoint_fleet
         self._paths = paths
+        self.budget: memory.MemoryBudget | None = None
+        """That of the node, in which tunnels count."""
         self._open_pipes: set[_NodePipe] = set()
         self._is_stopping = False
         self._carries_until_s = float("inf")
@@ -185,5 +188,7 @@
         carries_for_s = self._carries_for_s() if self._is_stopping else None
         response = messages.TunnelResponse("", carries_for_s=carries_for_s)
         stream.send(response)
-        tunnel_transport.connect(self._reactor, stream, here)
+        tunnel_transport.connect(
+            self._reactor, stream, here, budget=self.budget
+        )
         here.join(there, self._reactor.callLater)
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -13,6 +13,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from fireflypulley.gateway import memory
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import peer_watch
@@ -23,6 +24,9 @@
 MAX_PIECE_BYTES = 16 << 10
 """Also of what is read at once, and waits in a transport for the other side:
 a node may use hundreds of tunnels, and each side holds a few pieces."""
+HELD_BYTES = 2 * MAX_PIECE_BYTES
+"""What a tunnel takes at each of its nodes: a piece in the buffer of each
+side."""
 
 _OnClosing = collections.abc.Callable[[float | None], None]
 
@@ -36,11 +40,13 @@
     stream: streams.NodeStream,
     user: protocol.Protocol,
     on_closing: _OnClosing = _ignore,
+    budget: memory.MemoryBudget | None = None,
 ) -> bool:
     """Let a protocol use a stream whose tunnel is open.
 
     ``on_closing`` is called when the peer takes no further requests, with
-    the time for which it still opens tunnels for single ones.
+    the time for which it still opens tunnels for single ones.  What the
+    tunnel takes counts in the ``budget``.
     Return whether the end of its connection is told by a message, which
     older nodes don't do.
     """
@@ -48,7 +54,8 @@
     socket_transport.bufferSize = MAX_PIECE_BYTES
     tells_end = stream.supports(FEATURE)
     if tells_end:
-        transport = TunnelTransport(stream, user, on_closing)
+        held = None if budget is None else _TunnelMemory(budget, stream)
+        transport = TunnelTransport(stream, user, on_closing, held)
         stream.set_owner(transport)
         user.makeConnection(transport)
     else:
@@ -59,6 +66,28 @@
     return tells_end
 
 
+class _TunnelMemory(memory.Holder):
+    """What a tunnel takes while it is open."""
+
+    def __init__(
+        self, budget: memory.MemoryBudget, stream: streams.NodeStream
+    ) -> None:
+        self._budget = budget
+        self._stream = stream
+        budget.hold(self, memory.Use.TUNNEL, HELD_BYTES)
+
+    def note_moved(self) -> None:
+        """Record that bytes were carried."""
+        self._budget.release(self, memory.Use.TUNNEL, 0)
+
+    def close(self) -> None:
+        """Count nothing any longer, as the stream is lost."""
+        self._budget.release(self, memory.Use.TUNNEL, self.held_bytes)
+
+    def give_up(self) -> None:
+        self._stream.close()
+
+
 class TunnelTransport(streams.StreamOwner):
     """The transport of a protocol that uses a stream."""
 
@@ -70,19 +99,26 @@
         stream: streams.NodeStream,
         user: protocol.Protocol,
         on_closing: _OnClosing,
+        held: _TunnelMemory | None = None,
     ) -> None:
         self._stream = stream
         self._user: protocol.Protocol | None = user
         self._on_closing = on_closing
+        self._memory = held
 
     # The protocol's side
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
+        self._note_moved()
         for start in range(0, len(data), MAX_PIECE_BYTES):
             piece = data[start : start + MAX_PIECE_BYTES]
             self._stream.send(messages.TunnelData(piece))
 
+    def _note_moved(self) -> None:
+        if self._memory is not None:
+            self._memory.note_moved()
+
     def loseConnection(self) -> None:
         """Close in order, after what was sent."""
         if self._stream.ready:
@@ -149,6 +185,7 @@
         if self._user is None:
             return
         if isinstance(message, messages.TunnelData):
+            self._note_moved()
             self._user.dataReceived(message.data)
         elif isinstance(message, messages.TunnelEnd):
             self._lose(error.ConnectionDone())
@@ -159,6 +196,9 @@
             stream.close()
 
     def stream_down(self, stream: streams.NodeStream) -> None:
+        held, self._memory = self._memory, None
+        if held is not None:
+            held.close()
         self._lose(error.ConnectionLost("the tunnel broke off"))
 
     def _lose(self, reason: Exception) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -20,6 +20,7 @@
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import ways
 from fireflypulley.gateway import decision_log
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnel_search
 from fireflypulley.gateway import tunnel_transport
@@ -109,6 +110,8 @@
         self._ring = ring
         self._choose_peers = choose_peers
         self._carriers = peer_carriers
+        self.budget: memory.MemoryBudget | None = None
+        """That of the node, in which tunnels count."""
         self._searches: set[tunnel_search.Search] = set()
 
     def join_paths(self, direct: endpoint_paths.EndpointPaths) -> ways.Ways:
@@ -193,7 +196,7 @@
             connection.retire()
 
         tells_end = tunnel_transport.connect(
-            self._reactor, opened.stream, connection, closing
+            self._reactor, opened.stream, connection, closing, self.budget
         )
         is_single = opened.left_s is not None
         return Tunnel(peer.node_id, tells_end, is_single)
