--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -121,6 +121,7 @@
             self._connections.paths.direct,
             limits.carried_connections,
         )
+        self._tunnel_server.budget = self._memory
         self._usage = WallClockUsage(
             config.usage_window_s, config.node.started_ms
         )
@@ -194,7 +195,9 @@
             self._memory,
             limits.caller_connections,
         )
-        self._caller_factory.held.budget = self._memory
+        held = self._caller_factory.held
+        held.budget = self._memory
+        self._memory.callers_left = lambda: held.left_bytes
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
@@ -338,6 +341,7 @@
         self._peer_sync = sync
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
         self._follower.feeds_others = lambda: sync.feeds_others
+        sync.tunnel_dialer.budget = self._memory
         self._connections.paths.tunnels = sync.tunnel_dialer
         self._scheduler.ways = sync.tunnel_dialer.join_paths(
             self._connections.paths.direct
