Count events that are not complete in a node's memory

Why this works: a part of an answer counts them too, until the event is complete or the request ends. If such a stream is the costliest and memory is spent, the request ends as at its deadline: an event can't be sent in part.

The tests fail without the change. tests/gateway, tests/nodes and tests/transport pass on this commit.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -282,6 +282,10 @@
         elif holding in self._under_way:
             self._prefer(holding)
             self._relay.send_held()
+            if holding.part.held_bytes:
+                # An event that is not complete can't be sent.
+                scarce = calls.RefusalReason.TIMEOUT
+                self.end_now(runs.Refusal(scarce, None, "memory"))
         else:
             holding.part.drop()
 
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -52,6 +52,7 @@
         self.headers: header_codec.Headers = []
         self.held: list[bytes] = []
         self.splitter = events.EventSplitter()
+        self._begun_bytes = 0
         self.has_events = False
         self.first_event_id: int | None = None
         self.last_event_id: int | None = None
@@ -77,6 +78,22 @@
         self.held.append(data)
         self._budget.hold(self, memory.Use.ANSWER, len(data))
 
+    def count_begun(self) -> None:
+        """Count the bytes of an event that is not complete yet."""
+        change = self.splitter.remainder_bytes - self._begun_bytes
+        self._begun_bytes += change
+        if change > 0:
+            self._budget.hold(self, memory.Use.ANSWER, change)
+        elif change:
+            self._budget.release(self, memory.Use.ANSWER, -change)
+
+    def end_events(self) -> None:
+        """Hold the rest of a stream that has ended, to be sent."""
+        rest, self.splitter = self.splitter.remainder, events.EventSplitter()
+        self.count_begun()
+        if rest:
+            self.hold(rest)
+
     @property
     def is_large(self) -> bool:
         """Return whether no more should be held."""
@@ -85,7 +102,8 @@
     def take_held(self) -> bytes:
         """Return what is held, which is to be sent now."""
         held, self.held = self.held, []
-        self._budget.release(self, memory.Use.ANSWER, self.held_bytes)
+        size_bytes = self.held_bytes - self._begun_bytes
+        self._budget.release(self, memory.Use.ANSWER, size_bytes)
         return b"".join(held)
 
     def drop(self) -> None:
@@ -95,6 +113,8 @@
     def close(self) -> None:
         """Drop what is held, and who would be told to give it up."""
         self.drop()
+        self.splitter = events.EventSplitter()
+        self.count_begun()
         self._on_give_up = _do_nothing
 
     def give_up(self) -> None:
@@ -238,6 +258,7 @@
     def _receive_events(self, data: bytes) -> bool:
         splitter = self._part.splitter
         complete = splitter.feed(data)
+        self._part.count_begun()
         if splitter.remainder_bytes > events.MAX_EVENT_BYTES:
             raise InvalidStream("an event without end")
         if splitter.pieces > events.MAX_EVENT_PIECES:
@@ -349,8 +370,7 @@
 
         ``on_delivery`` is told whether all of it has reached the caller.
         """
-        if self._part.splitter.remainder_bytes:
-            self._part.hold(self._part.splitter.remainder)
+        self._part.end_events()
         self._flush()
         sink = self.detach()
         if sink is not None:
--- a/tests/gateway/test_answer_memory.py
+++ b/tests/gateway/test_answer_memory.py
@@ -106,3 +106,30 @@
         exchanges.answer(world.sent[-1])
     assert world.finished()
     assert _held(world) == 0
+
+
+# Guards against a node that runs out of memory by events that are large and
+# never complete.
+def test_an_event_that_is_not_complete_counts_until_it_is():
+    world = _world(kind=exchanges.STREAM)
+    connection = _begin(world, b"id: 1\ndata: " + b"x" * 20_000)
+    assert 20_000 <= _held(world) < 20_020
+    connection.listener.response_data(b"\n\nid: 2")
+    assert _held(world) == len(b"id: 2")
+    connection.listener.response_data(b"\ndata: b\n\n")
+    assert _held(world) == 0
+    connection.listener.response_end()
+    assert world.sink.state == "whole"
+    assert world.finished()
+
+
+@pytest.mark.parametrize("has_event", [False, True])
+def test_a_stream_ends_if_memory_is_needed_for_its_event(has_event):
+    world = _world(kind=exchanges.STREAM)
+    connection = _begin(world, b"data: a\n\n" * has_event)
+    connection.listener.response_data(b"data: " + b"x" * 40_000)
+    _fill(world)
+    assert connection.aborted
+    assert world.finished()
+    assert world.sink.state == ("cut" if has_event else "whole")
+    assert _held(world) == 0
