Judge a broken run before its part is closed

The part is closed once the attempts have judged; it is also closed where a run ended in order and is not believed.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -228,5 +228,6 @@
     def response_failed(self, outcome: calls.Outcome, detail: str) -> None:
         self.connection = None
         self.stop_watching()
-        self.part.close()
         self._owner.attempt_failed(self, outcome, detail)
+        # The owner judges by what had arrived.
+        self.part.close()
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -370,6 +370,7 @@
         """End an attempt, and go on with another one if there may be one."""
         if self._relay.is_finished or ended not in self._under_way:
             return
+        ended.part.close()
         if outcome is not calls.Outcome.AMBIGUOUS:
             # A new connection to the same endpoint will do.
             self._chooser.excluded |= {ended.key}
