--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -7,13 +7,13 @@
 from fireflypulley.core.gateway import answer_ends
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
+from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import connector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import dependencies
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import outbound
-from fireflypulley.gateway import relay
 from fireflypulley.gateway import response_watchdog
 
 
@@ -67,7 +67,7 @@
         owner: AttemptOwner,
         incoming: inbound.IncomingRequest,
         run: runs.Run,
-        part: relay.Part,
+        part: answer_part.Part,
     ) -> None:
         self._shared = shared
         self._owner = owner
--- a/packages/gateway/src/fireflypulley/gateway/record.py
+++ b/packages/gateway/src/fireflypulley/gateway/record.py
@@ -7,9 +7,9 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import metrics
-from fireflypulley.gateway import relay
 
 _REFUSED_BY_ROWS = frozenset(
     {
@@ -25,7 +25,7 @@
     """A run of a request, and the events of the answer that it gave."""
 
     run: runs.Run
-    events: relay.SentEvents
+    events: answer_part.SentEvents
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -7,17 +7,15 @@
 import collections.abc
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import events
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import memory
 
-MAX_HELD_BYTES = 1 << 20
-"""Less while the node holds much; see ``memory``."""
 BAD_GATEWAY = 502
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that the request did not run."""
-FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 def _content_type(headers: header_codec.Headers) -> bytes:
@@ -26,10 +24,6 @@
     return value.partition(b";")[0].strip().lower()
 
 
-def _do_nothing() -> None:
-    """Hold nothing."""
-
-
 class InvalidStream(ValueError):
     """Raised for bytes that can't continue the stream.
 
@@ -43,100 +37,6 @@
         self.outcome = outcome
 
 
-class SentEvents:
-    """The events that the caller was sent of one attempt's answer.
-
-    ``first_id`` and ``last_id`` are None without any numbered one;
-    ``count`` does not include comments.
-    """
-
-    def __init__(self) -> None:
-        self.first_id: int | None = None
-        self.last_id: int | None = None
-        self.count = 0
-
-    def note(self, event: events.Event) -> None:
-        """Record an event that the caller gets."""
-        self.count += not event.is_comment
-        if event.event_id is None:
-            return
-        if self.first_id is None:
-            self.first_id = event.event_id
-        self.last_id = event.event_id
-
-
-class Part(memory.Holder):
-    """What has arrived of one attempt's answer and was not sent yet."""
-
-    def __init__(
-        self,
-        budget: memory.MemoryBudget,
-        on_give_up: collections.abc.Callable[[], None],
-    ) -> None:
-        self._budget = budget
-        self._on_give_up = on_give_up
-        self.status = 0
-        self.headers: header_codec.Headers = []
-        self.held: list[bytes] = []
-        self.splitter = events.EventSplitter()
-        self._begun_bytes = 0
-        self.has_events = False
-        self.sent_events = SentEvents()
-
-    @property
-    def is_framed(self) -> bool:
-        """Return whether the answer has a length or is chunked."""
-        names = {name for name, _ in self.headers}
-        return not names.isdisjoint(FRAMING_FIELDS)
-
-    def hold(self, data: bytes) -> None:
-        """Keep bytes until they are sent."""
-        self.held.append(data)
-        self._budget.hold(self, memory.Use.ANSWER, len(data))
-
-    def count_begun(self) -> None:
-        """Count the bytes of an event that is not complete yet."""
-        change = self.splitter.remainder_bytes - self._begun_bytes
-        self._begun_bytes += change
-        if change > 0:
-            self._budget.hold(self, memory.Use.ANSWER, change)
-        elif change:
-            self._budget.release(self, memory.Use.ANSWER, -change)
-
-    def end_events(self) -> None:
-        """Hold the rest of a stream that has ended, to be sent."""
-        rest, self.splitter = self.splitter.remainder, events.EventSplitter()
-        self.count_begun()
-        if rest:
-            self.hold(rest)
-
-    @property
-    def is_large(self) -> bool:
-        """Return whether no more should be held."""
-        return self.held_bytes > self._budget.share_bytes(MAX_HELD_BYTES)
-
-    def take_held(self) -> bytes:
-        """Return what is held, which is to be sent now."""
-        held, self.held = self.held, []
-        size_bytes = self.held_bytes - self._begun_bytes
-        self._budget.release(self, memory.Use.ANSWER, size_bytes)
-        return b"".join(held)
-
-    def drop(self) -> None:
-        """Drop what is held, as the caller won't get it."""
-        self.take_held()
-
-    def close(self) -> None:
-        """Drop what is held, and who would be told to give it up."""
-        self.drop()
-        self.splitter = events.EventSplitter()
-        self.count_begun()
-        self._on_give_up = _do_nothing
-
-    def give_up(self) -> None:
-        self._on_give_up()
-
-
 class ResponseRelay:
     """The response to one request, from one endpoint or several.
 
@@ -161,7 +61,7 @@
         self._missing_after: int | None = None
         """How many events the caller had when a run showed that there is
         another one and did not give it, None if none ever did."""
-        self._part = Part(budget, self.send_held)
+        self._part = answer_part.Part(budget, self.send_held)
         self.is_contested = False
         """Whether another attempt may still serve the caller, so that
         comments are held until an event decides."""
@@ -199,7 +99,7 @@
         """Return whether the caller has the head of a stream of events."""
         return self._is_event_status(self._sent_status)
 
-    def is_event_stream(self, part: Part) -> bool:
+    def is_event_stream(self, part: answer_part.Part) -> bool:
         """Return whether an attempt's answer consists of events."""
         return self._is_event_status(part.status)
 
@@ -208,16 +108,18 @@
 
     def start_attempt(
         self, on_give_up: collections.abc.Callable[[], None] | None = None
-    ) -> Part:
+    ) -> answer_part.Part:
         """Use a new part; return it.
 
         ``on_give_up`` is called when the node needs the memory, in place
         of sending what the part holds.
         """
-        self._part = Part(self._budget, on_give_up or self.send_held)
+        self._part = answer_part.Part(
+            self._budget, on_give_up or self.send_held
+        )
         return self._part
 
-    def use(self, part: Part, is_contested: bool) -> None:
+    def use(self, part: answer_part.Part, is_contested: bool) -> None:
         """Let the caller get what arrives of an attempt."""
         self._part = part
         self.is_contested = is_contested
@@ -246,7 +148,10 @@
         return ""
 
     def set_head(
-        self, part: Part, status: int, headers: header_codec.Headers
+        self,
+        part: answer_part.Part,
+        status: int,
+        headers: header_codec.Headers,
     ) -> None:
         """Set the head of an attempt's answer."""
         part.status = status
@@ -308,7 +213,7 @@
         """Return whether a run has yet to go on after the caller's event."""
         return self.caller_has is not None and self.last_event_id is None
 
-    def note_unfinished(self, part: Part) -> None:
+    def note_unfinished(self, part: answer_part.Part) -> None:
         """Record that a run has not sent all, as far as its events show."""
         if not self.is_event_stream(part):
             return
@@ -320,7 +225,7 @@
         """Return whether a run has shown an event that the caller lacks."""
         return self._missing_after == self.event_count
 
-    def find_end_problem(self, part: Part) -> str:
+    def find_end_problem(self, part: answer_part.Part) -> str:
         """Return why an answer that has ended was broken off, or "".
 
         A stream that only the end of its connection delimits may have
--- a/tests/gateway/test_attempts_beside.py
+++ b/tests/gateway/test_attempts_beside.py
@@ -5,8 +5,8 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import runs
+from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import decision_log
-from fireflypulley.gateway import relay
 from fireflypulley.gateway import response_watchdog
 
 from ..core.gateway import builders
@@ -129,9 +129,9 @@
     getattr(world.exchange, end)()
     assert len(world.done) == 1
     assert first.aborted
-    first.listener.response_data(b"x" * (relay.MAX_HELD_BYTES + 1))
+    first.listener.response_data(b"x" * (answer_part.MAX_HELD_BYTES + 1))
     held_bytes = world.exchange._relay._part.held_bytes
-    assert held_bytes <= relay.MAX_HELD_BYTES
+    assert held_bytes <= answer_part.MAX_HELD_BYTES
 
 
 # Guards against a caller who does not read and counts as a silent endpoint.
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -6,6 +6,7 @@
 from twisted.internet import task
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import events
 from fireflypulley.gateway import memory
 from fireflypulley.gateway import outbound
@@ -116,7 +117,7 @@
         connection.listener.response_data(piece)
     assert world.sink.status == 200
     held = sum(map(len, world.exchange._relay._part.held))
-    assert held <= relay.MAX_HELD_BYTES
+    assert held <= answer_part.MAX_HELD_BYTES
     world.clock.advance(2.0)
     assert world.sink.state == "cut"
     assert connection.aborted
@@ -132,7 +133,7 @@
     response_relay.set_head(part, 500, list(exchanges.SEALED))
     for piece in _pieces(b"x"):
         response_relay.receive_data(piece)
-    assert sum(map(len, part.held)) <= relay.MAX_HELD_BYTES
+    assert sum(map(len, part.held)) <= answer_part.MAX_HELD_BYTES
 
 
 SMALL = b"1\r\nx\r\n"
--- a/tests/gateway/test_kept_attempts.py
+++ b/tests/gateway/test_kept_attempts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fireflypulley.core.gateway import calls
-from fireflypulley.gateway import relay
+from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import response_watchdog
 
 from ..core.gateway import builders
@@ -321,7 +321,7 @@
     first = world.begin()
     first.listener.response_head(500, list(exchanges.SEALED))
     assert len(world.sent) == 2
-    first.listener.response_data(b"x" * (relay.MAX_HELD_BYTES + 1))
+    first.listener.response_data(b"x" * (answer_part.MAX_HELD_BYTES + 1))
     assert first.aborted
     world.sent[-1].listener.response_failed(calls.Outcome.CUT, "test")
     assert world.sink.status == 502
--- a/tests/gateway/test_partial_answers.py
+++ b/tests/gateway/test_partial_answers.py
@@ -4,7 +4,7 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
-from fireflypulley.gateway import relay
+from fireflypulley.gateway import answer_part
 
 from . import exchanges
 
@@ -12,7 +12,7 @@
 RESUMABLE = {"kind": exchanges.STREAM, "resumable": True}
 NUMBERED = b"id: 1\ndata: x\n\n"
 UNNUMBERED = b"data: x\n\n"
-LARGE = b"x" * (relay.MAX_HELD_BYTES + 1)
+LARGE = b"x" * (answer_part.MAX_HELD_BYTES + 1)
 PARTS = {
     "nothing": (IDEMPOTENT, b"", True),
     "a part that is held": (IDEMPOTENT, b"part", True),
