End who says nothing for a descriptor, and tell who is refused

Findings of the review of the memory budget, each with a case in tests/gateway/test_caller_accounts.py that failed before (3 of 15): - For a descriptor the holder of most bytes ended, so that an upload that went on gave way to connections on which nothing is said. It is the one that has not moved for longest now; who waits for the node gives up last for memory, too. - An idle connection whose caller had not taken the answer before was closed in order, and kept its descriptor until it did. It is closed at once. - A request that was complete and cost most was dropped without a word; its caller is told that it was not run.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -109,7 +109,11 @@
             return
         if self._request is not None:
             self._refuse(calls.RefusalReason.NODE_FULL)
-        elif self._is_busy or self._reading_since_s is not None:
+        elif (
+            self._is_busy
+            or self._reading_since_s is not None
+            or self._watch.unread_bytes
+        ):
             self._abort(caller_ends.CallerEnd.NODE_FULL)
         else:
             self._close(caller_ends.CallerEnd.NODE_FULL)
@@ -305,7 +309,7 @@
             self._refuse(calls.RefusalReason.BODY_TOO_LARGE)
 
     def _receive_end(self) -> None:
-        request, self._request = self._request, None
+        request = self._request
         if request is None:
             return
         request.body, self._body = bytes(self._body), bytearray()
@@ -318,6 +322,7 @@
             self._refuse(calls.RefusalReason.NODE_FULL)
         if not self._is_open:
             return
+        self._request = None
         self._stop_timer()
         self._reading_since_s = None
         self._read_ahead_bytes = 0
--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -24,6 +24,9 @@
 """A short answer, which any holder may keep."""
 MIN_IDLE_S = 0.1
 """So that of holders that have just moved the largest gives up first."""
+AWAITED_SHARE = 0.01
+"""Of the cost of one that has just moved: who waits for the node, and does
+not keep it waiting, gives up last."""
 
 
 class Use(enum.Enum):
@@ -138,12 +141,12 @@
         if holder in self._ending:
             self._ending_bytes += size_bytes
 
-    def find_costliest(
+    def find_stalest(
         self, holders: collections.abc.Iterable[Holder]
     ) -> Holder | None:
-        """Return whom to let give up first, None if there is none."""
+        """Return the one that has not moved for longest, None without any."""
         going_on = (one for one in holders if one in self._holders)
-        return max(going_on, key=self._cost, default=None)
+        return min(going_on, key=lambda one: one.moved_s, default=None)
 
     def let_give_up(self, holder: Holder) -> None:
         """Let a holder that goes on give up."""
@@ -163,6 +166,6 @@
     def _cost(self, holder: Holder) -> float:
         """Return bytes times the seconds for which they have not moved."""
         if holder.is_awaited:
-            return holder.held_bytes * MIN_IDLE_S
+            return holder.held_bytes * MIN_IDLE_S * AWAITED_SHARE
         idle_s = self._reactor.seconds() - holder.moved_s
         return holder.held_bytes * max(MIN_IDLE_S, idle_s)
--- a/packages/gateway/src/fireflypulley/gateway/open_callers.py
+++ b/packages/gateway/src/fireflypulley/gateway/open_callers.py
@@ -7,8 +7,8 @@
 class OpenCallers:
     """Keeps the connections within ``limit``.
 
-    One more than that ends the one that costs most and moves least, of
-    those whose callers do not wait for the node, else the new one.
+    One more than that ends the one that has not moved for longest, of those
+    whose callers do not wait for the node, else the new one.
     """
 
     def __init__(self, budget: memory.MemoryBudget, limit: int) -> None:
@@ -25,7 +25,7 @@
         if len(self._accounts) <= self._limit:
             return
         idle = (one for one in self._accounts if not one.is_awaited)
-        self.budget.let_give_up(self.budget.find_costliest(idle) or account)
+        self.budget.let_give_up(self.budget.find_stalest(idle) or account)
 
     def remove(self, account: caller_account.CallerAccount) -> None:
         """Remove a connection that is closed."""
--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -177,3 +177,46 @@
     world.connect(b"GET / HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n")
     least = (fields + 1) * caller_account.FIELD_BYTES
     assert least <= world.used(memory.Use.REQUEST) < 2 * least
+
+
+# Guards against uploads that go on and are ended for a newcomer, as they hold
+# more bytes than connections on which nothing is said.
+def test_descriptors_are_taken_from_who_says_nothing():
+    world = World(bound_bytes=100 * BOUND, max_connections=10)
+    idle = [world.connect() for _ in range(9)]
+    world.clock.advance(1.0)
+    length = b"Content-Length: %d\r\n\r\n" % (10 * BODY)
+    moving = world.connect(b"POST /a HTTP/1.1\r\nHost: h\r\n" + length)
+    for _ in range(9):
+        moving.dataReceived(b"x" * BODY)
+        world.clock.advance(0.01)
+    world.connect()
+    assert moving.end_reason is None
+    assert sum(_has_ended(one) for one in idle) == 1
+
+
+# Guards against connections that keep their descriptors, as their callers do
+# not take the answers that were sent before.
+def test_an_idle_connection_with_an_unread_answer_is_closed_at_once():
+    world = World(max_connections=1, answer=b"ok")
+    idle = world.connect(test_inbound.GET)
+    idle._watch._written_bytes = idle._watch._taken_bytes + 2
+    world.clock.advance(0.01)
+    world.connect()
+    assert _has_ended(idle) and idle.transport.aborted
+
+
+# Guards against a request that is complete and is dropped without a word,
+# although it was not run.
+def test_a_complete_request_that_costs_most_is_told_so():
+    first = World()
+    first.connect(test_inbound.GET)
+    one_bytes = first.budget.total_bytes
+    world = World(bound_bytes=one_bytes + caller_account.CONNECTION_BYTES + 1)
+    served = world.connect(test_inbound.GET)
+    caller = world.connect()
+    fields = b"".join(b"h%d: 1\r\n" % number for number in range(9))
+    caller.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\n")
+    assert len(world.receiver.requests) == 1
+    assert test_inbound._statuses(caller.transport) == [503]
+    assert served.end_reason is None
