--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -212,7 +212,8 @@
     first = World()
     first.connect(test_inbound.GET)
     one_bytes = first.budget.total_bytes
-    world = World(bound_bytes=one_bytes + caller_account.CONNECTION_BYTES + 1)
+    connection_bytes = caller_account.CONNECTION_BYTES
+    world = World(bound_bytes=one_bytes + connection_bytes + 1000)
     served = world.connect(test_inbound.GET)
     caller = world.connect()
     fields = b"".join(b"h%d: 1\r\n" % number for number in range(9))
