Close at once who is closing already, when it is asked to give up

The review of the memory budget: a connection that waited for its caller to take the last answer, or lingered after a refusal, was asked for its descriptor or its memory, did nothing and counted as gone from then on. A holder is asked once only, as its bytes would count as gone twice; and who is refused for the node's memory is not logged as malformed.

--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -106,8 +106,10 @@
         only a caller whose request has a head is told.
         """
         if not self._is_open:
-            return
-        if self._request is not None:
+            # It waits for its caller to take the last answer.
+            self._is_aborted = True
+            self.transport.abortConnection()
+        elif self._request is not None:
             self._refuse(calls.RefusalReason.NODE_FULL)
         elif (
             self._is_busy
@@ -349,9 +351,12 @@
         self._stop_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._receiver.refuse(self, reason)
-        self._linger()
+        end = caller_ends.CallerEnd.MALFORMED
+        if reason is calls.RefusalReason.NODE_FULL:
+            end = caller_ends.CallerEnd.NODE_FULL
+        self._linger(end)
 
-    def _linger(self) -> None:
+    def _linger(self, end: caller_ends.CallerEnd) -> None:
         """Let the caller read the response before the connection is closed.
 
         Closing with unread data would reset the connection, and the caller
@@ -359,7 +364,7 @@
         """
         if not self.transport.connected:
             return
-        self._end_as(caller_ends.CallerEnd.MALFORMED)
+        self._end_as(end)
         self._queue.close(self.transport.loseWriteConnection)
         self._reactor.callLater(
             LINGER_TIMEOUT_S, self.transport.abortConnection
--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -149,7 +149,9 @@
         return min(going_on, key=lambda one: one.moved_s, default=None)
 
     def let_give_up(self, holder: Holder) -> None:
-        """Let a holder that goes on give up."""
+        """Let a holder give up, unless it has been asked before."""
+        if holder in self._ending:
+            return
         self._holders.discard(holder)
         self._ending.add(holder)
         self._ending_bytes += holder.held_bytes
--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -221,3 +221,37 @@
     assert len(world.receiver.requests) == 1
     assert test_inbound._statuses(caller.transport) == [503]
     assert served.end_reason is None
+
+
+# Guards against connections that wait for their callers to take the last
+# answer, and keep descriptors beyond the bound meanwhile.
+def test_a_connection_that_is_closing_is_closed_at_once_when_asked():
+    world = World(max_connections=1, answer=b"ok")
+    caller = world.connect()
+    caller._queue.pauseProducing()
+    caller._watch._written_bytes = caller._watch._taken_bytes + 2
+    caller._close(caller_ends.CallerEnd.ANSWERED)
+    assert caller.transport.half_closed and not caller.transport.aborted
+    world.clock.advance(0.01)
+    newcomer = world.connect()
+    assert caller.transport.aborted
+    assert caller.end_reason is caller_ends.CallerEnd.ANSWERED
+    assert newcomer.end_reason is None
+
+
+def test_who_is_refused_for_the_nodes_memory_is_not_called_malformed():
+    world = World()
+    caller = world.connect(HEAD + b"x")
+    caller._give_up()
+    assert test_inbound._statuses(caller.transport) == [503]
+    assert _has_ended(caller)
+
+
+def test_nobody_is_asked_twice():
+    world = World()
+    caller = world.connect(HEAD + b"x")
+    world.budget.let_give_up(caller._account)
+    counted = world.budget.total_bytes
+    world.budget.let_give_up(caller._account)
+    assert world.budget.total_bytes == counted == 0
+    assert world.budget.given_up == 1
