Ask one place what a transport keeps, and drop what nothing calls

Reading the whole change once more: sockets.unsent_bytes and the send queue each knew twisted's buffers by themselves; sockets.kept_bytes serves both. A tunnel recorded that it moved by releasing nothing, where the budget has note_moved. OpenCallers had a length that nothing asked for. No behaviour.

--- a/packages/gateway/src/fireflypulley/gateway/open_callers.py
+++ b/packages/gateway/src/fireflypulley/gateway/open_callers.py
@@ -16,9 +16,6 @@
         self._limit = limit
         self._accounts: set[caller_account.CallerAccount] = set()
 
-    def __len__(self) -> int:
-        return len(self._accounts)
-
     def add(self, account: caller_account.CallerAccount) -> None:
         """Add a connection that was opened."""
         self._accounts.add(account)
--- a/packages/gateway/src/fireflypulley/gateway/send_queue.py
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.gateway import memory
 from fireflypulley.transport import last_bytes
+from fireflypulley.transport import sockets
 
 MAX_PIECE_BYTES = 16384
 TRANSPORT_BYTES = 32768
@@ -160,7 +161,7 @@
         """Count what waits here and in the transport."""
         transport_bytes = 0
         if self._is_paused:
-            transport_bytes = _unsent_bytes(self._transport)
+            transport_bytes = sockets.kept_bytes(self._transport)
         self._memory.count(self.held_bytes + transport_bytes)
 
     def _check_full(self) -> None:
@@ -229,9 +230,3 @@
         self._pieces.clear()
         self._held.remove(self, size_bytes)
         self._memory.count(0)
-
-
-def _unsent_bytes(transport: typing.Any) -> int:
-    """Return what a transport keeps; it frees a buffer once it is sent."""
-    waiting = getattr(transport, "_tempDataLen", 0)
-    return len(getattr(transport, "dataBuffer", b"")) + waiting
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -82,7 +82,7 @@
 
     def note_moved(self) -> None:
         """Record that bytes were carried."""
-        self._budget.release(self, memory.Use.TUNNEL, 0)
+        self._budget.note_moved(self)
 
     def close(self) -> None:
         """Count nothing any longer, as the stream is lost."""
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -56,15 +56,19 @@
         return False
 
 
+def kept_bytes(transport: typing.Any) -> int:
+    """Return what a transport keeps; it frees a buffer once it is sent."""
+    waiting = getattr(transport, "_tempDataLen", 0)
+    return len(getattr(transport, "dataBuffer", b"")) + waiting
+
+
 def unsent_bytes(transport: typing.Any) -> int:
     """Return how many of the bytes written the other side has not taken.
 
     These are the transport's own and those that the system has, up to what
     was acknowledged.
     """
-    buffered = getattr(transport, "_tempDataLen", 0)
-    buffered += len(getattr(transport, "dataBuffer", b""))
-    buffered -= getattr(transport, "offset", 0)
+    buffered = kept_bytes(transport) - getattr(transport, "offset", 0)
     return buffered + _unacknowledged_bytes(transport.getHandle())
 
 
