Wait for a whole event before a test drops the endpoint

The endpoint writes an event in two pieces, 10 ms apart and split at random; the first may be as short as "id: 1".

The test now reads one whole event first, so it still checks that what was sent arrives and that nothing follows. Its stream lasts 10 s in place of one, and the endpoint refuses for 2 s in place of 0.5, so that a pause of the machine between two steps cannot pass for the endpoint's doing. The same holds for _read_stream: 0.5 s of silence counted as the end of a stream; now an end is a close, a reset or the last chunk, and silence fails the test.

--- a/tests/soak/test_endpoint.py
+++ b/tests/soak/test_endpoint.py
@@ -11,8 +11,11 @@
 from fireflystandins import local
 
 HEAD_END = b"\r\n\r\n"
-REFUSED_S = 0.5
+REFUSED_S = 2.0
 SILENCE_S = 0.3
+EVENT_END = b"\n\n"
+STREAM_END = b"\r\n0\r\n\r\n"
+READ_S = 5.0
 
 
 @pytest.fixture
@@ -90,17 +93,29 @@
     assert body == b"answer to c1"
 
 
+def _read_to(here, mark):
+    """Return the bytes up to the mark at least."""
+    data = b""
+    while mark not in data:
+        part = here.recv(4096)
+        assert part, data
+        data += part
+    return data
+
+
+# Guards against a drop that comes before the first event: it is written in
+# two pieces, of which the first may be shorter than the event's number.
 def test_a_drop_ends_answers_in_order_and_refuses_connections_for_a_while(
     address,
 ):
-    order = {"events": 50, "event_ms": 20, "event_bytes": 1, "framed": False}
+    order = {"events": 500, "event_ms": 20, "event_bytes": 1, "framed": False}
     stream = _send(address, "/stream/x", **order)
-    assert stream.recv(10, socket.MSG_PEEK)
+    body = _read_to(stream, EVENT_END)
     dropped_s = time.monotonic()
     _read_all(_send(address, "/drop", for_s=REFUSED_S))
-    body = _read_all(stream)
+    body += _read_all(stream)
     assert b"id: 1\n" in body
-    assert b"id: 50\n" not in body
+    assert b"id: 500\n" not in body
     assert not _connects(address)
     local.wait_for("endpoint again", lambda: _connects(address))
     assert time.monotonic() - dropped_s >= REFUSED_S
@@ -123,15 +138,15 @@
 def _read_stream(here):
     """Return the bytes behind the head, and whether they were reset."""
     data = b""
-    here.settimeout(0.5)
+    here.settimeout(READ_S)
     with here:
         try:
             while part := here.recv(4096):
                 data += part
+                if data.endswith(STREAM_END):
+                    break
         except ConnectionResetError:
             return data.partition(HEAD_END)[2], True
-        except TimeoutError:
-            pass
     return data.partition(HEAD_END)[2], False
 
 
@@ -182,7 +197,8 @@
 
 @pytest.mark.parametrize(("how", "expected"), [("order", 0), ("reset", 1)])
 def test_a_drop_ends_streams_in_order_or_by_resets(address, how, expected):
-    stream = _send(address, "/stream/x", **(ORDER | {"events": 500}))
+    order = ORDER | {"events": 500, "event_ms": 20}
+    stream = _send(address, "/stream/x", **order)
     assert stream.recv(10, socket.MSG_PEEK)
     _read_all(_send(address, "/drop", for_s=REFUSED_S, how=how))
     _, was_reset = _read_stream(stream)
