Take a stream of comments that only a close ends for a cut

What callers saw: a stream without a length or chunks whose run sent nothing but comments and closed was a whole, empty answer; the same run without the comments was a cut.

Cause: find_end_problem asked whether any block had come, and a comment is a block. Only an event shows that a run has begun to answer.

The part counts its events already, so the field that said the same less exactly is gone.

--- a/packages/gateway/src/fireflypulley/gateway/answer_part.py
+++ b/packages/gateway/src/fireflypulley/gateway/answer_part.py
@@ -52,7 +52,6 @@
         self.held: list[bytes] = []
         self.splitter = events.EventSplitter()
         self._begun_bytes = 0
-        self.has_events = False
         self.sent_events = SentEvents()
 
     @property
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -194,7 +194,6 @@
             self._flush_events(count)
             raise
         if complete:
-            self._part.has_events = True
             self._flush_events(count)
         return bool(complete)
 
@@ -235,7 +234,7 @@
             return ""
         if part.splitter.remainder.strip():
             return "ended inside an event"
-        if not (part.has_events or part.is_framed):
+        if not (part.sent_events.count or part.is_framed):
             return "ended before an event"
         return ""
 
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -175,6 +175,39 @@
     assert (world.sink.status, world.sink.state) == (200, "whole")
 
 
+COMMENTS = [b": ping\n\n", b"\n\n", b": ping\n\n: ping\r\n\r\n"]
+
+
+# Guards against a stream that looks whole though it was broken off behind
+# its comments: without a length, only events show that it has begun.
+@pytest.mark.parametrize("comments", COMMENTS)
+def test_a_stream_of_comments_without_a_length_is_broken_off(comments):
+    world = exchanges.World(exchanges.STREAM, max_attempts=1)
+    exchanges.answer(world.begin(), body=comments, headers=UNFRAMED)
+    assert world.sink.state == "cut"
+    assert world.scheduler.outcomes[calls.Outcome.CUT] == 1
+
+
+@pytest.mark.parametrize("comments", COMMENTS)
+def test_a_resumable_stream_goes_on_after_it_ended_behind_comments(comments):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    exchanges.answer(first, body=comments, headers=UNFRAMED)
+    second = world.sent[-1]
+    assert second is not first
+    data = _event(1) + _event(2)
+    exchanges.answer(second, body=data, headers=UNFRAMED)
+    assert world.sink.body == comments + data
+    assert world.sink.state == "whole"
+
+
+@pytest.mark.parametrize("comments", COMMENTS)
+def test_a_framed_stream_of_comments_is_complete(comments):
+    world = exchanges.World(exchanges.STREAM, max_attempts=1)
+    exchanges.answer(world.begin(), body=comments, headers=CHUNKED)
+    assert (world.sink.status, world.sink.state) == (200, "whole")
+
+
 ODD_ANSWERS = {
     "error": (500, exchanges.SEALED, b"internal error\n\n"),
     "busy": (503, exchanges.SEALED, b"too busy\n\n"),
