Open a port of the node again while another process has it

Cause: listenTCP raised out of the start, so that what follows it (the store, the other nodes, the ticks) never began, or out of a delayed call, so that callers were never accepted while the node said that it was ready.

A node whose callers' port is taken says 503 to the readiness check, and a stop no longer waits for the port.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -34,6 +34,7 @@
 from fireflypulley.gateway import membership
 from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
+from fireflypulley.gateway import node_port
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
@@ -48,7 +49,6 @@
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
-from fireflypulley.transport import listening
 from fireflypulley.transport import sockets
 
 TICK_INTERVAL_S = 0.25
@@ -201,7 +201,9 @@
         self._caller_connections: set[inbound.Caller] = set()
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
-        self._caller_port: interfaces.IListeningPort | None = None
+        self._caller_port = self._make_port(
+            "callers", config.callers, self._caller_factory
+        )
 
     # Startup and periodic work
 
@@ -211,12 +213,13 @@
         started_s = self._reactor.seconds()
         self._scheduler.begin(started_s)
         ready = web.Page(self._readiness)
-        self._listen(config.readiness, web.create({"readyz": ready}))
+        readiness = web.create({"readyz": ready})
+        self._make_port("readiness", config.readiness, readiness).open()
         pages = {
             "metrics": web.Page(self._metrics_page),
             "status": web.Page(self._status_page),
         }
-        self._listen(config.metrics, web.create(pages))
+        self._make_port("metrics", config.metrics, web.create(pages)).open()
         self._follower.start()
         self._listen_when_ready(self._reactor.seconds() + START_READ_TIMEOUT_S)
         self._tick_loop.start(TICK_INTERVAL_S, now=False)
@@ -246,23 +249,16 @@
         )
 
     def _listen_for_callers(self) -> None:
-        factory = self._caller_factory
         opened = self._callers_socket
         if opened is None:
-            self._caller_port = self._listen(self._config.callers, factory)
-            return
-        self._caller_port = self._reactor.adoptStreamPort(
-            opened.fileno(), socket.AF_INET, factory
-        )
-        opened.close()
+            self._caller_port.open()
+        else:
+            self._caller_port.adopt(opened)
 
-    def _listen(
-        self, address: settings.Address, factory: typing.Any
-    ) -> interfaces.IListeningPort:
-        port: interfaces.IListeningPort = self._reactor.listenTCP(
-            address.port, factory, listening.BACKLOG, address.host
-        )
-        return port
+    def _make_port(
+        self, purpose: str, address: settings.Address, factory: typing.Any
+    ) -> node_port.NodePort:
+        return node_port.NodePort(self._reactor, purpose, address, factory)
 
     def _tick(self) -> None:
         """Run the periodic work; an error in a part leaves the others."""
@@ -337,7 +333,8 @@
             lambda: self._issuing_term() is not None,
             self._permits,
         )
-        self._listen(self._config.nodes, sync.hub.server_factory())
+        factory = sync.hub.server_factory()
+        self._make_port("nodes", self._config.nodes, factory).open()
         self._peer_sync = sync
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
         self._follower.feeds_others = lambda: sync.feeds_others
@@ -380,6 +377,8 @@
             return 503, b"stopping\n"
         if self._scheduler.document is None:
             return 503, b"no configuration yet\n"
+        if self._caller_port.is_taken:
+            return 503, b"the port for callers is taken\n"
         return 200, b"ready\n"
 
     def _status_page(self) -> tuple[int, bytes]:
@@ -493,6 +492,8 @@
 
     def announce_stop(self, ends_at_s: float) -> None:
         self._tunnel_server.begin_stop(ends_at_s)
+        if self._caller_port.is_taken:
+            self._caller_port.take()
         decision_log.note(
             "node",
             state="stopping",
@@ -501,7 +502,7 @@
         )
 
     def refuse_callers(self) -> None:
-        port, self._caller_port = self._caller_port, None
+        port = self._caller_port.take()
         if port is not None:
             # The reactor closes a port in its next turn, and resets those
             # who connect in the meantime.
@@ -513,7 +514,7 @@
 
     @property
     def accepts_callers(self) -> bool:
-        return self._caller_port is not None
+        return self._caller_port.is_open
 
     @property
     def is_in_use(self) -> bool:
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -4,6 +4,7 @@
 
 import pytest
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import task
 from twisted.internet import testing
 
@@ -13,6 +14,7 @@
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.gateway import inbound
+from fireflypulley.gateway import node_port
 from fireflypulley.gateway import service
 from fireflypulley.gateway import settings
 from fireflypulley.gateway import stop_order
@@ -54,11 +56,14 @@
     stopped_s = None
     adopted = None
 
-    def __init__(self):
+    def __init__(self, taken=()):
         super().__init__()
         self.ports = {}
+        self.taken = set(taken)
 
     def listenTCP(self, port, factory, backlog=50, interface=""):
+        if port in self.taken:
+            raise error.CannotListenError(interface, port, OSError("in use"))
         self.ports[port] = Port(self)
         return self.ports[port]
 
@@ -102,8 +107,8 @@
         self.node.connection_closed(self)
 
 
-def _start(callers_port=None):
-    reactor = Reactor()
+def _start(callers_port=None, taken=()):
+    reactor = Reactor(taken)
     silent = Silent()
     silent.reactor = reactor
     address = settings.Address("127.0.0.1", 1)
@@ -200,6 +205,40 @@
     assert 80 not in node.reactor.ports
 
 
+# Guards against a node that stays up and never serves, since another
+# process had one of its ports as it started.
+@pytest.mark.parametrize("port", [1, 4, 80])
+def test_a_port_that_was_taken_is_opened_once_it_is_free(port):
+    node = _start(taken=[port])
+    _make_ready(node)
+    _run_until(node, 5.0)
+    assert set(node.reactor.ports) == {1, 4, 80} - {port}
+    node.reactor.taken.clear()
+    _run_until(node, 5.0 + 2 * node_port.RETRY_INTERVAL_S)
+    assert set(node.reactor.ports) == {1, 4, 80}
+
+
+def test_a_node_whose_callers_cannot_connect_is_not_ready():
+    node = _start(taken=[80])
+    _make_ready(node)
+    _run_until(node, 1.0)
+    status, text = node._readiness()
+    assert (status, text) == (503, b"the port for callers is taken\n")
+    node.reactor.taken.clear()
+    _run_until(node, 1.0 + 2 * node_port.RETRY_INTERVAL_S)
+    assert node._readiness()[0] == 200
+
+
+def test_a_node_that_stops_waits_for_no_port():
+    node = _start(taken=[80])
+    _run_until(node, 1.0)
+    node.shut_down()
+    node.reactor.taken.clear()
+    _run_until(node, GRACE_S + 2.0)
+    assert 80 not in node.reactor.ports
+    assert node.reactor.stopped_s is not None
+
+
 def test_a_node_stopped_while_starting_accepts_no_callers():
     node = _start()
     node.shut_down()
