Move what attempts say of endpoints out of the scheduler

Behaviour unchanged: the tests of tests/core/gateway and of the exchanges pass with the new place of these calls and no other change.

--- a/packages/gateway/src/fireflypulley/gateway/attempt.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt.py
@@ -145,7 +145,7 @@
         self.was_sent = True
         # Of a crowd all may be sent before the first answer comes.
         connection.read_little(True)
-        self._shared.scheduler.note_sent(run, now_s)
+        self._shared.scheduler.evaluator.note_sent(run, now_s)
         if request.route.repeatable:
             self._watch()
         connection.send(
--- a/packages/gateway/src/fireflypulley/gateway/attempt_accounts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempt_accounts.py
@@ -47,7 +47,9 @@
         self.count_usage()
         self._blame_unrelated()
         run = sent.run
-        self._shared.scheduler.note_event(run, last_event_id, self._now_s())
+        self._shared.scheduler.evaluator.note_event(
+            run, last_event_id, self._now_s()
+        )
         if run.events == prompt_crashes.PROVEN_EVENTS:
             self._shared.crash_detector.note_answered(run)
 
@@ -55,7 +57,7 @@
         """Count runs as failed, for another one has gone on rightly."""
         unrelated, self._unrelated = self._unrelated, []
         for run in unrelated:
-            self._shared.scheduler.note_disproved(run, self._now_s())
+            self._shared.scheduler.evaluator.note_disproved(run, self._now_s())
 
     def keep(self, sent: attempt.Attempt) -> None:
         """Count an attempt that goes on beside another one."""
@@ -71,7 +73,9 @@
         if ended.run.is_over:
             return
         self._count(ended, outcome)
-        self._shared.scheduler.note_ended(ended.run, outcome, self._now_s())
+        self._shared.scheduler.evaluator.note_ended(
+            ended.run, outcome, self._now_s()
+        )
         if outcome is calls.Outcome.UNRELATED:
             self._unrelated.append(ended.run)
         if outcome is calls.Outcome.COMPLETE:
@@ -112,7 +116,7 @@
             return
         if other.was_sent:
             self.keep(other)
-        self._shared.scheduler.note_abandoned(other.run)
+        self._shared.scheduler.evaluator.note_abandoned(other.run)
 
     def log_late(
         self,
--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -419,7 +419,7 @@
             if sent.was_sent:
                 self._accounts.end_late(sent)
             else:
-                self._dependencies.scheduler.note_abandoned(sent.run)
+                self._dependencies.scheduler.evaluator.note_abandoned(sent.run)
         if self.failed is not None and not self.failed.is_complete:
             self._drop_failed()
         self._give_up(refusal)
@@ -430,7 +430,7 @@
         self._drop_failed()
         for sent in self._under_way:
             sent.abort()
-            self._dependencies.scheduler.note_abandoned(sent.run)
+            self._dependencies.scheduler.evaluator.note_abandoned(sent.run)
 
     def close(self) -> None:
         """Let go of all attempts, as the request has ended."""
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -173,7 +173,7 @@
             self._limits.set(endpoint, limit.rate_per_s or 0.0)
         for reason, count in node_scheduler.refused.items():
             self._refused.set({"reason": reason.value}, count)
-        for outcome, count in node_scheduler.outcomes.items():
+        for outcome, count in node_scheduler.evaluator.outcomes.items():
             self._attempts.set({"outcome": outcome.value}, count)
         for outcome, count in node_scheduler.retry_policy.retried.items():
             self._retried.set({"outcome": outcome.value}, count)
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -44,7 +44,7 @@
         "endpoint_limits": _endpoint_limits(sources.scheduler, now_s),
         "refused_parts": _refused_parts(sources.scheduler, now_s),
         "refused": _counts(sources.scheduler.refused),
-        "outcomes": _counts(sources.scheduler.outcomes),
+        "outcomes": _counts(sources.scheduler.evaluator.outcomes),
     }
 
 
--- a/tests/core/gateway/test_held_runs.py
+++ b/tests/core/gateway/test_held_runs.py
@@ -51,7 +51,7 @@
     held.hold()
     if released:
         held.release(1.0)
-    scheduler.note_ended(held, calls.Outcome.COMPLETE, 1.0)
+    scheduler.evaluator.note_ended(held, calls.Outcome.COMPLETE, 1.0)
     held.release(1.0)
     held.hold()
     assert (read.load.running, read.load.held) == (1, 0)
@@ -64,8 +64,8 @@
     scheduler, (run,) = _begin()
     run.hold()
     run.release(30.0)
-    scheduler.note_event(run, 1, 30.0)
-    scheduler.note_ended(run, calls.Outcome.COMPLETE, 31.0)
+    scheduler.evaluator.note_event(run, 1, 30.0)
+    scheduler.evaluator.note_ended(run, calls.Outcome.COMPLETE, 31.0)
     durations = scheduler.endpoint_filter.durations
     assert durations.expected_s(run.request.route.name) is None
 
@@ -74,7 +74,7 @@
 def test_the_deadline_of_a_held_answer_is_no_failure(outcome):
     scheduler, (run,) = _begin()
     run.hold()
-    scheduler.note_ended(run, outcome, 4.0)
+    scheduler.evaluator.note_ended(run, outcome, 4.0)
     assert run.load.failures == 0
     assert not run.load.is_suspected(4.0)
 
@@ -102,9 +102,9 @@
         elif step == "release":
             run.release(now_s)
         elif step == "end":
-            scheduler.note_ended(run, calls.Outcome.COMPLETE, now_s)
+            scheduler.evaluator.note_ended(run, calls.Outcome.COMPLETE, now_s)
         elif step == "leave":
-            scheduler.note_abandoned(run)
+            scheduler.evaluator.note_abandoned(run)
         going = [run for run in begun if not run.is_over]
         held = [run for run in going if run.is_held]
         assert (load.running, load.held) == (len(going), len(held))
--- a/tests/core/gateway/test_latency_tracker.py
+++ b/tests/core/gateway/test_latency_tracker.py
@@ -75,9 +75,9 @@
         at_s = self.now_s + FIRST_EVENT_S * factor
         if self.is_stream:
             for event_id in range(EVENTS):
-                self.scheduler.note_event(run, event_id, at_s)
+                self.scheduler.evaluator.note_event(run, event_id, at_s)
                 at_s += PAUSE_S * factor
-        self.scheduler.note_ended(run, calls.Outcome.COMPLETE, at_s)
+        self.scheduler.evaluator.note_ended(run, calls.Outcome.COMPLETE, at_s)
 
 
 # Guards against a violation of EXPOSURE, as on day hasty: a version
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -112,7 +112,7 @@
     run = node_scheduler.choose(
         builders.admitted(node_scheduler), frozenset(), 0.0
     )
-    node_scheduler.note_ended(run, calls.Outcome.COMPLETE, took_s)
+    node_scheduler.evaluator.note_ended(run, calls.Outcome.COMPLETE, took_s)
 
 
 # Guards against the reverse fault of day inc1: refusing requests that
@@ -178,7 +178,7 @@
     run = node_scheduler.choose(
         builders.admitted(node_scheduler), frozenset(), 0.0
     )
-    node_scheduler.note_ended(run, calls.Outcome.NOT_RUN, 0.0)
+    node_scheduler.evaluator.note_ended(run, calls.Outcome.NOT_RUN, 0.0)
     again = node_scheduler.choose(
         builders.admitted(node_scheduler), frozenset(), 0.01
     )
@@ -206,7 +206,7 @@
     run = node_scheduler.choose(
         builders.admitted(node_scheduler), frozenset(), 0.0
     )
-    node_scheduler.note_ended(run, calls.Outcome.CUT, 0.0)
+    node_scheduler.evaluator.note_ended(run, calls.Outcome.CUT, 0.0)
     again = node_scheduler.choose(
         builders.admitted(node_scheduler), frozenset(), 0.1
     )
@@ -332,7 +332,7 @@
             run = node_scheduler.choose(request, frozenset(), now_s)
             if isinstance(run, runs.Run):
                 sent_s.append(now_s)
-                node_scheduler.note_abandoned(run)
+                node_scheduler.evaluator.note_abandoned(run)
     most = max(
         sum(first <= one < first + 1.0 for one in sent_s) for first in sent_s
     )
@@ -349,7 +349,7 @@
             run = node.choose(request, frozenset(), now_s)
             if not isinstance(run, runs.Refusal):
                 sent += 1
-                node.note_abandoned(run)
+                node.evaluator.note_abandoned(run)
             now_s += 0.01
     return sent
 
--- a/tests/gateway/test_ambiguous_answers.py
+++ b/tests/gateway/test_ambiguous_answers.py
@@ -45,7 +45,7 @@
     world = exchanges.World(max_attempts=1)
     connection = _begin_unframed(world, True)
     connection.listener.response_head(200, list(exchanges.SEALED))
-    assert world.scheduler.outcomes[calls.Outcome.AMBIGUOUS] == 1
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.AMBIGUOUS] == 1
     for member in world.scheduler.fleet:
         assert not world.scheduler.loads.of(member).is_suspected(0.0)
 
--- a/tests/gateway/test_attempts_beside.py
+++ b/tests/gateway/test_attempts_beside.py
@@ -91,7 +91,7 @@
     second.listener.response_data(_event(2) + _event(9))
     assert first.aborted
     assert world.sink.body == _event(1) + _event(2)
-    assert world.scheduler.outcomes[calls.Outcome.GARBAGE] == 1
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.GARBAGE] == 1
 
 
 # Guards against events without ids of two runs in one answer.
--- a/tests/gateway/test_caller_resumes.py
+++ b/tests/gateway/test_caller_resumes.py
@@ -52,7 +52,7 @@
     assert world.sink.status == 502
     assert world.sink.body == b""
     assert len(world.sent) == 2
-    assert world.scheduler.outcomes[calls.Outcome.UNRELATED] == 2
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.UNRELATED] == 2
 
 
 # Guards against endpoints that are suspected, and versions that are taken
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -107,7 +107,7 @@
     order = versions.Rollout("s/v1/1", "s", "v1", 0.0, 15.0)
     world.scheduler.rollouts.order(order)
     exchanges.answer(world.begin(), status, b"oh")
-    assert world.scheduler.outcomes == {calls.Outcome.FAILED: 1}
+    assert world.scheduler.evaluator.outcomes == {calls.Outcome.FAILED: 1}
     (evidence,) = world.scheduler.rollouts.updates(1.0)
     (count,) = evidence.counts
     assert (count.served, count.failed) == (1, 1)
--- a/tests/gateway/test_exchange_streams.py
+++ b/tests/gateway/test_exchange_streams.py
@@ -142,7 +142,7 @@
     }
     assert b"da" not in world.sink.body[len(_event(1)) :]
     assert world.finished()
-    assert world.scheduler.outcomes[calls.Outcome.CUT] == 1
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.CUT] == 1
 
 
 @pytest.mark.parametrize("data", [INSIDE_AN_EVENT, b"id: 1", b""])
@@ -185,7 +185,7 @@
     world = exchanges.World(exchanges.STREAM, max_attempts=1)
     exchanges.answer(world.begin(), body=comments, headers=UNFRAMED)
     assert world.sink.state == "cut"
-    assert world.scheduler.outcomes[calls.Outcome.CUT] == 1
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.CUT] == 1
 
 
 @pytest.mark.parametrize("comments", COMMENTS)
--- a/tests/gateway/test_limited_exchange.py
+++ b/tests/gateway/test_limited_exchange.py
@@ -67,7 +67,7 @@
     for load in _loads(world):
         assert not load.is_suspected(world.clock.seconds())
         assert not load.failures
-    assert world.scheduler.outcomes[calls.Outcome.WITHHELD] == 2
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.WITHHELD] == 2
     assert not world.scheduler.retry_policy.retried
 
 
--- a/tests/gateway/test_lost_events.py
+++ b/tests/gateway/test_lost_events.py
@@ -107,7 +107,7 @@
     first.listener.response_failed(outcome, "test")
     exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
     assert world.sink.state == "cut"
-    assert world.scheduler.outcomes[calls.Outcome.GARBAGE] >= 1
+    assert world.scheduler.evaluator.outcomes[calls.Outcome.GARBAGE] >= 1
 
 
 # Guards against a stream that looks whole without the events that a run has
--- a/tests/gateway/test_pause_answers.py
+++ b/tests/gateway/test_pause_answers.py
@@ -29,7 +29,7 @@
             chosen.add("")
         else:
             chosen.add(run.member.endpoint_id)
-            world.scheduler.note_abandoned(run)
+            world.scheduler.evaluator.note_abandoned(run)
     return chosen
 
 
