Move the choice of endpoints out of the scheduler

Behaviour unchanged. A test replaced the scheduler's limiter of cold endpoints to give each node a name of its own; it now gives the name to the scheduler, as the node does, and its bound is the same.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -9,12 +9,12 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import crash_tracker
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import endpoint_chooser
 from fireflypulley.core.gateway import endpoint_filter
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import limited_endpoints
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
-from fireflypulley.core.gateway import placement
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import retry_policy
@@ -24,7 +24,6 @@
 from fireflypulley.core.gateway import versions
 from fireflypulley.core.gateway import ways
 from fireflypulley.core.gateway import workspace_limits
-from fireflypulley.core import ownership
 
 
 class RequestScheduler:
@@ -39,7 +38,6 @@
         shared_bounds: bounds.SharedBounds,
         node_id: str = "",
     ) -> None:
-        self._failure_domain = failure_domain
         self.document: document.Document | None = None
         self.applied_s = 0.0
         self.fleet = fleet.Fleet(shared_bounds.drain_s)
@@ -52,7 +50,7 @@
             shared_bounds.retry_slack,
             shared_bounds.retry_window_s,
         )
-        self.cold_limiter = limits.NodeShareLimiter(node_id)
+        cold_limiter = limits.NodeShareLimiter(node_id)
         self.shared = facts.SharedState()
         self.rollouts = versions.RolloutTracker(node_id, self.shared)
         self.endpoint_filter = endpoint_filter.EndpointFilter(
@@ -84,8 +82,13 @@
             self.prompt_crashes,
         )
         self.retry_policy = retry_policy.RetryPolicy(self.retry_budget)
-        self._engine_policy = placement.create(True)
-        self._plain_policy = placement.create(False)
+        self._chooser = endpoint_chooser.EndpointChooser(
+            failure_domain,
+            self.loads,
+            self.endpoint_filter,
+            endpoint_chooser.Limits(self.limited, self.brittle, cold_limiter),
+            self._sharing,
+        )
 
     # State
 
@@ -190,41 +193,6 @@
 
     # Placement
 
-    def _candidate(
-        self, member: fleet.Member, now_s: float
-    ) -> placement.Candidate:
-        load = self.loads.of(member)
-        return placement.Candidate(
-            member,
-            load.total_running(now_s),
-            load.total_waiting_tokens(now_s),
-            load.is_suspected(now_s),
-            load.latency_ratio,
-        )
-
-    def _has_room(
-        self,
-        candidate: placement.Candidate,
-        rate_per_s: float,
-        withheld: int,
-        now_s: float,
-    ) -> bool:
-        if not self.limited.may_ask(candidate.member, withheld, now_s):
-            return False
-        load = self.loads.of(candidate.member)
-        if max(load.full_until_s, load.paused_until_s) > now_s:
-            return False
-        nodes = self._sharing.count(now_s)
-        if not self.brittle.may_send(
-            candidate.member, candidate.running, nodes, now_s
-        ):
-            return False
-        if rate_per_s and candidate.member.is_cold(now_s):
-            return self.cold_limiter.may_send(
-                candidate.endpoint_id, rate_per_s, nodes, now_s
-            )
-        return True
-
     def choose(
         self,
         request: calls.AdmittedRequest,
@@ -236,37 +204,8 @@
 
         ``withheld`` is how many limited endpoints had no permit for it.
         """
-        members = self.endpoint_filter.in_use(request, now_s)
-        fresh = [
-            member
-            for member in members
-            if member.registration.key not in avoid
-            and self.limited.may_ask(member, withheld, now_s)
-        ]
-        chosen = self._choose_from(request, fresh or members, withheld, now_s)
-        if chosen is not None:
-            return self._begin(request, *chosen, now_s)
-        leaving = [
-            member
-            for member in self.endpoint_filter.last_resort(request, now_s)
-            if member.registration.key not in avoid
-        ]
-        chosen = self._choose_from(
-            request, leaving, withheld, now_s, last_resort=True
-        )
-        if chosen is not None:
-            return self._begin(request, *chosen, now_s)
-        if not members:
-            return runs.Refusal(
-                calls.RefusalReason.NO_ENDPOINT,
-                request_admission.RETRY_SOON_S,
-                "no endpoint in use",
-            )
-        return self.limited.refusal(
-            request, members, self.nodes_known, now_s
-        ) or runs.Refusal(
-            calls.RefusalReason.ENDPOINTS_FULL,
-            self._return_after_s(request, members, now_s),
+        return self._chooser.choose(
+            request, avoid, now_s, withheld, self.nodes_known
         )
 
     def choose_beside(
@@ -276,97 +215,8 @@
         now_s: float,
         withheld: int,
     ) -> runs.Run | runs.Refusal:
-        """Begin an attempt beside one that is late.
-
-        Only an endpoint that is taken for sound is worth it.
-        """
-        members = [
-            member
-            for member in self.endpoint_filter.in_use(request, now_s)
-            if member.registration.key not in avoid
-            and not self.loads.of(member).is_suspected(now_s)
-        ]
-        chosen = self._choose_from(request, members, withheld, now_s)
-        if chosen is None:
-            full = calls.RefusalReason.ENDPOINTS_FULL
-            return runs.Refusal(full, None, "no other sound endpoint")
-        return self._begin(request, *chosen, now_s)
-
-    def _return_after_s(
-        self,
-        request: calls.AdmittedRequest,
-        members: list[fleet.Member],
-        now_s: float,
-    ) -> float:
-        """Return when a refused caller is to come back.
-
-        If all endpoints have asked for a pause, callers return spread over
-        some time after the first one ends.
-        """
-        pause_s = min(
-            self.loads.of(member).paused_until_s - now_s for member in members
-        )
-        if pause_s <= 0.0:
-            return request_admission.RETRY_SOON_S
-        point = ownership.fraction(request.metadata.request_id)
-        return pause_s + point * request_admission.RETRY_SOON_S
-
-    def _choose_from(
-        self,
-        request: calls.AdmittedRequest,
-        members: list[fleet.Member],
-        withheld: int,
-        now_s: float,
-        last_resort: bool = False,
-    ) -> tuple[fleet.Member, runs.Choice] | None:
-        """Return the best of some endpoints, None if all are full."""
-        rate_per_s = request.service.cold_rate_per_s
-        with_room = [
-            candidate
-            for candidate in (
-                self._candidate(member, now_s) for member in members
-            )
-            if self._has_room(candidate, rate_per_s, withheld, now_s)
-        ]
-        healthy = [
-            candidate for candidate in with_room if not candidate.suspected
-        ]
-        policy = self._plain_policy
-        if request.service.engine is not None:
-            policy = self._engine_policy
-        chosen = policy.choose(
-            healthy or with_room, request, self._failure_domain
-        )
-        if chosen is None:
-            return None
-        choice = runs.Choice(
-            len(members),
-            len(with_room),
-            len(healthy),
-            chosen.running,
-            chosen.waiting_tokens,
-            last_resort,
-        )
-        return chosen.member, choice
-
-    def _begin(
-        self,
-        request: calls.AdmittedRequest,
-        member: fleet.Member,
-        choice: runs.Choice,
-        now_s: float,
-    ) -> runs.Run:
-        load = self.loads.of(member)
-        tokens = request.metadata.prompt_tokens or 0
-        nodes = self._sharing.count(now_s)
-        self.brittle.note_sent(member, choice.running, nodes, now_s)
-        load.begin(tokens, now_s)
-        rate_per_s = request.service.cold_rate_per_s
-        if rate_per_s and member.is_cold(now_s):
-            self.cold_limiter.note_sent(
-                member.endpoint_id, rate_per_s, nodes, now_s
-            )
-        return runs.Run(request, member, load, tokens, now_s, choice)
+        """Begin an attempt at a sound endpoint beside one that is late."""
+        return self._chooser.choose_beside(request, avoid, now_s, withheld)
 
     def still_allowed(self, run: runs.Run, now_s: float) -> bool:
         """Return whether the request may still go to the run's endpoint.
--- a/tests/core/gateway/builders.py
+++ b/tests/core/gateway/builders.py
@@ -46,10 +46,12 @@
     return fleet.Registration(endpoint_id, **(values | fields))
 
 
-def a_scheduler(document_in_force=None, *entries, domain="a", **fields):
+def a_scheduler(
+    document_in_force=None, *entries, domain="a", node_id="", **fields
+):
     """Return a scheduler with a configuration and endpoints."""
     node_scheduler = scheduler.RequestScheduler(
-        domain, bounds.SharedBounds(**fields)
+        domain, bounds.SharedBounds(**fields), node_id
     )
     node_scheduler.apply_document(document_in_force or a_document(), -1000.0)
     for one in entries:
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -359,8 +359,7 @@
     nodes = []
     for number in range(count):
         cold = builders.entry("e1", cold_s=60.0)
-        node = builders.a_scheduler(config, cold)
-        node.cold_limiter = limits.NodeShareLimiter(f"n{number}")
+        node = builders.a_scheduler(config, cold, node_id=f"n{number}")
         node.begin(0.0)
         nodes.append(node)
     return nodes
