Tell operators how late the event loop runs

A turn of the event loop that takes long, as with an endpoint whose bytes make much work, delays every connection of a node and was seen only in what callers got.

--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -67,6 +67,10 @@
         self._given_up = self._counter(
             "memory_given_up", "How often memory had to be released."
         )
+        self._loop = self._gauge(
+            "loop_delay_seconds",
+            "The longest delay of periodic work since the last scrape.",
+        )
         self._open = self._gauge("open_requests", "Requests being served.")
         self._nodes = self._gauge("nodes_alive", "Nodes in touch.")
         self._running = self._gauge("running", "Own requests by endpoint.")
@@ -136,6 +140,10 @@
         service = run.request.service.name
         self._first_events.observe({"service": service}, first_s - run.began_s)
 
+    def collect_loop(self, longest_delay_s: float) -> None:
+        """Set the metric of how late the event loop was."""
+        self._loop.set({}, longest_delay_s)
+
     def collect_paths(
         self, is_cut_off: bool, tunnels_opened: int, for_others: int
     ) -> None:
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -31,6 +31,7 @@
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
+from fireflypulley.gateway import loop_delay
 from fireflypulley.gateway import membership
 from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
@@ -199,6 +200,7 @@
         held.budget = self._memory
         self._memory.callers_left = lambda: held.left_bytes
         self._caller_connections: set[inbound.Caller] = set()
+        self._loop_delay = loop_delay.LoopDelay(TICK_INTERVAL_S)
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
         self._caller_port = self._make_port(
@@ -262,6 +264,7 @@
 
     def _tick(self) -> None:
         """Run the periodic work; an error in a part leaves the others."""
+        self._loop_delay.note(self._reactor.seconds())
         for part in (
             self._forget_old,
             self._prober.tick,
@@ -393,6 +396,7 @@
             self._tunnel_server.open_count,
         )
         self._metrics.collect_closes(self._connections.paths.closes)
+        self._metrics.collect_loop(self._loop_delay.take_longest_s())
         self._metrics.collect_callers(self._caller_factory.held.total_bytes)
         self._metrics.collect_memory(
             self._memory.used_bytes, self._memory.given_up
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -413,3 +413,13 @@
     for key in keys:
         node._connections.paths.direct.note_direct(key, False, 0.0)
     assert node._scheduler.ways.wait_s(keys, 0.0, 0.0) is not None
+
+
+def test_the_metrics_say_how_late_the_event_loop_was():
+    node = _start()
+    _run_until(node, 1.0)
+    node.reactor.advance(3.0)
+    _, text = node._metrics_page()
+    name = b"fireflypulley_gateway_loop_delay_seconds "
+    (line,) = [one for one in text.splitlines() if one.startswith(name)]
+    assert float(line.split()[1]) == pytest.approx(2.75, abs=0.25)
