--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -1,20 +1,20 @@
-"""Admits requests, chooses endpoints and evaluates attempts."""
+"""Admits requests, chooses endpoints and decides on retries."""
 
 import collections
 
 from fireflypulley.core import facts
+from fireflypulley.core.gateway import attempt_evaluator
 from fireflypulley.core.gateway import bounds
 from fireflypulley.core.gateway import brittle_endpoints
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import crash_tracker
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import endpoint_chooser
 from fireflypulley.core.gateway import endpoint_filter
 from fireflypulley.core.gateway import fleet
-from fireflypulley.core.gateway import latency_tracker
 from fireflypulley.core.gateway import limited_endpoints
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
-from fireflypulley.core.gateway import placement
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import retry_policy
@@ -24,28 +24,13 @@
 from fireflypulley.core.gateway import versions
 from fireflypulley.core.gateway import ways
 from fireflypulley.core.gateway import workspace_limits
-from fireflypulley.core import ownership
-
-FULL_BACKOFF_S = 0.15
-
-_NO_VERDICT = frozenset(
-    {
-        calls.Outcome.AMBIGUOUS,
-        calls.Outcome.FAILED,
-        calls.Outcome.SLOW,
-        calls.Outcome.UNRELATED,
-        calls.Outcome.WITHHELD,
-    }
-)
-"""Outcomes that say nothing about the endpoint's health."""
-_NO_EVIDENCE = frozenset({calls.Outcome.AMBIGUOUS, calls.Outcome.UNRELATED})
-"""Outcomes that say nothing about the endpoint's version either."""
-_LATE = frozenset({calls.Outcome.SILENT, calls.Outcome.SLOW})
-"""Outcomes that a caller who does not read may bring about."""
 
 
 class RequestScheduler:
-    """Admission, placement and retries of the requests of one node."""
+    """Admission, placement and retries of the requests of one node.
+
+    ``evaluator`` is to be told what becomes of attempts.
+    """
 
     def __init__(
         self,
@@ -53,7 +38,6 @@
         shared_bounds: bounds.SharedBounds,
         node_id: str = "",
     ) -> None:
-        self._failure_domain = failure_domain
         self.document: document.Document | None = None
         self.applied_s = 0.0
         self.fleet = fleet.Fleet(shared_bounds.drain_s)
@@ -66,10 +50,9 @@
             shared_bounds.retry_slack,
             shared_bounds.retry_window_s,
         )
-        self.cold_limiter = limits.NodeShareLimiter(node_id)
+        cold_limiter = limits.NodeShareLimiter(node_id)
         self.shared = facts.SharedState()
         self.rollouts = versions.RolloutTracker(node_id, self.shared)
-        self._latencies = latency_tracker.LatencyTracker(self.rollouts)
         self.endpoint_filter = endpoint_filter.EndpointFilter(
             self.fleet, self.rollouts
         )
@@ -77,6 +60,13 @@
         self.prompt_crashes = prompt_crashes.PromptCrashes()
         self.limited = limited_endpoints.LimitedEndpoints()
         self.brittle = brittle_endpoints.BrittleEndpoints(node_id)
+        self.evaluator = attempt_evaluator.AttemptEvaluator(
+            self.fleet,
+            self.rollouts,
+            self.endpoint_filter.durations,
+            self.crash_tracker,
+            self.brittle,
+        )
         self.freshness = row_freshness.RowFreshness()
         self.ways: ways.Ways | None = None
         """None as long as there is only the direct way to endpoints."""
@@ -85,8 +75,6 @@
         self._sharing = sharing.SharingNodes()
         self.refused: collections.Counter[calls.RefusalReason]
         self.refused = collections.Counter()
-        self.outcomes: collections.Counter[calls.Outcome]
-        self.outcomes = collections.Counter()
         self._admission = request_admission.RequestAdmission(
             self.limits,
             self.retry_budget,
@@ -94,8 +82,13 @@
             self.prompt_crashes,
         )
         self.retry_policy = retry_policy.RetryPolicy(self.retry_budget)
-        self._engine_policy = placement.create(True)
-        self._plain_policy = placement.create(False)
+        self._chooser = endpoint_chooser.EndpointChooser(
+            failure_domain,
+            self.loads,
+            self.endpoint_filter,
+            endpoint_chooser.Limits(self.limited, self.brittle, cold_limiter),
+            self._sharing,
+        )
 
     # State
 
@@ -200,41 +193,6 @@
 
     # Placement
 
-    def _candidate(
-        self, member: fleet.Member, now_s: float
-    ) -> placement.Candidate:
-        load = self.loads.of(member)
-        return placement.Candidate(
-            member,
-            load.total_running(now_s),
-            load.total_waiting_tokens(now_s),
-            load.is_suspected(now_s),
-            load.latency_ratio,
-        )
-
-    def _has_room(
-        self,
-        candidate: placement.Candidate,
-        rate_per_s: float,
-        withheld: int,
-        now_s: float,
-    ) -> bool:
-        if not self.limited.may_ask(candidate.member, withheld, now_s):
-            return False
-        load = self.loads.of(candidate.member)
-        if max(load.full_until_s, load.paused_until_s) > now_s:
-            return False
-        nodes = self._sharing.count(now_s)
-        if not self.brittle.may_send(
-            candidate.member, candidate.running, nodes, now_s
-        ):
-            return False
-        if rate_per_s and candidate.member.is_cold(now_s):
-            return self.cold_limiter.may_send(
-                candidate.endpoint_id, rate_per_s, nodes, now_s
-            )
-        return True
-
     def choose(
         self,
         request: calls.AdmittedRequest,
@@ -246,37 +204,8 @@
 
         ``withheld`` is how many limited endpoints had no permit for it.
         """
-        members = self.endpoint_filter.in_use(request, now_s)
-        fresh = [
-            member
-            for member in members
-            if member.registration.key not in avoid
-            and self.limited.may_ask(member, withheld, now_s)
-        ]
-        chosen = self._choose_from(request, fresh or members, withheld, now_s)
-        if chosen is not None:
-            return self._begin(request, *chosen, now_s)
-        leaving = [
-            member
-            for member in self.endpoint_filter.last_resort(request, now_s)
-            if member.registration.key not in avoid
-        ]
-        chosen = self._choose_from(
-            request, leaving, withheld, now_s, last_resort=True
-        )
-        if chosen is not None:
-            return self._begin(request, *chosen, now_s)
-        if not members:
-            return runs.Refusal(
-                calls.RefusalReason.NO_ENDPOINT,
-                request_admission.RETRY_SOON_S,
-                "no endpoint in use",
-            )
-        return self.limited.refusal(
-            request, members, self.nodes_known, now_s
-        ) or runs.Refusal(
-            calls.RefusalReason.ENDPOINTS_FULL,
-            self._return_after_s(request, members, now_s),
+        return self._chooser.choose(
+            request, avoid, now_s, withheld, self.nodes_known
         )
 
     def choose_beside(
@@ -286,97 +215,8 @@
         now_s: float,
         withheld: int,
     ) -> runs.Run | runs.Refusal:
-        """Begin an attempt beside one that is late.
-
-        Only an endpoint that is taken for sound is worth it.
-        """
-        members = [
-            member
-            for member in self.endpoint_filter.in_use(request, now_s)
-            if member.registration.key not in avoid
-            and not self.loads.of(member).is_suspected(now_s)
-        ]
-        chosen = self._choose_from(request, members, withheld, now_s)
-        if chosen is None:
-            full = calls.RefusalReason.ENDPOINTS_FULL
-            return runs.Refusal(full, None, "no other sound endpoint")
-        return self._begin(request, *chosen, now_s)
-
-    def _return_after_s(
-        self,
-        request: calls.AdmittedRequest,
-        members: list[fleet.Member],
-        now_s: float,
-    ) -> float:
-        """Return when a refused caller is to come back.
-
-        If all endpoints have asked for a pause, callers return spread over
-        some time after the first one ends.
-        """
-        pause_s = min(
-            self.loads.of(member).paused_until_s - now_s for member in members
-        )
-        if pause_s <= 0.0:
-            return request_admission.RETRY_SOON_S
-        point = ownership.fraction(request.metadata.request_id)
-        return pause_s + point * request_admission.RETRY_SOON_S
-
-    def _choose_from(
-        self,
-        request: calls.AdmittedRequest,
-        members: list[fleet.Member],
-        withheld: int,
-        now_s: float,
-        last_resort: bool = False,
-    ) -> tuple[fleet.Member, runs.Choice] | None:
-        """Return the best of some endpoints, None if all are full."""
-        rate_per_s = request.service.cold_rate_per_s
-        with_room = [
-            candidate
-            for candidate in (
-                self._candidate(member, now_s) for member in members
-            )
-            if self._has_room(candidate, rate_per_s, withheld, now_s)
-        ]
-        healthy = [
-            candidate for candidate in with_room if not candidate.suspected
-        ]
-        policy = self._plain_policy
-        if request.service.engine is not None:
-            policy = self._engine_policy
-        chosen = policy.choose(
-            healthy or with_room, request, self._failure_domain
-        )
-        if chosen is None:
-            return None
-        choice = runs.Choice(
-            len(members),
-            len(with_room),
-            len(healthy),
-            chosen.running,
-            chosen.waiting_tokens,
-            last_resort,
-        )
-        return chosen.member, choice
-
-    def _begin(
-        self,
-        request: calls.AdmittedRequest,
-        member: fleet.Member,
-        choice: runs.Choice,
-        now_s: float,
-    ) -> runs.Run:
-        load = self.loads.of(member)
-        tokens = request.metadata.prompt_tokens or 0
-        nodes = self._sharing.count(now_s)
-        self.brittle.note_sent(member, choice.running, nodes, now_s)
-        load.begin(tokens, now_s)
-        rate_per_s = request.service.cold_rate_per_s
-        if rate_per_s and member.is_cold(now_s):
-            self.cold_limiter.note_sent(
-                member.endpoint_id, rate_per_s, nodes, now_s
-            )
-        return runs.Run(request, member, load, tokens, now_s, choice)
+        """Begin an attempt at a sound endpoint beside one that is late."""
+        return self._chooser.choose_beside(request, avoid, now_s, withheld)
 
     def still_allowed(self, run: runs.Run, now_s: float) -> bool:
         """Return whether the request may still go to the run's endpoint.
@@ -385,106 +225,7 @@
         """
         return self.endpoint_filter.still_allowed(run, now_s)
 
-    # Attempts
-
-    def note_sent(self, run: runs.Run, now_s: float) -> None:
-        """Record that a request is being sent to its endpoint."""
-        run.sent_s = now_s
-        current = self.fleet.get(run.member.endpoint_id)
-        if current is not None and current.removed_s is not None:
-            run.removed_before_s = now_s - current.removed_s
-
-    def note_event(
-        self, run: runs.Run, event_id: int | None, now_s: float
-    ) -> None:
-        """Record the start of an answer, and each event of a stream."""
-        run.events += 1
-        if run.first_event_s is None:
-            run.first_event_s = now_s
-            run.load.note_first_event(run.tokens)
-            self._observe(run, False, now_s)
-            if not run.was_held:
-                self._latencies.first_event(run, now_s)
-        if event_id is not None and not run.was_held:
-            self._latencies.event(run, event_id, now_s)
-
-    def _observe(self, run: runs.Run, failed: bool, now_s: float) -> None:
-        """Count an answer as evidence on its version."""
-        if run.observed:
-            return
-        run.observed = True
-        request = run.request
-        took_s = now_s - run.began_s
-        target_s = request.route.target_latency_s
-        self.rollouts.observe(
-            request.service.name,
-            run.member.registration.version,
-            request.route.name,
-            failed,
-            not failed and not run.was_held and took_s > target_s,
-        )
-
-    def note_ended(
-        self, run: runs.Run, outcome: calls.Outcome, now_s: float
-    ) -> None:
-        """Record the end of an attempt."""
-        if run.is_over:
-            return
-        run.is_over = True
-        run.ended_s = now_s
-        self.outcomes[outcome] += 1
-        if run.first_event_s is None:
-            run.load.note_first_event(run.tokens)
-        run.load.end(run.is_held)
-        self._judge(run, outcome, now_s)
-
-    def note_disproved(self, run: runs.Run, now_s: float) -> None:
-        """Record that another endpoint has shown this one to be wrong."""
-        self._observe(run, True, now_s)
-        if not run.member.leaving:
-            run.load.failed(False, now_s)
-
-    def note_abandoned(self, run: runs.Run) -> None:
-        """Record that the caller left during an attempt."""
-        if run.is_over:
-            return
-        run.is_over = True
-        if run.first_event_s is None:
-            run.load.note_first_event(run.tokens)
-        run.load.end(run.is_held)
-
-    def _judge(
-        self, run: runs.Run, outcome: calls.Outcome, now_s: float
-    ) -> None:
-        request = run.request
-        if run.was_held and outcome in _LATE:
-            return
-        is_known = outcome not in _NO_EVIDENCE
-        if is_known and not outcome.certainly_not_run:
-            failed = outcome is not calls.Outcome.COMPLETE
-            self._observe(run, failed, now_s)
-        if outcome is calls.Outcome.COMPLETE:
-            run.load.succeeded()
-            self._observe_duration(run, now_s)
-            self.crash_tracker.answered(request.fingerprint)
-        elif outcome is calls.Outcome.NOT_RUN:
-            run.load.full_until_s = now_s + FULL_BACKOFF_S
-            self.brittle.note_refused(run.member, now_s)
-        elif outcome in _NO_VERDICT:
-            pass
-        elif not run.member.leaving:
-            lost = outcome is not calls.Outcome.GARBAGE
-            run.load.failed(lost, now_s)
-
-    def _observe_duration(self, run: runs.Run, now_s: float) -> None:
-        """Record how long a complete answer took its endpoint."""
-        if run.was_held:
-            return
-        if run.first_event_s is None:
-            self._latencies.first_event(run, now_s)
-        self.endpoint_filter.durations.observe(
-            run.request.route.name, now_s - run.began_s
-        )
+    # Retries
 
     def may_retry(
         self,
