Move a node's callers out of the service

Callers begins an exchange for each request and knows who is connected; the service builds the node and takes it through its start and stop. Behaviour unchanged: tests/gateway/ test_service.py, test_background.py and test_stop_order.py pass with the new place of these calls and no other change.

--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -11,8 +11,6 @@
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import caller_ends
-from fireflypulley.core.gateway import calls
-from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import peer_registry
@@ -21,12 +19,12 @@
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import background
 from fireflypulley.gateway import caller_factory
+from fireflypulley.gateway import callers
 from fireflypulley.gateway import connector
 from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import dependencies
 from fireflypulley.gateway import duties
-from fireflypulley.gateway import exchange
 from fireflypulley.gateway import follower
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
@@ -86,7 +84,7 @@
     )
 
 
-class Service(inbound.RequestReceiver, stop_order.StoppableNode):
+class Service(stop_order.StoppableNode):
     """One gateway node."""
 
     def __init__(
@@ -162,7 +160,7 @@
             self._issuing_term() is not None
         )
         self._peer_sync: peer_sync.PeerSync | None = None
-        self._exchange_dependencies = dependencies.Dependencies(
+        shared = dependencies.Dependencies(
             reactor,
             self._scheduler,
             adapters.header_codec,
@@ -188,10 +186,12 @@
             self._memory,
             lambda: self._stop.ends_at_s,
         )
-        self._open_requests: set[exchange.Exchange] = set()
+        self.callers = callers.Callers(
+            shared, self._stop, self._send_state_early
+        )
         self._caller_factory = caller_factory.CallerFactory(
             reactor,
-            self,
+            self.callers,
             _caller_bounds(config),
             self._memory,
             limits.caller_connections,
@@ -199,7 +199,6 @@
         held = self._caller_factory.held
         held.budget = self._memory
         self._memory.callers_left = lambda: held.left_bytes
-        self._caller_connections: set[inbound.Caller] = set()
         self._loop_delay = loop_delay.LoopDelay(TICK_INTERVAL_S)
         self._tick_loop = task.LoopingCall(self._tick)
         self._tick_loop.clock = reactor
@@ -288,6 +287,10 @@
         if self._peer_sync is not None:
             self._peer_sync.send_state()
 
+    def _send_state_early(self) -> None:
+        if self._peer_sync is not None:
+            self._peer_sync.send_state_early()
+
     def _note_lapsed(self, member: fleet.Member, now_s: float) -> None:
         kept_s = now_s - (member.removed_s or now_s)
         in_use = self._scheduler.fleet.in_use(
@@ -386,7 +389,7 @@
 
     def _status_page(self) -> tuple[int, bytes]:
         now_s = self._reactor.seconds()
-        page = status.describe(self._sources, now_s, len(self._open_requests))
+        page = status.describe(self._sources, now_s, self.callers.open_count)
         return 200, status.render(page)
 
     def _metrics_page(self) -> tuple[int, bytes]:
@@ -403,7 +406,7 @@
         )
         self._metrics.collect(
             self._scheduler,
-            len(self._open_requests),
+            self.callers.open_count,
             self._follower.unreadable,
             self._duties.holds,
             self._permits.counts,
@@ -411,64 +414,6 @@
         )
         return 200, self._metrics.render()
 
-    # inbound.RequestReceiver
-
-    @property
-    def limits(self) -> document.CallerLimits:
-        config = self._scheduler.document
-        return config.limits if config else document.CallerLimits()
-
-    @property
-    def is_stopping(self) -> bool:
-        return self._stop.has_begun
-
-    def receive(
-        self, request: inbound.IncomingRequest, sink: inbound.CallerSink
-    ) -> inbound.RequestHandler:
-        if not self._stop.accepts_requests:
-            return self._refuse_stopping(sink)
-        handler = exchange.Exchange(self._exchange_dependencies, request, sink)
-        self._open_requests.add(handler)
-        handler.start()
-        if self._peer_sync is not None:
-            self._peer_sync.send_state_early()
-        return handler
-
-    def _refuse_stopping(
-        self, sink: inbound.CallerSink
-    ) -> inbound.RequestHandler:
-        """Refuse a request that the shutdown could interrupt."""
-        self.refuse(sink, calls.RefusalReason.STOPPING)
-        return inbound.AnsweredRequest()
-
-    def refuse(
-        self, sink: inbound.CallerSink, reason: calls.RefusalReason
-    ) -> None:
-        self._scheduler.refused[reason] += 1
-        status = calls.STATUS_BY_REFUSAL[reason]
-        headers = self._adapters.header_codec.refusal_headers(
-            "", calls.RETRY_AFTER_UNREAD_S.get(reason)
-        )
-        sink.head(status, [*headers, (b"content-length", b"0")])
-        sink.end()
-        decision_log.note("request", id="", result=reason.value, status=status)
-
-    def connection_opened(self, caller: inbound.Caller) -> None:
-        self._caller_connections.add(caller)
-
-    def connection_closed(self, caller: inbound.Caller) -> None:
-        self._caller_connections.discard(caller)
-        reason = caller.end_reason
-        if reason is None:
-            return
-        self._metrics.count_caller_end(reason)
-        if reason in caller_ends.FAILED_CALLERS:
-            decision_log.note(
-                "caller",
-                end=reason.value,
-                unread_bytes=caller.unread_bytes,
-            )
-
     def _publish_crashes(
         self, reports: typing.Sequence[prompt_crashes.CrashReport]
     ) -> None:
@@ -480,7 +425,7 @@
             self._peer_sync.publish([fact])
 
     def _request_done(self, handler: inbound.RequestHandler) -> None:
-        self._open_requests.discard(handler)
+        self.callers.request_done(handler)
 
     # Shutdown
 
@@ -501,7 +446,7 @@
         decision_log.note(
             "node",
             state="stopping",
-            open=len(self._open_requests),
+            open=self.callers.open_count,
             tunnels=self._tunnel_server.open_count,
         )
 
@@ -513,8 +458,7 @@
             accept = functools.partial(sockets.accept_waiting, port)
             self._reactor.callLater(0, background.guard(accept, loop="stop"))
             port.stopListening()
-        for caller in list(self._caller_connections):
-            background.guard(caller.close_idle, loop="stop")()
+        self.callers.close_idle()
 
     @property
     def accepts_callers(self) -> bool:
@@ -523,14 +467,12 @@
     @property
     def is_in_use(self) -> bool:
         tunnels = self._tunnel_server.open_count
-        return bool(self._caller_connections or tunnels)
+        return bool(self.callers.connections or tunnels)
 
     def end(self) -> None:
-        for handler in list(self._open_requests):
-            background.guard(handler.abort, loop="stop")()
+        self.callers.abort_requests()
         background.guard(self._tunnel_server.abort_all, loop="stop")()
         decision_log.note("node", state="stopped")
         background.guard(self._send_state, loop="stop")()
-        for caller in list(self._caller_connections):
-            background.guard(caller.hand_over, loop="stop")()
+        self.callers.hand_over()
         self._reactor.callLater(0, self._reactor.stop)
--- a/tests/gateway/test_background.py
+++ b/tests/gateway/test_background.py
@@ -111,10 +111,10 @@
 # error.
 def test_a_node_stops_though_a_request_can_not_be_ended(errors):
     node = test_service._start()
-    node._open_requests.add(FailingRequest())
+    node.callers._open_requests.add(FailingRequest())
     caller = test_service.Caller(node, is_idle=True)
     caller.close_idle = fail
-    node.connection_opened(caller)
+    node.callers.connection_opened(caller)
     node.shut_down()
     test_service._run_until(node, test_service.GRACE_S + 1.0)
     assert node.reactor.stopped_s is not None
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -104,7 +104,7 @@
     def leave(self):
         """Disconnect, as after the last response."""
         self.closed = True
-        self.node.connection_closed(self)
+        self.node.callers.connection_closed(self)
 
 
 def _start(callers_port=None, taken=()):
@@ -259,7 +259,7 @@
     """The node runs until this caller leaves, though the port is closed."""
     _run(node, stop_order.BALANCER_DELAY_S - 0.02)
     late = Caller(node, is_idle=False)
-    node.connection_opened(late)
+    node.callers.connection_opened(late)
     _run(node, stop_order.BALANCER_DELAY_S + 2.0)
     assert not late.closed
     assert node.reactor.stopped_s is None
@@ -276,7 +276,7 @@
     _run(node, stop_order.BALANCER_DELAY_S - 0.1)
     callers = [Caller(node, is_idle=True) for _ in range(3)]
     waiting = iter(callers)
-    port.on_accept = lambda: node.connection_opened(next(waiting))
+    port.on_accept = lambda: node.callers.connection_opened(next(waiting))
     stop_listening = port.stopListening
 
     def connect_and_stop_listening():
@@ -286,7 +286,7 @@
     port.stopListening = connect_and_stop_listening
     while port.closed_s is None:
         node.reactor.advance(0.05)
-    assert node._caller_connections == set(callers)
+    assert node.callers.connections == set(callers)
     assert not any(caller.closed for caller in callers)
     _run(node, stop_order.BALANCER_DELAY_S + 1.0)
     assert all(caller.closed for caller in callers)
@@ -294,8 +294,8 @@
 
 def test_idle_callers_are_closed_and_open_ones_are_waited_for(node):
     idle, busy = Caller(node, True), Caller(node, False)
-    node.connection_opened(idle)
-    node.connection_opened(busy)
+    node.callers.connection_opened(idle)
+    node.callers.connection_opened(busy)
     _run(node, stop_order.BALANCER_DELAY_S + 1.0)
     assert idle.closed
     assert not busy.closed
@@ -314,7 +314,7 @@
 
 
 def test_it_stops_before_it_is_killed(node):
-    node.connection_opened(Caller(node, False))
+    node.callers.connection_opened(Caller(node, False))
     _run(node, GRACE_S)
     assert node.reactor.stopped_s < node.stopped_at_s + GRACE_S
 
@@ -323,14 +323,14 @@
 # 44).
 def test_what_waits_for_callers_is_handed_over_before_the_end(node):
     caller = Caller(node, False)
-    node.connection_opened(caller)
+    node.callers.connection_opened(caller)
     _run(node, GRACE_S)
     assert caller.handed_over_s <= node.reactor.stopped_s
 
 
 def test_the_port_is_closed_however_many_callers_are_there(node):
     """A steady flow of new callers must not keep the node running."""
-    node.connection_opened(Caller(node, False))
+    node.callers.connection_opened(Caller(node, False))
     _run(node, stop_order.BALANCER_DELAY_S + 0.3)
     assert node.reactor.ports[80].closed_s is not None
 
@@ -353,7 +353,7 @@
         b"GET", b"/a/x", [(b"host", b"h")], node.reactor.seconds()
     )
     sink = Sink()
-    node.receive(request, sink)
+    node.callers.receive(request, sink)
     return sink
 
 
