Move a node's pages out of the service

Behaviour unchanged; tests/gateway/test_service.py asks the pages where it asked the service, with the same bounds.

--- a/packages/gateway/src/fireflypulley/gateway/callers.py
+++ b/packages/gateway/src/fireflypulley/gateway/callers.py
@@ -29,7 +29,7 @@
         self._scheduler = shared.scheduler
         self._stop = stop
         self._on_request = on_request
-        self._open_requests: set[inbound.RequestHandler] = set()
+        self._open_requests: set[exchange.Exchange] = set()
         self.connections: set[inbound.Caller] = set()
 
     @property
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -34,6 +34,7 @@
 from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import node_port
+from fireflypulley.gateway import pages
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
@@ -46,7 +47,6 @@
 from fireflypulley.gateway import status
 from fireflypulley.gateway import stop_order
 from fireflypulley.gateway import tunnel_server
-from fireflypulley.gateway import web
 from fireflypulley.platform import base
 from fireflypulley.transport import sockets
 
@@ -148,14 +148,6 @@
         self._permits = permit_broker.PermitBroker(
             reactor, self._scheduler, self._issuing_term
         )
-        self._sources = status.Sources(
-            self._scheduler,
-            self._peer_registry,
-            self._follower,
-            self._duties,
-            self._connections.paths,
-            self._tunnel_server,
-        )
         self._scheduler.prompt_crashes.may_try = lambda: (
             self._issuing_term() is not None
         )
@@ -205,6 +197,25 @@
         self._caller_port = self._make_port(
             "callers", config.callers, self._caller_factory
         )
+        sources = status.Sources(
+            self._scheduler,
+            self._peer_registry,
+            self._follower,
+            self._duties,
+            self._connections.paths,
+            self._tunnel_server,
+        )
+        counted = pages.Counted(
+            self._metrics, self._memory, held, self._permits, self._loop_delay
+        )
+        self.pages = pages.Pages(
+            reactor,
+            sources,
+            counted,
+            self.callers,
+            self._stop,
+            self._caller_port,
+        )
 
     # Startup and periodic work
 
@@ -213,14 +224,11 @@
         config = self._config
         started_s = self._reactor.seconds()
         self._scheduler.begin(started_s)
-        ready = web.Page(self._readiness)
-        readiness = web.create({"readyz": ready})
-        self._make_port("readiness", config.readiness, readiness).open()
-        pages = {
-            "metrics": web.Page(self._metrics_page),
-            "status": web.Page(self._status_page),
-        }
-        self._make_port("metrics", config.metrics, web.create(pages)).open()
+        for purpose, address, site in (
+            ("readiness", config.readiness, self.pages.readiness_site()),
+            ("metrics", config.metrics, self.pages.operators_site()),
+        ):
+            self._make_port(purpose, address, site).open()
         self._follower.start()
         self._listen_when_ready(self._reactor.seconds() + START_READ_TIMEOUT_S)
         self._tick_loop.start(TICK_INTERVAL_S, now=False)
@@ -376,44 +384,6 @@
         if self._peer_sync is not None:
             self._peer_sync.limits.publish(limit)
 
-    # HTTP pages
-
-    def _readiness(self) -> tuple[int, bytes]:
-        if self._stop.has_begun:
-            return 503, b"stopping\n"
-        if self._scheduler.document is None:
-            return 503, b"no configuration yet\n"
-        if self._caller_port.is_taken:
-            return 503, b"the port for callers is taken\n"
-        return 200, b"ready\n"
-
-    def _status_page(self) -> tuple[int, bytes]:
-        now_s = self._reactor.seconds()
-        page = status.describe(self._sources, now_s, self.callers.open_count)
-        return 200, status.render(page)
-
-    def _metrics_page(self) -> tuple[int, bytes]:
-        self._metrics.collect_paths(
-            self._connections.paths.direct.is_cut_off(self._reactor.seconds()),
-            self._connections.paths.tunnels_opened,
-            self._tunnel_server.open_count,
-        )
-        self._metrics.collect_closes(self._connections.paths.closes)
-        self._metrics.collect_loop(self._loop_delay.take_longest_s())
-        self._metrics.collect_callers(self._caller_factory.held.total_bytes)
-        self._metrics.collect_memory(
-            self._memory.used_bytes, self._memory.given_up
-        )
-        self._metrics.collect(
-            self._scheduler,
-            self.callers.open_count,
-            self._follower.unreadable,
-            self._duties.holds,
-            self._permits.counts,
-            self._reactor.seconds(),
-        )
-        return 200, self._metrics.render()
-
     def _publish_crashes(
         self, reports: typing.Sequence[prompt_crashes.CrashReport]
     ) -> None:
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -222,11 +222,11 @@
     node = _start(taken=[80])
     _make_ready(node)
     _run_until(node, 1.0)
-    status, text = node._readiness()
+    status, text = node.pages.readiness()
     assert (status, text) == (503, b"the port for callers is taken\n")
     node.reactor.taken.clear()
     _run_until(node, 1.0 + 2 * node_port.RETRY_INTERVAL_S)
-    assert node._readiness()[0] == 200
+    assert node.pages.readiness()[0] == 200
 
 
 def test_a_node_that_stops_waits_for_no_port():
@@ -419,7 +419,7 @@
     node = _start()
     _run_until(node, 1.0)
     node.reactor.advance(3.0)
-    _, text = node._metrics_page()
+    _, text = node.pages.metrics()
     name = b"fireflypulley_gateway_loop_delay_seconds "
     (line,) = [one for one in text.splitlines() if one.startswith(name)]
     assert float(line.split()[1]) == pytest.approx(2.75, abs=0.25)
