Tell the other nodes which endpoints say that they leave

An endpoint that says in its answers that it leaves was left alone by the node that had passed such an answer on; the others sent it requests until its entry in the store told them, which is never while the store is away, and those were refused or cut.

LeavingReports keeps what answers said and how long ago, for a minute; nodes that know the feature get the reports at once, and a starting node gets them before the first state. The time counts from the answer, so that the drain time of the others ends no later. An age that can be none is refused with a log line; older nodes are sent nothing new.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -12,6 +12,7 @@
 from fireflypulley.core.gateway import endpoint_chooser
 from fireflypulley.core.gateway import endpoint_filter
 from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import limited_endpoints
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
@@ -41,6 +42,7 @@
         self.document: document.Document | None = None
         self.applied_s = 0.0
         self.fleet = fleet.Fleet(shared_bounds.drain_s)
+        self.leaving = leaving_reports.LeavingReports(self.fleet)
         self.loads = load_tracker.LoadTracker(self.fleet)
         self.limits = workspace_limits.WorkspaceLimits(
             shared_bounds.limit_overshoot, shared_bounds.limit_tolerance
--- a/packages/gateway/src/fireflypulley/gateway/limit_reader.py
+++ b/packages/gateway/src/fireflypulley/gateway/limit_reader.py
@@ -4,7 +4,7 @@
 
 from fireflypulley.core.gateway import brittle_endpoints
 from fireflypulley.core.gateway import endpoint_limits
-from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import runs
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import header_codec
@@ -17,15 +17,19 @@
         self,
         limits: endpoint_limits.EndpointLimits,
         brittle: brittle_endpoints.BrittleEndpoints,
-        endpoint_fleet: fleet.Fleet,
-        on_change: collections.abc.Callable[
+        leaving: leaving_reports.LeavingReports,
+        on_limit: collections.abc.Callable[
             [endpoint_limits.EndpointLimit], None
         ],
+        on_leaving: collections.abc.Callable[
+            [leaving_reports.LeavingReport], None
+        ],
     ) -> None:
         self._limits = limits
         self._brittle = brittle
-        self._fleet = endpoint_fleet
-        self._on_change = on_change
+        self._leaving = leaving
+        self._on_limit = on_limit
+        self._on_leaving = on_leaving
 
     def read(
         self,
@@ -51,7 +55,7 @@
             changed = self._limits.note_unnamed(key, run.sent_s)
         if changed is not None:
             log(changed, "answer", run.request.metadata.request_id)
-            self._on_change(changed)
+            self._on_limit(changed)
 
     def _read_brittleness(
         self,
@@ -77,14 +81,12 @@
     ) -> None:
         if not response.leaving:
             return
-        if self._fleet.note_says_leaving(run.member.registration.key, now_s):
-            decision_log.note(
-                "endpoint",
-                id=run.request.metadata.request_id,
-                endpoint=run.member.endpoint_id,
-                state="leaving",
-                source="answer",
-            )
+        key = run.member.registration.key
+        report = self._leaving.note_answer(key, now_s)
+        if report is not None:
+            request_id = run.request.metadata.request_id
+            log_leaving(report, "answer", request_id)
+            self._on_leaving(report)
 
     def _read_pause(
         self,
@@ -130,3 +132,16 @@
         revision=limit.revision,
         source=source,
     )
+
+
+def log_leaving(
+    report: leaving_reports.LeavingReport, source: str, request_id: str = ""
+) -> None:
+    """Log that an endpoint says that it leaves, and who told it."""
+    decision_log.note(
+        "endpoint",
+        id=request_id,
+        endpoint=report.endpoint_id,
+        state="leaving",
+        source=source,
+    )
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -90,6 +90,7 @@
                 tunnel_transport.SINGLE_FEATURE,
                 tunnel_transport.COUNT_FEATURE,
                 report_replication.USAGE_FEATURE,
+                report_replication.LEAVING_FEATURE,
             ),
         )
         self._replicator = row_replication.RowReplicator(
@@ -101,6 +102,9 @@
         self.crashes = report_replication.CrashReplicator(
             node_scheduler.prompt_crashes, self.hub, crash_detector.FEATURE
         )
+        self.leaving = report_replication.LeavingReplicator(
+            node_scheduler.leaving, self.hub
+        )
         self.usage_reports = report_replication.UsageReplicator(
             counts.settled, self.hub
         )
@@ -348,6 +352,7 @@
         # Before the states, which a starting node takes callers after.
         self.limits.send_all(node_id, now_s)
         self.crashes.send_all(node_id, now_s)
+        self.leaving.send_all(node_id, now_s)
         self.usage_reports.send_all(node_id, now_s)
         decision_log.note("peer", peer=node_id, state="connected")
         known_nodes = [self._peer_registry.this]
@@ -397,6 +402,8 @@
             self.limits.receive(node_id, message.limits, now_s)
         elif isinstance(message, messages.CrashReports):
             self.crashes.receive(node_id, message.reports, now_s)
+        elif isinstance(message, messages.LeavingReports):
+            self.leaving.receive(node_id, message.reports, now_s)
         elif isinstance(message, messages.UsageReports):
             self.usage_reports.receive(node_id, message.reports, now_s)
         elif isinstance(message, messages.PermitRequest):
--- a/packages/gateway/src/fireflypulley/gateway/report_replication.py
+++ b/packages/gateway/src/fireflypulley/gateway/report_replication.py
@@ -5,6 +5,7 @@
 import typing
 
 from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import crash_detector
@@ -13,6 +14,7 @@
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import messages
 
+LEAVING_FEATURE = "leaving-reports"
 USAGE_FEATURE = "usage-reports"
 Report = typing.TypeVar("Report")
 
@@ -135,6 +137,43 @@
         crash_detector.log(report, from_node)
 
 
+class LeavingReplicator(ReportReplicator[leaving_reports.LeavingReport]):
+    """Tells the other nodes which endpoints say that they leave."""
+
+    def __init__(
+        self, leaving: leaving_reports.LeavingReports, node_hub: hub.Hub
+    ) -> None:
+        super().__init__(node_hub, LEAVING_FEATURE)
+        self._leaving = leaving
+
+    def _known(
+        self, now_s: float
+    ) -> tuple[leaving_reports.LeavingReport, ...]:
+        return self._leaving.known(now_s)
+
+    def _merge(
+        self, report: leaving_reports.LeavingReport, now_s: float
+    ) -> bool:
+        if not report.is_valid:
+            decision_log.note(
+                "endpoint",
+                endpoint=report.endpoint_id,
+                state="refused",
+                age_s=str(report.age_s),
+            )
+        return self._leaving.merge(report, now_s)
+
+    def _message(
+        self, reports: tuple[leaving_reports.LeavingReport, ...]
+    ) -> messages.Message:
+        return messages.LeavingReports(reports)
+
+    def _log(
+        self, report: leaving_reports.LeavingReport, from_node: str
+    ) -> None:
+        limit_reader.log_leaving(report, from_node)
+
+
 class UsageReplicator(ReportReplicator[usage.UsageReport]):
     """Tells the other nodes what was decided on as the usage of a window."""
 
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -13,6 +13,7 @@
 from fireflypulley.core.gateway import caller_ends
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import scheduler
@@ -171,8 +172,9 @@
             limit_reader.LimitReader(
                 self._scheduler.limited.limits,
                 self._scheduler.brittle,
-                self._scheduler.fleet,
+                self._scheduler.leaving,
                 self._limit_changed,
+                self._endpoint_leaves,
             ),
             self._request_done,
             self._memory,
@@ -384,6 +386,10 @@
         if self._peer_sync is not None:
             self._peer_sync.limits.publish(limit)
 
+    def _endpoint_leaves(self, report: leaving_reports.LeavingReport) -> None:
+        if self._peer_sync is not None:
+            self._peer_sync.leaving.publish(report)
+
     def _publish_crashes(
         self, reports: typing.Sequence[prompt_crashes.CrashReport]
     ) -> None:
--- a/packages/nodes/src/fireflypulley/nodes/codec.py
+++ b/packages/nodes/src/fireflypulley/nodes/codec.py
@@ -61,6 +61,7 @@
         messages.TunnelClosing,
         messages.LimitReports,
         messages.CrashReports,
+        messages.LeavingReports,
         messages.UsageReports,
         messages.PermitRequest,
         messages.PermitResponse,
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -8,6 +8,7 @@
 
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import prompt_crashes
@@ -295,6 +296,13 @@
     reports: tuple[prompt_crashes.CrashReport, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingReports(Message):
+    """Endpoints that leave, of which the receiver may not know all yet."""
+
+    reports: tuple[leaving_reports.LeavingReport, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRequest(Message):
     """Requests a permit for one request to a limited endpoint.
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -165,6 +165,7 @@
         self.published = []
         self.crash_reports = []
         self.limit_reports = []
+        self.leaving_reports = []
         self.permits = []
         self.permit_requests = []
         self.stops_at_s = math.inf
@@ -181,8 +182,9 @@
             limit_reader.LimitReader(
                 self.scheduler.limited.limits,
                 self.scheduler.brittle,
-                self.scheduler.fleet,
+                self.scheduler.leaving,
                 self.limit_reports.append,
+                self.leaving_reports.append,
             ),
             self.done.append,
             self.memory,
--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -149,6 +149,7 @@
         self.peer_sync.hub = self.peer_sync._replicator._hub = self.hub
         self.peer_sync.limits._hub = self.permits._links._hub = self.hub
         self.peer_sync.crashes._hub = self.hub
+        self.peer_sync.leaving._hub = self.hub
         self.peer_sync.usage_reports._hub = self.hub
         self.ticking = task.LoopingCall(self._tick)
         self.ticking.clock = network.clock
--- a/tests/gateway/test_leaving_answers.py
+++ b/tests/gateway/test_leaving_answers.py
@@ -45,6 +45,15 @@
     assert not world.scheduler.fleet.may_receive(member, DRAIN_S)
 
 
+def test_an_answer_that_says_leaving_is_told_once():
+    world = exchanges.World()
+    sent = world.begin()
+    sent.listener.response_head(200, LEAVING)
+    assert [one.key for one in world.leaving_reports] == [
+        (sent.endpoint_id, 1)
+    ]
+
+
 def test_an_answer_to_another_request_says_nothing():
     world = exchanges.World()
     headers = [(b"x-request-id", b"other"), (b"x-leaving", b"1")]
--- a/tests/gateway/test_peer_sync.py
+++ b/tests/gateway/test_peer_sync.py
@@ -7,6 +7,7 @@
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import prompt_crashes
 
+from ..core.gateway import builders
 from . import networks
 
 MANY = 60
@@ -368,3 +369,36 @@
     _lose_store(nodes[:4])
     network.run(3.0)
     assert not nodes[0].peer_sync.peers_lost_store
+
+
+def _say_leaving(node, endpoint_id):
+    """Let an answer to a request of a node say that its endpoint leaves."""
+    now_s = node.clock.seconds()
+    report = node.scheduler.leaving.note_answer((endpoint_id, 1), now_s)
+    node.peer_sync.leaving.publish(report)
+
+
+def _uses(node, endpoint_id):
+    known = node.scheduler.fleet
+    return known.is_in_use(known.get(endpoint_id), node.clock.seconds())
+
+
+# Guards against nodes that go on using an endpoint of which another node
+# knows that it leaves, while the store is away.
+def test_an_endpoint_that_says_leaving_to_one_node_leaves_for_all(network):
+    for node in network.nodes.values():
+        node.scheduler.fleet.put(builders.entry("e1"), network.clock.seconds())
+    _say_leaving(_non_relay_node(network), "e1")
+    network.run(0.5)
+    assert not any(_uses(node, "e1") for node in network.nodes.values())
+
+
+def test_a_starting_node_knows_who_leaves_before_a_state(network):
+    _say_leaving(next(iter(network.nodes.values())), "e1")
+    network.run(0.5)
+    starting = network.add("n999", started_ms=2)
+    starting.scheduler.fleet.put(builders.entry("e1"), network.clock.seconds())
+    starting.start()
+    while not starting.peer_sync._has_heard_state:
+        network.run(0.001, 0.001)
+    assert not _uses(starting, "e1")
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -10,6 +10,7 @@
 from fireflypulley.core import configuration
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import prompt_crashes
@@ -87,6 +88,7 @@
     ),
     messages.HandoverTaken("r"),
     messages.CrashReports((CRASH,)),
+    messages.LeavingReports((leaving_reports.LeavingReport("e", 5, 0.5),)),
     messages.UsageReports((usage.UsageReport(7, {"w": 3}),)),
     messages.LimitReports(
         (LIMIT, endpoint_limits.EndpointLimit("e", 5, 8, None)),
