Let no late evidence undo a rollout that is published as done

What callers saw: after a rollout is done the old endpoints stop at once. A node that had been cut off (or a holder of the duty that had not heard of it) still counted evidence, found the new version bad and undid the rollout; undone ranked above done, so all nodes went back to a version without endpoints and wrote "undone" over "done": the service was refused until operators intervened.

Cause: two nodes may reach a verdict before they know of each other, and the later one won, whatever the store had.

Now a verdict that the store took (a conditional write) is final and is told as such; until then bad evidence goes before done, as it did. A node that has undone alone and finds no old endpoint uses the new ones.

--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -43,6 +43,7 @@
     UNDONE = "undone"
 
 
+VERDICTS = frozenset({Phase.DONE, Phase.UNDONE})
 _RANKS = {
     Phase.TRIAL: 0,
     Phase.MOVING: 1,
@@ -53,11 +54,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PhaseReached(facts.Fact):
-    """A rollout has reached a phase; phases never go back."""
+    """A rollout has reached a phase; phases never go back.
+
+    A verdict that is published (the store has it) is final: the endpoints
+    of the other version leave.
+    """
 
     rollout_id: str
     phase: Phase
     until_s: float
+    is_published: bool = False
 
     @property
     def key(self) -> tuple[str, ...]:
@@ -65,7 +71,7 @@
 
     @property
     def rank(self) -> tuple[float, ...]:
-        return (_RANKS[self.phase],)
+        return (self.is_published, _RANKS[self.phase])
 
     @property
     def expires_s(self) -> float:
@@ -124,10 +130,17 @@
 
     def phase(self, rollout: Rollout) -> Phase:
         """Return the phase of a rollout as known to this node."""
+        fact = self._reached(rollout)
+        return Phase.TRIAL if fact is None else fact.phase
+
+    def _reached(self, rollout: Rollout) -> PhaseReached | None:
         fact = self._shared.get("phase", rollout.rollout_id)
-        if isinstance(fact, PhaseReached):
-            return fact.phase
-        return Phase.TRIAL
+        return fact if isinstance(fact, PhaseReached) else None
+
+    def _is_published(self, rollout: Rollout) -> bool:
+        """Return whether the store is known to have a verdict."""
+        fact = self._reached(rollout)
+        return fact is not None and fact.is_published
 
     def is_under_way(self, service: str) -> bool:
         """Return whether a service has a rollout that is not decided."""
@@ -168,7 +181,7 @@
         verdict_version: int,
         now_s: float,
     ) -> PhaseReached | None:
-        """Restore a verdict that an earlier holder published.
+        """Restore a verdict that this or an earlier holder published.
 
         A verdict published before the order belongs to an earlier
         rollout.
@@ -178,11 +191,18 @@
             return None
         if verdict_version <= rollout.order_version:
             return None
-        if phase not in (Phase.DONE, Phase.UNDONE):
-            return None
-        if self.phase(rollout) is phase:
+        return self.confirm(rollout, phase, now_s)
+
+    def confirm(
+        self, rollout: Rollout, phase: Phase, now_s: float
+    ) -> PhaseReached | None:
+        """Record that a verdict is published; return it if it is news."""
+        if phase not in VERDICTS:
             return None
-        return self._reach(rollout, phase, now_s)
+        fact = PhaseReached(
+            rollout.rollout_id, phase, now_s + FACT_TTL_S, is_published=True
+        )
+        return fact if self._shared.merge(fact, now_s) else None
 
     def evidence(self, rollout: Rollout) -> tuple[int, bool]:
         """Return the new version's answer count, and whether it is bad."""
@@ -194,7 +214,11 @@
     def allowed(
         self, service: str, request_id: str, members: list[fleet.Member]
     ) -> list[fleet.Member]:
-        """Return the endpoints whose version may run a request."""
+        """Return the endpoints whose version may run a request.
+
+        A node that has undone a rollout by its own evidence may not know
+        that it is done; then only the new version is left.
+        """
         rollout = self._rollouts.get(service)
         if rollout is None:
             return members
@@ -206,7 +230,7 @@
         old = [member for member in members if member not in new]
         phase = self.phase(rollout)
         if phase is Phase.UNDONE:
-            return old
+            return old if old or self._is_published(rollout) else new
         if phase in (Phase.MOVING, Phase.DONE) or not old:
             return new
         point = ownership.fraction(f"{request_id}/trial")
--- a/packages/gateway/src/fireflypulley/gateway/rollout_controller.py
+++ b/packages/gateway/src/fireflypulley/gateway/rollout_controller.py
@@ -40,7 +40,7 @@
         self._fencing = 0
         self._is_restored = False
         self._is_reading = False
-        self._restored_facts: list[facts.Fact] = []
+        self._verdicts: list[facts.Fact] = []
 
     def _restore_published(self, fencing: int, now_s: float) -> bool:
         """Return whether the phases that were published have been read.
@@ -99,7 +99,7 @@
                 now_s,
             )
             if fact is not None:
-                self._restored_facts.append(fact)
+                self._verdicts.append(fact)
         self._is_restored = True
 
     def tick(self, fencing: int) -> list[facts.Fact]:
@@ -112,7 +112,7 @@
         tracker = self._scheduler.rollouts
         if not list(tracker) or not self._restore_published(fencing, now_s):
             return []
-        updates, self._restored_facts = self._restored_facts, []
+        updates, self._verdicts = self._verdicts, []
         old_running = self._scheduler.old_running()
         for rollout in tracker:
             reached = tracker.advance(
@@ -171,3 +171,13 @@
             return
         self._row_versions[row.key] = version
         self._published_phases[rollout.rollout_id] = phase
+        self._confirm(rollout, phase)
+
+    def _confirm(
+        self, rollout: versions.Rollout, phase: versions.Phase
+    ) -> None:
+        """Let no evidence change a verdict that operators have read."""
+        now_s = self._reactor.seconds()
+        fact = self._scheduler.rollouts.confirm(rollout, phase, now_s)
+        if fact is not None:
+            self._verdicts.append(fact)
--- a/tests/core/gateway/test_versions.py
+++ b/tests/core/gateway/test_versions.py
@@ -184,3 +184,32 @@
     assert node.restore_verdict("s", "v2", undone, 6, 1.0).phase is undone
     assert node.phase(rollout) is undone
     assert node.restore_verdict("s", "v2", undone, 6, 1.0) is None
+
+
+def _undone_alone():
+    """Return a node that undid a rollout by its own evidence."""
+    world = World()
+    node, _ = world.nodes[0]
+    node._reach(next(iter(node)), versions.Phase.UNDONE, 1.0)
+    return node
+
+
+def test_a_version_that_is_undone_gets_no_request():
+    node = _undone_alone()
+    old = [one for one in _members() if one.registration.version == "v1"]
+    assert node.allowed("s", "q", _members()) == old
+
+
+# Guards against refusals at a node that was cut off and undid a rollout
+# which the others had done: the old endpoints have stopped.
+def test_a_node_that_undid_alone_uses_what_is_left():
+    node = _undone_alone()
+    new = [one for one in _members() if one.registration.version == "v2"]
+    assert node.allowed("s", "q", new) == new
+
+
+def test_a_version_that_is_published_as_undone_is_not_used_at_all():
+    node = _undone_alone()
+    node.confirm(next(iter(node)), versions.Phase.UNDONE, 2.0)
+    new = [one for one in _members() if one.registration.version == "v2"]
+    assert node.allowed("s", "q", new) == []
--- a/tests/gateway/test_rollout_controller.py
+++ b/tests/gateway/test_rollout_controller.py
@@ -145,3 +145,81 @@
     del store.rows[KEY]
     holder.tick(2)
     assert store.state == "undone"
+
+
+def _tell(teller, listener):
+    """Pass on all that a node knows, as to a peer that has connected."""
+    for fact in teller.scheduler.shared.snapshot():
+        listener.scheduler.shared.merge(fact, listener.clock.seconds())
+
+
+def _phase(node):
+    return node.scheduler.rollouts.phase(node.rollout)
+
+
+# Guards against a service that is left with no version: a node that had
+# been cut off undid a rollout whose old endpoints had stopped.
+def test_a_node_that_was_cut_off_does_not_undo_what_is_published():
+    store, cut_off, holder = _nodes()
+    holder.reach(versions.Phase.DONE)
+    holder.tick(1)
+    assert store.state == "done"
+    cut_off.reach(versions.Phase.UNDONE)
+    _tell(cut_off, holder)
+    _tell(holder, cut_off)
+    holder.tick(1)
+    assert store.state == "done"
+    assert _phase(holder) is _phase(cut_off) is versions.Phase.DONE
+
+
+def test_a_verdict_that_is_published_first_holds_against_a_late_one():
+    store, other, holder = _nodes()
+    holder.tick(1)
+    store.held = held = defer.Deferred()
+    holder.reach(versions.Phase.DONE)
+    holder.controller.tick(1)
+    other.reach(versions.Phase.UNDONE)
+    _tell(other, holder)
+    held.callback(None)
+    holder.tick(1, 3.0)
+    assert store.state == "done"
+    assert _phase(holder) is versions.Phase.DONE
+
+
+def test_bad_evidence_before_anything_is_published_undoes_a_rollout():
+    store, other, holder = _nodes()
+    holder.reach(versions.Phase.DONE)
+    other.reach(versions.Phase.UNDONE)
+    _tell(other, holder)
+    holder.tick(1)
+    assert store.state == "undone"
+
+
+def test_a_holder_whose_write_was_not_answered_reads_what_is_published():
+    store, _, holder = _nodes()
+    holder.tick(1)
+    write = store.transact
+
+    async def lose_answer(writes):
+        await write(writes)
+        store.transact = write
+        raise base.Unavailable("no answer")
+
+    store.transact = lose_answer
+    holder.reach(versions.Phase.DONE)
+    holder.controller.tick(1)
+    assert store.state == "done"
+    holder.reach(versions.Phase.UNDONE)
+    holder.tick(1, 3.0)
+    assert store.state == "done"
+    assert _phase(holder) is versions.Phase.DONE
+
+
+def test_the_next_holder_takes_the_verdict_from_the_store():
+    store, former, holder = _nodes()
+    former.reach(versions.Phase.DONE)
+    former.tick(1)
+    holder.reach(versions.Phase.UNDONE)
+    holder.tick(2, 3.0)
+    assert store.state == "done"
+    assert _phase(holder) is versions.Phase.DONE
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -49,6 +49,7 @@
         configuration.Domain(True, 1.0),
     ),
     versions.PhaseReached("s/v2/7", versions.Phase.MOVING, 9.0),
+    versions.PhaseReached("s/v2/8", versions.Phase.DONE, 9.0, True),
 )
 JOB = job_rows.Job("j", "w", "r", "m", "f", 1.0, 2.0)
 CRASH = prompt_crashes.CrashReport(
