Count a crash once, however many nodes had a copy there

What callers saw: a request that is asked for often had copies from several nodes at an endpoint that crashed for another reason; each node counted the crash, and four of them refused the request everywhere for ten minutes.

Cause: the suspicion holds a number, which each node raised by one for its own copy. It now names the starts of endpoints that were counted; a crash of one of them within a second and a half is the same crash. The field is new and optional, and the product's own daemon, which does not know starts apart, counts as before.

--- a/packages/core/src/fireflypulley/core/facts.py
+++ b/packages/core/src/fireflypulley/core/facts.py
@@ -72,11 +72,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion(Fact):
-    """The number of endpoints that crashed while running a request."""
+    """The number of endpoints that crashed while running a request.
+
+    ``starts`` names the crashed starts of endpoints, as far as the nodes
+    that counted them know their starts apart.
+    """
 
     fingerprint: str
     crashes: int
     until_s: float
+    starts: tuple[str, ...] = ()
 
     @property
     def key(self) -> tuple[str, ...]:
--- a/packages/core/src/fireflypulley/core/gateway/crash_tracker.py
+++ b/packages/core/src/fireflypulley/core/gateway/crash_tracker.py
@@ -22,9 +22,14 @@
             return False
         return self._quarantine.is_quarantined(fingerprint, now_s)
 
-    def crashed(self, fingerprint: str, now_s: float) -> facts.Suspicion:
-        """Count a crash; return the fact to publish to other nodes."""
-        fact = self._quarantine.record_crash(fingerprint, True, now_s)
+    def crashed(
+        self, fingerprint: str, now_s: float, start: str = ""
+    ) -> facts.Suspicion:
+        """Count a crash; return the fact to publish to other nodes.
+
+        ``start`` names the start of the endpoint that crashed.
+        """
+        fact = self._quarantine.record_crash(fingerprint, True, now_s, start)
         self._shared.merge(fact, now_s)
         return fact
 
--- a/packages/core/src/fireflypulley/core/poison.py
+++ b/packages/core/src/fireflypulley/core/poison.py
@@ -15,6 +15,14 @@
 CRASHES_TO_SUSPECT = 2
 CRASHES_TO_QUARANTINE = 4
 MAX_ISOLATED = 1  # concurrent suspects per node
+SAME_CRASH_S = 1.5
+"""Nodes count one crash within this time of each other; an endpoint whose
+entry is not new yet is back no sooner."""
+
+
+def _duration_s(crashes: int) -> float:
+    """Return how long a suspicion lasts."""
+    return QUARANTINE_S if crashes >= CRASHES_TO_QUARANTINE else SUSPECT_S
 
 
 class Quarantine:
@@ -26,12 +34,20 @@
         self._cleared: dict[str, int] = {}
 
     def _crashes(self, fingerprint: str, now_s: float) -> int:
-        fact = self._shared.get("suspicion", fingerprint)
-        if not isinstance(fact, facts.Suspicion) or fact.until_s <= now_s:
+        fact = self._suspicion(fingerprint, now_s)
+        if fact is None:
             self._cleared.pop(fingerprint, None)
             return 0
         return fact.crashes
 
+    def _suspicion(
+        self, fingerprint: str, now_s: float
+    ) -> facts.Suspicion | None:
+        fact = self._shared.get("suspicion", fingerprint)
+        if not isinstance(fact, facts.Suspicion) or fact.until_s <= now_s:
+            return None
+        return fact
+
     def is_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Return whether a request must run isolated."""
         crashes = self._crashes(fingerprint, now_s)
@@ -57,21 +73,33 @@
         self._isolated.pop(request_id, None)
 
     def record_crash(
-        self, fingerprint: str, isolated: bool, now_s: float
+        self,
+        fingerprint: str,
+        isolated: bool,
+        now_s: float,
+        start: str = "",
     ) -> facts.Suspicion:
         """Return the suspicion after an endpoint running a request crashed.
 
+        ``start`` names the start of the endpoint if nodes know starts
+        apart; a crash of which another node has told already, since it
+        had a copy of the request under way there, is not counted again.
         Once a request is suspect, only crashes during its isolated runs
         count, so a harmless request cannot reach quarantine because of
         the requests that run beside it.
         """
+        known = self._suspicion(fingerprint, now_s)
+        starts = () if known is None else known.starts
+        if known is not None and start in starts:
+            counted_s = known.until_s - _duration_s(known.crashes)
+            if now_s - counted_s < SAME_CRASH_S:
+                return known
         crashes = self._crashes(fingerprint, now_s)
         if isolated or crashes < CRASHES_TO_SUSPECT:
             crashes += 1
-        duration_s = SUSPECT_S
-        if crashes >= CRASHES_TO_QUARANTINE:
-            duration_s = QUARANTINE_S
-        return facts.Suspicion(fingerprint, crashes, now_s + duration_s)
+            starts += (start,) if start else ()
+        until_s = now_s + _duration_s(crashes)
+        return facts.Suspicion(fingerprint, crashes, until_s, starts)
 
     def record_answer(self, fingerprint: str, now_s: float) -> None:
         """Clear the suspicion of a request that has been completed."""
--- a/packages/gateway/src/fireflypulley/gateway/crash_detector.py
+++ b/packages/gateway/src/fireflypulley/gateway/crash_detector.py
@@ -70,8 +70,11 @@
 
     def _count_request(self, run: runs.Run) -> None:
         """Count the crash by the request itself, which may come again."""
+        endpoint_id, started_ms = run.member.registration.key
         fact = self._scheduler.crash_tracker.crashed(
-            run.request.fingerprint, self._reactor.seconds()
+            run.request.fingerprint,
+            self._reactor.seconds(),
+            f"{endpoint_id}/{started_ms}",
         )
         self._publish_fact(fact)
         decision_log.note(
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -31,6 +31,7 @@
     facts.Warmth("e", 1, True),
     facts.Leaving("e", 5.0),
     facts.Suspicion("f", 2, 9.0),
+    facts.Suspicion("f", 3, 9.0, ("e/5",)),
     facts.Evidence(
         "r",
         "n",
