Keep a kept failure off an answer that has begun

What callers saw: an endpoint answered with a failure (500 or higher), another one began the answer, and broke off, or the node stopped, or the deadline passed. The body of the failure came behind what the caller had of the second answer, and the whole ended as complete: 200, events 1 and 2, "oops". Streams and plain bodies alike.

Cause: a failure is kept for the case that nothing else serves, and was dropped only when another attempt had ended well, or had won beside a late one; not when the only attempt had begun to send its answer.

Why it works: the failure is dropped with the head that the caller gets, and is passed on only to a caller that has no head; so bytes that come in one piece with a break are covered, too. In-process tests only.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -266,6 +266,8 @@
             self._receive_events(sent, data)
         else:
             self._receive_plain(sent, data)
+        if self._relay.head_sent:
+            self._drop_failed()
 
     def _hold_failure(self, failed: attempt.Attempt, data: bytes) -> None:
         """Keep a part of a failure, which is no use if it is too large."""
@@ -400,8 +402,13 @@
             self._pause_single()
 
     def _give_up(self, refusal: runs.Refusal) -> None:
-        """Pass on an endpoint's failure if there is one, else refuse."""
+        """Pass on an endpoint's failure if there is one, else refuse.
+
+        It does not go on an answer that another attempt has begun.
+        """
         self._chooser.give_back()
+        if self._relay.head_sent:
+            self._drop_failed()
         failed, self.failed = self.failed, None
         if failed is None:
             self._owner.given_up(refusal)
