Let an event without end speak against an empty end

What callers saw: a run sent events 1 and 2 and began a third one that grew past 64 KiB (or came in more than 1024 pieces); the node gave the run up, another one went on with no events, and the stream ended as whole without the event that had begun. If all came in one piece, the two complete events did not reach the caller either, and it got an empty answer as a whole one.

Why it works: what a run shows is noted before it is given up, whatever the reason, as docs/design/RESUMES.md says; and events are passed on in the order in which they came. In-process tests only.

--- a/packages/gateway/src/fireflypulley/gateway/attempts.py
+++ b/packages/gateway/src/fireflypulley/gateway/attempts.py
@@ -315,6 +315,7 @@
         elif self.is_contested and self.current is not None:
             self._relay.use(self.current.part, True)
         if problem is not None:
+            self._relay.note_unfinished(sent.part)
             sent.abort()
             self._end_attempt(sent, problem.outcome, str(problem))
         elif has_event:
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -177,17 +177,13 @@
             self._flush()
 
     def _receive_events(self, data: bytes) -> bool:
-        splitter = self._part.splitter
-        complete = splitter.feed(data)
+        complete = self._part.splitter.feed(data)
         self._part.count_begun()
-        if splitter.remainder_bytes > events.MAX_EVENT_BYTES:
-            raise InvalidStream("an event without end")
-        if splitter.pieces > events.MAX_EVENT_PIECES:
-            raise InvalidStream("an event in too many pieces")
         count = self.event_count
         try:
             for event in complete:
                 self._queue(event)
+            self._check_begun()
         except InvalidStream:
             # A resumed stream goes on after the last event that counts,
             # so the caller must get all up to it.
@@ -197,6 +193,14 @@
             self._flush_events(count)
         return bool(complete)
 
+    def _check_begun(self) -> None:
+        """Check what has arrived of an event that is not complete."""
+        splitter = self._part.splitter
+        if splitter.remainder_bytes > events.MAX_EVENT_BYTES:
+            raise InvalidStream("an event without end")
+        if splitter.pieces > events.MAX_EVENT_PIECES:
+            raise InvalidStream("an event in too many pieces")
+
     def _flush_events(self, count_before: int) -> None:
         """Send what is held, unless comments alone have arrived.
 
--- a/tests/gateway/test_lost_events.py
+++ b/tests/gateway/test_lost_events.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fireflypulley.core.gateway import calls
+from fireflypulley.gateway import events
 from fireflypulley.gateway import response_watchdog
 
 from . import exchanges
@@ -163,3 +164,29 @@
     first.listener.response_failed(calls.Outcome.CUT, "test")
     exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
     assert (world.sink.state, world.sink.status) == ("whole", 200)
+
+
+LARGE = b"id: %d\ndata: " + b"x" * events.MAX_EVENT_BYTES
+
+
+# Guards against a stream that looks whole without an event that was too large
+# to be passed on.
+@pytest.mark.parametrize("number", [3, 4])
+def test_an_event_without_end_is_missing(number):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2) + LARGE % number)
+    assert first.aborted
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert (world.sink.state, world.sink.body) == ("cut", _events(1, 2))
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_an_event_without_end_that_the_caller_has_is_not_missing(number):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2) + LARGE % number)
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert (world.sink.state, world.sink.body) == ("whole", _events(1, 2))
