Read CRLF as one line end wherever an engine's bytes are cut

What callers would see: two events of an engine's stream in one event of the daemon, with one number for both, and all later ones numbered too low; a run that goes on after that is asked to go on too early. If the last line end was the one cut, a complete stream counted as garbage.

Cause: the reader of the daemon replaced CRLF in each piece by itself, so that a piece that ends between the two characters left them both.

Evidence: test_crlf_in_any_pieces in tests/endpoints/test_frames.py failed before at a cut behind the CR; it passes now, with the rest of tests/endpoints.

Why it works: what is left of the piece before is joined first. No engine of the stand-ins writes CRLF; in-process tests only.

--- a/packages/endpoints/src/fireflypulley/endpoints/frames.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/frames.py
@@ -34,9 +34,9 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Append received bytes; return the events completed by them."""
+        data = self._tail + data if self._tail else data
         if b"\r" in data:
             data = data.replace(b"\r\n", b"\n")
-        data = self._tail + data if self._tail else data
         end = data.rfind(DELIMITER)
         if end < 0:
             self._tail = data
--- a/tests/endpoints/test_frames.py
+++ b/tests/endpoints/test_frames.py
@@ -58,6 +58,19 @@
     assert len(reader.feed(data)) == 1
 
 
+# Guards against two events that pass for one, so that all later ones have a
+# number that is too low: the two characters of a line end came apart.
+@hypothesis.given(strategies.lists(strategies.integers(0, 5000), max_size=20))
+@hypothesis.example([len(event("w0")) + 3])
+@hypothesis.example([len(event("w0")) + 1])
+def test_crlf_in_any_pieces(places):
+    reader = frames.FrameReader(ID)
+    data = stream(3).replace(b"\n", b"\r\n")
+    events = [f for piece in cut(data, places) for f in reader.feed(piece)]
+    assert reader.state is frames.State.COMPLETE
+    assert events == frames.FrameReader(ID).feed(stream(3))
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_arbitrary_bytes_give_only_own_events(data):
     reader = frames.FrameReader(ID)
