Call the outcome of a broken fetch unknown

What callers saw: a node that fetched an answer from another one lost the stream to it, or got the answer with a hole, and refused its caller with retries-exhausted and "run: failed". The request may go on at the other node, and may end well there.

Cause: fetches._refuse promised more than the node knows.

Evidence: test_a_fetch_that_breaks_leaves_the_outcome_unknown, 3 cases of tests/daemon/test_fetches.py, failed before; they pass now, with the rest of tests/daemon and tests/callers.

Why it works: the reason is outcome-unknown and run is unknown. The status (502) and Retry-After stay as they were, since a caller that comes back with its key may find the answer.

--- a/packages/daemon/src/fireflypulley/daemon/fetches.py
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -75,9 +75,10 @@
 
 
 def _refuse(fetch: _Fetch, detail: str) -> None:
+    """Refuse a caller whose request may go on at the other node."""
     refusal = problems.Refusal(
-        problems.Reason.RETRIES_EXHAUSTED,
-        problems.Run.FAILED,
+        problems.Reason.OUTCOME_UNKNOWN,
+        problems.Run.UNKNOWN,
         detail,
         RETRY_AFTER_S,
     )
--- a/tests/daemon/test_fetches.py
+++ b/tests/daemon/test_fetches.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fireflypulley.callers import gateway
+from fireflypulley.core import problems
 from fireflypulley.daemon import fetches
 from fireflypulley.nodes import messages
 
@@ -116,6 +117,20 @@
     assert not len(pair.here)
 
 
+# Guards against "it has failed" of a request that goes on at a node which
+# can't be reached any more, or whose answer got here with a hole.
+@pytest.mark.parametrize("received", [(), (0,), (1,)])
+def test_a_fetch_that_breaks_leaves_the_outcome_unknown(received):
+    pair = Pair()
+    sent = pair.serve()
+    pair.receive([sent[index] for index in received])
+    pair.here.node_lost("n2")
+    refusal = pair.sink.refusal
+    expected = (problems.Reason.OUTCOME_UNKNOWN, problems.Run.UNKNOWN)
+    assert (refusal.reason, refusal.run) == expected
+    assert refusal.retry_after_s == fetches.RETRY_AFTER_S
+
+
 # A node of an older version does not say how much it has sent.
 def test_an_older_node_is_taken_at_its_word():
     pair = Pair()
