Ask all nodes for a key if its directory node is silent

What callers saw: a caller that sent its request again with the same Idempotency-Key (its connection broke before the first event, or it takes a document) got a second run while the first one went on, if the key's directory node did not answer within 0.3 s.

Cause: the silence of the directory node counted as "no holder". Only a caller with Last-Event-ID was looked for at the other nodes.

Evidence: test_a_silent_directory_node_does_not_hide_a_holder in tests/daemon/test_key_directory.py failed before for a caller without Last-Event-ID; it passes now, with the rest of tests/daemon.

Why it works: after the silence the node asks all nodes to which it has streams, once, for 0.3 s more. If none names a holder the request begins, as before: to refuse it would cost every keyed request of that directory node until it is known to be down, and a request that must not run twice is held back by the ledger. In-process tests only.

--- a/packages/daemon/src/fireflypulley/daemon/key_directory.py
+++ b/packages/daemon/src/fireflypulley/daemon/key_directory.py
@@ -1,9 +1,9 @@
 """Finds the node that holds the request of an idempotency key.
 
 Rendezvous hashing maps each key to a directory node, which records the
-key's holder.  If the directory node does not answer, or knows no holder,
-the node of a reconnecting caller asks all nodes to which it has streams:
-a handover may have been recorded elsewhere.
+key's holder.  A node asks all nodes to which it has streams if the
+directory node does not answer, or if it knows no holder for a reconnecting
+caller: a handover may have been recorded elsewhere.
 """
 
 import collections.abc
@@ -90,21 +90,21 @@
         return self._last_question_id
 
     def _on_timeout(self, question_id: int) -> None:
+        """Ask all nodes in place of the directory node, but only once."""
         question = self._questions.pop(question_id)
-        self._finish(
-            question.key, question.reconnecting, None, question.on_holder
-        )
+        was_directory = not question.pending_peers
+        self._finish(question.key, was_directory, None, question.on_holder)
 
     def _finish(
         self,
         key: str,
-        reconnecting: bool,
+        asks_all: bool,
         holder: str | None,
         on_holder: _OnHolder,
     ) -> None:
-        """Report the holder, or ask all nodes for a reconnecting caller."""
+        """Report the holder, or ask all nodes if there may be another."""
         connected = list(self._members.connected)
-        if holder is not None or not reconnecting or not connected:
+        if holder is not None or not asks_all or not connected:
             on_holder(holder)
             return
         question_id = self._add_question(key, False, on_holder)
--- a/tests/daemon/test_key_directory.py
+++ b/tests/daemon/test_key_directory.py
@@ -79,6 +79,21 @@
     assert system.find("n2", reconnecting=True) == "n3"
 
 
+# Guards against a second run of a request that its caller has sent again: the
+# silence of the directory node counted as if no node had the first run.
+@pytest.mark.parametrize("reconnecting", [False, True])
+def test_a_silent_directory_node_does_not_hide_a_holder(reconnecting):
+    system = System("n1", holding={"n3"})
+    system.lost = {"n1"}
+    assert system.find("n2", reconnecting) == "n3"
+
+
+def test_a_request_begins_although_a_node_is_silent():
+    system = System("n1")
+    system.lost = {"n1"}
+    assert system.find("n2", reconnecting=False) is None
+
+
 def test_a_new_request_asks_no_other_node():
     system = System("n2", holding={"n3"})
     assert system.find("n2", reconnecting=False) is None
