Report held keys to their next directory node

What callers saw: after a node had joined, left or died, a caller that sent its request again without Last-Event-ID got a second run while the first one went on, or got no kept answer: about 1 of n keys has another directory node then, and that one knew no holder.

Cause: a holder was recorded when its request began, and never again.

Evidence: with the report taken out (the code as it was), test_the_next_directory_node_learns_the_holder[n2] and test_a_node_reports_its_keys_when_nodes_join in tests/daemon/test_key_directory.py fail; with it tests/daemon passes. The directory of these tests gets one more function and can move.

Why it works: on the tick after its view of the living nodes changes, a node reports each key that it holds and whose directory node is another one now. In-process tests only; a retry that comes within that tick (0.1 s), or before the nodes agree on who lives, may still miss it.

--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -112,6 +112,7 @@
             self._hub,
             self._loop.now_s,
             lambda key: self._registry.by_key(key) is not None,
+            self._registry.keys_of_callers,
         )
         self._fetches = fetches.Fetches(self._hub)
         self._peer_dispatcher.connect(
@@ -196,6 +197,7 @@
         self._loop.feed(events.Tick())
         self._registry.tick(now_s)
         self._directory.expire()
+        self._directory.report_moved()
 
     def shut_down(self) -> None:
         """Shut down gracefully, then stop the reactor.
--- a/packages/daemon/src/fireflypulley/daemon/key_directory.py
+++ b/packages/daemon/src/fireflypulley/daemon/key_directory.py
@@ -12,6 +12,7 @@
 from twisted.internet import interfaces
 
 from fireflypulley.core import membership
+from fireflypulley.core import ownership
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import messages
 
@@ -36,6 +37,11 @@
     until_s: float
 
 
+def _name(key: str) -> str:
+    """Return what the directory node of a key is the owner of."""
+    return f"key/{key}"
+
+
 class KeyDirectory:
     """The holders recorded on this node, and its pending questions."""
 
@@ -47,6 +53,7 @@
         streams: hub.Hub,
         now_s: collections.abc.Callable[[], float],
         has_key: collections.abc.Callable[[str], bool],
+        held_keys: collections.abc.Callable[[], list[str]],
     ) -> None:
         self._reactor = reactor
         self._node_id = node_id
@@ -54,12 +61,15 @@
         self._streams = streams
         self._now_s = now_s
         self._has_key = has_key
+        self._held_keys = held_keys
+        self._alive: list[str] = []
+        """The nodes among which the reported holders were recorded."""
         self._holders: dict[str, _Holder] = {}
         self._questions: dict[int, _Question] = {}
         self._last_question_id = 0
 
     def _directory_node(self, key: str) -> str | None:
-        return self._members.owner(f"key/{key}", self._now_s())
+        return self._members.owner(_name(key), self._now_s())
 
     def find(self, key: str, reconnecting: bool, on_holder: _OnHolder) -> None:
         """Call ``on_holder`` with the key's holder.
@@ -144,6 +154,17 @@
             directory_node, messages.KeyHeld(key, self._node_id)
         )
 
+    def report_moved(self) -> None:
+        """Report the held keys whose directory node has changed."""
+        before, now = self._alive, self._members.alive(self._now_s())
+        if before == now:
+            return
+        self._alive = list(now)
+        for key in self._held_keys():
+            name = _name(key)
+            if ownership.owner(name, before) != ownership.owner(name, now):
+                self.report_holder(key)
+
     def receive_question(
         self, from_node: str, message: messages.KeyQuestion
     ) -> None:
--- a/packages/daemon/src/fireflypulley/daemon/registry.py
+++ b/packages/daemon/src/fireflypulley/daemon/registry.py
@@ -37,6 +37,14 @@
         """Return the task of a key, running or recently ended."""
         return self._tasks_by_key.get(key)
 
+    def keys_of_callers(self) -> list[str]:
+        """Return the keys that callers have named, running or ended."""
+        return [
+            key
+            for key, task in self._tasks_by_key.items()
+            if task.request.idempotency_key
+        ]
+
     def by_id(self, request_id: str) -> tasks.RequestTask | None:
         """Return a running task."""
         return self._tasks.get(request_id)
--- a/tests/daemon/test_key_directory.py
+++ b/tests/daemon/test_key_directory.py
@@ -1,11 +1,16 @@
 """Which node a returning caller is sent to for its answer."""
 
+import dataclasses
+
 import pytest
 from twisted.internet import task
 
+from fireflypulley.core import topology
 from fireflypulley.daemon import key_directory
 from fireflypulley.nodes import messages
 
+from tests.daemon import test_returning_callers as returning
+
 KEY = "w/s1"
 
 
@@ -19,6 +24,9 @@
     def owner(self, key, now_s):
         return self.directory_node
 
+    def alive(self, now_s):
+        return [self.directory_node]
+
     def is_down(self, node_id, now_s):
         return False
 
@@ -29,6 +37,7 @@
     def __init__(self, directory_node, holding=()):
         self.clock = task.Clock()
         self.lost = set()
+        self.sent = 0
         self.directories = {}
         for name in ("n1", "n2", "n3"):
             others = [one for one in ("n1", "n2", "n3") if one != name]
@@ -39,8 +48,15 @@
                 Streams(self, name),
                 self.clock.seconds,
                 lambda key, name=name: name in holding,
+                lambda name=name: [KEY] if name in holding else [],
             )
 
+    def move(self, directory_node):
+        """Let the key have another directory node; tell all nodes."""
+        for directory in self.directories.values():
+            directory._members.directory_node = directory_node
+            directory.report_moved()
+
     def find(self, node, reconnecting):
         found = []
         self.directories[node].find(KEY, reconnecting, found.append)
@@ -61,7 +77,10 @@
         if node_id in self.system.lost:
             return
         directory = self.system.directories[node_id]
-        if isinstance(message, messages.KeyQuestion):
+        self.system.sent += 1
+        if isinstance(message, messages.KeyHeld):
+            directory.record_holder(message.key, message.node_id)
+        elif isinstance(message, messages.KeyQuestion):
             directory.receive_question(self.node_id, message)
         else:
             directory.receive_answer(message)
@@ -103,3 +122,38 @@
     for directory_node in ("n1", "n2"):
         system = System(directory_node)
         assert system.find("n2", reconnecting=True) is None
+
+
+# Guards against a second run of a request that its caller has sent again: a
+# node had joined or gone, and the key's next directory node knew no holder.
+@pytest.mark.parametrize("directory_node", ["n2", "n3"])
+def test_the_next_directory_node_learns_the_holder(directory_node):
+    system = System("n1", holding={"n3"})
+    system.move("n1")
+    system.move(directory_node)
+    assert system.find("n2", reconnecting=False) == "n3"
+
+
+def test_a_holder_is_not_reported_again_to_the_same_node():
+    system = System("n1", holding={"n3"})
+    system.move("n1")
+    sent = system.sent
+    system.move("n1")
+    assert system.sent == sent
+
+
+def test_a_node_reports_its_keys_when_nodes_join(tmp_path):
+    node = returning.Node(tmp_path)
+    sent = []
+    node.app._hub.send = lambda node_id, message: sent.append(message)
+    for number in range(20):
+        node.submit(
+            dataclasses.replace(returning.CALL, idempotency_key=f"{number}")
+        )
+    node.app._run_periodic_work()
+    assert not sent
+    joined = topology.Node("n2", "127.0.0.1:4", "b", "")
+    node.app._core.state.members.set_listed_nodes((joined,))
+    node.app._run_periodic_work()
+    assert sent
+    assert all(one == messages.KeyHeld(one.key, "n1") for one in sent)
