Compare the request of a key over a fetch between nodes

What callers saw: a second request with the Idempotency-Key of another one is refused as idempotency-key-reused; at another node than the first one's it got the first one's answer instead, as its own.

Cause: the fingerprint is compared where a caller's node has the run; a fetch named only the key.

Evidence: test_another_request_with_the_key_gets_no_answer_from_another _node in tests/daemon/test_fetches.py fails with the comparison taken out; with it tests/daemon and tests/nodes pass. The task of these tests gets the request that it belongs to.

Why it works: the node that asks sends the fingerprint along, and the node that has the run refuses as the caller's own would. An older node does not send or compare it, and is served as before.

--- a/packages/daemon/src/fireflypulley/daemon/fetches.py
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -100,6 +100,7 @@
     def begin(
         self,
         key: str,
+        fingerprint: str,
         node_id: str,
         last_event_id: int,
         sink: gateway.Sink,
@@ -115,7 +116,9 @@
         self._fetches[self._last_fetch_id] = _Fetch(
             key, node_id, sink, not_found, bytearray(transcript)
         )
-        request = messages.FetchAsk(self._last_fetch_id, key, last_event_id)
+        request = messages.FetchAsk(
+            self._last_fetch_id, key, last_event_id, fingerprint
+        )
         self._streams.send(node_id, request)
 
     def _find(self, from_node: str, fetch_id: int) -> _Fetch | None:
@@ -199,4 +202,7 @@
             self._streams.send(from_node, end)
             return
         sink = RemoteSink(self._streams, from_node, message.fetch_id)
+        if message.fingerprint not in ("", task.request.fingerprint):
+            sink.refuse(tasks.key_reused())
+            return
         task.attach(sink, message.last_event_id)
--- a/packages/daemon/src/fireflypulley/daemon/frontend.py
+++ b/packages/daemon/src/fireflypulley/daemon/frontend.py
@@ -185,6 +185,7 @@
                 return
             self._answer_fetches.begin(
                 key,
+                request.fingerprint,
                 node_id,
                 _last_event_id(call),
                 sink,
@@ -214,11 +215,7 @@
         sink: gateway.Sink,
     ) -> None:
         if task.request.fingerprint != request.fingerprint:
-            self.refuse(
-                sink,
-                problems.Reason.KEY_REUSED,
-                "the idempotency key belongs to another request",
-            )
+            self.send_refusal(sink, tasks.key_reused())
             return
         last_event_id = _last_event_id(call)
         if task.has_sent(last_event_id):
--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -176,6 +176,7 @@
         last_event_id = task.tokens - 1
         self._answer_fetches.begin(
             task.key,
+            task.request.fingerprint,
             node_id,
             last_event_id,
             sink,
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -32,6 +32,15 @@
     )
 
 
+def key_reused() -> problems.Refusal:
+    """Return the refusal of a request with the key of another one."""
+    return problems.Refusal(
+        problems.Reason.KEY_REUSED,
+        problems.Run.NOT_RUN,
+        "the idempotency key belongs to another request",
+    )
+
+
 class TaskState(enum.Enum):
     """The state of a task."""
 
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -129,11 +129,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchAsk(Message):
-    """Requests the events of a key's answer after ``last_event_id``."""
+    """Requests the events of a key's answer after ``last_event_id``.
+
+    ``fingerprint`` is that of the caller's request; an older node leaves it
+    out.
+    """
 
     fetch_id: int
     key: str
     last_event_id: int
+    fingerprint: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/daemon/test_fetches.py
+++ b/tests/daemon/test_fetches.py
@@ -1,5 +1,7 @@
 """Answers that one node fetches from another, over streams that change."""
 
+import types
+
 import pytest
 
 from fireflypulley.callers import gateway
@@ -36,6 +38,9 @@
 class Task:
     """A task that sends its events to whoever attaches."""
 
+    def __init__(self, fingerprint="f1"):
+        self.request = types.SimpleNamespace(fingerprint=fingerprint)
+
     def attach(self, sink, last_event_id):
         for event in EVENTS[last_event_id + 1 :]:
             sink.events(event)
@@ -66,16 +71,22 @@
         self.there = fetches.Fetches(self.streams)
         self.sink = Sink()
         self.here.begin(
-            "k", "n2", last_event_id, self.sink, self._not_found, transcript
+            "k",
+            "f1",
+            "n2",
+            last_event_id,
+            self.sink,
+            self._not_found,
+            transcript,
         )
 
     def _not_found(self):
         raise AssertionError("not used here")
 
-    def serve(self):
-        """Return what the other node sends."""
+    def serve(self, fingerprint="f1"):
+        """Return what the other node sends of a task."""
         (asked,) = self.streams.take()
-        self.there.serve("n1", asked, Task())
+        self.there.serve("n1", asked, Task(fingerprint))
         return self.streams.take()
 
     def receive(self, received, from_node="n2"):
@@ -117,6 +128,26 @@
     assert not len(pair.here)
 
 
+# Guards against the answer to another request: the key was used again, and its
+# first request is at another node.
+def test_another_request_with_the_key_gets_no_answer_from_another_node():
+    pair = Pair()
+    pair.receive(pair.serve("f2"))
+    assert (pair.sink.received, pair.sink.transcript) == (b"", None)
+    assert pair.sink.refusal.reason is problems.Reason.KEY_REUSED
+    assert pair.sink.refusal.run is problems.Run.NOT_RUN
+
+
+# A node of an older version does not say what its caller has asked for.
+def test_an_older_node_gets_the_answer_of_the_key():
+    streams = Streams()
+    asked = messages.FetchAsk(1, "k", -1)
+    fetches.Fetches(streams).serve("n1", asked, Task("f2"))
+    *sent, end = streams.take()
+    assert b"".join(one.data for one in sent) == b"".join(EVENTS)
+    assert end.refusal is None
+
+
 # Guards against "it has failed" of a request that goes on at a node which
 # can't be reached any more, or whose answer got here with a hole.
 @pytest.mark.parametrize("received", [(), (0,), (1,)])
