Let the event ids of the daemon tell their run

What callers saw: two runs of one key existed (a node was killed or cut off, and the key's stream was begun anew elsewhere); a caller with N events of the first run came back and got event N+1 of the second, whose text need not fit, in an answer that ended as whole.

Cause: ids counted from 0 in each run, so that they named no run.

Why it works: the ids of a run follow one another from a drawn multiple of a million, also at a node that takes the run over, and an id outside of what the run here has sent is refused as unknown, before any event. They are still numbers of at most 12 digits, as older nodes demand. Ids of older nodes are below a million: taken where such a run has been handed over to, refused as unknown elsewhere.

Changed tests: those that named ids from 0 ask for the first id now, and compare with all of the numbers after it; test_path.py came back with "9", which it had never got, and reads the stream's first id now.

--- a/packages/callers/src/fireflypulley/callers/events.py
+++ b/packages/callers/src/fireflypulley/callers/events.py
@@ -18,6 +18,12 @@
     )
 
 
+def first_id(transcript: bytes) -> int:
+    """Return the id of the first event."""
+    line = transcript.partition(b"\n")[0]
+    return int(line.removeprefix(b"id: "))
+
+
 def missing_events(transcript: bytes, last_event_id: int) -> bytes:
     """Return the events that follow the given event id."""
     next_id_line = b"id: %d\n" % (last_event_id + 1)
--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -173,12 +173,11 @@
     def _fetch_rest(
         self, task: tasks.RequestTask, node_id: str, sink: gateway.Sink
     ) -> None:
-        last_event_id = task.tokens - 1
         self._answer_fetches.begin(
             task.key,
             task.request.fingerprint,
             node_id,
-            last_event_id,
+            task.last_event_id,
             sink,
             lambda: _refuse_dropped(sink, task.key, node_id),
             bytes(task.transcript),
--- a/packages/daemon/src/fireflypulley/daemon/jobs.py
+++ b/packages/daemon/src/fireflypulley/daemon/jobs.py
@@ -212,9 +212,7 @@
         task.preload(local_job.transcript, local_job.tokens)
         local_job.task = task
         self._registry.add(task)
-        task.attach(
-            JobSink(self._loop, job.job_id, task), local_job.tokens - 1
-        )
+        task.attach(JobSink(self._loop, job.job_id, task), task.last_event_id)
         self._loop.feed(
             events.RequestArrived(request, local_job.tokens, accepted=True)
         )
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import enum
+import random
 
 from fireflypulley.callers import events as sse
 from fireflypulley.callers import gateway
@@ -18,9 +19,20 @@
 from fireflypulley.endpoints import base
 from fireflypulley.endpoints import clients
 
+MAX_RUN_NUMBER = 999_998
+EVENTS_PER_RUN = 1_000_000
+"""The ids of a run follow one another from a multiple of this, so that they
+tell the run of a caller that comes back.  Ids have up to 12 digits; those
+of older nodes are below it."""
+
 _Feed = collections.abc.Callable[[events.Event], None]
 
 
+def _draw_first_id() -> int:
+    """Return the id of the first event of a new run."""
+    return random.randint(1, MAX_RUN_NUMBER) * EVENTS_PER_RUN
+
+
 def unknown_run(key: str, last_event_id: int) -> problems.Refusal:
     """Return the refusal of a caller that has events of another run."""
     detail = f"the run that sent event {last_event_id} is not known here"
@@ -143,6 +155,7 @@
         self.key = key
         self.state = TaskState.RUNNING
         self.tokens = 0
+        self._first_event_id = _draw_first_id()
         self.transcript = bytearray()
         self.stored: ledger_rows.StoredAnswer | None = None
         self.refusal: problems.Refusal | None = None
@@ -155,12 +168,23 @@
         """Set the events that a previous owner received."""
         self.transcript = bytearray(transcript)
         self.tokens = tokens
+        if transcript:
+            self._first_event_id = sse.first_id(transcript)
 
     # Callers
 
+    @property
+    def last_event_id(self) -> int:
+        """Return the id of the last event, ``NO_EVENT`` without any."""
+        if not self.tokens:
+            return gateway.NO_EVENT
+        return self._first_event_id + self.tokens - 1
+
     def has_sent(self, last_event_id: int) -> bool:
-        """Return whether a caller's last event can be of this run."""
-        return last_event_id < self.tokens
+        """Return whether a caller's last event is of this run."""
+        if last_event_id == gateway.NO_EVENT:
+            return True
+        return self._first_event_id <= last_event_id <= self.last_event_id
 
     def attach(self, sink: gateway.Sink, last_event_id: int) -> None:
         """Send a caller the events it lacks, and all later ones."""
@@ -168,7 +192,7 @@
             sink.refuse(unknown_run(self.key, last_event_id))
             return
         missing = bytes(self.transcript)
-        if last_event_id >= 0:
+        if last_event_id != gateway.NO_EVENT:
             missing = sse.missing_events(missing, last_event_id)
         if missing:
             sink.events(missing)
@@ -190,7 +214,7 @@
 
     def add_frames(self, frames: list[bytes]) -> None:
         """Append events to the transcript and send them in one write."""
-        data = sse.add_ids(frames, self.tokens)
+        data = sse.add_ids(frames, self._first_event_id + self.tokens)
         self.tokens += len(frames)
         self.transcript += data
         for sink in self._sinks:
--- a/tests/daemon/test_handovers.py
+++ b/tests/daemon/test_handovers.py
@@ -11,6 +11,7 @@
 from tests.daemon import test_returning_callers as returning
 
 KEY = "w/k1"
+FIRST_ID = 7 * tasks.EVENTS_PER_RUN
 
 
 class Receiver(returning.Node):
@@ -45,7 +46,7 @@
         task.add_frames(frames(texts))
         return task
 
-    def offer(self, request_id, texts):
+    def offer(self, request_id, texts, first_id=FIRST_ID):
         """Receive a handover; return whether it was confirmed."""
         self.sent.clear()
         message = messages.Handover(
@@ -53,7 +54,7 @@
             returning.CALL.payload,
             KEY,
             len(texts),
-            sse.add_ids(frames(texts), 0),
+            sse.add_ids(frames(texts), first_id),
         )
         self.app._peer_dispatcher.message_received("n2", message)
         return messages.HandoverTaken(request_id) in self.sent
@@ -74,6 +75,25 @@
     assert (task.tokens, len(receiver.begun)) == (3, 1)
 
 
+def test_the_ids_go_on_after_the_events_handed_over(receiver):
+    receiver.offer("r1", "abc")
+    receiver.send(2)
+    (task,) = receiver.app._registry
+    first_id = sse.first_id(bytes(task.transcript))
+    assert first_id == FIRST_ID
+    assert task.last_event_id == FIRST_ID + 4
+    assert b"\nid: %d\n" % (FIRST_ID + 4) in task.transcript
+
+
+# A node of an older version counts from 0.
+def test_the_ids_of_an_older_node_go_on_too(receiver):
+    receiver.offer("r1", "abc", 0)
+    receiver.send(1)
+    (task,) = receiver.app._registry
+    assert task.last_event_id == 3
+    assert task.has_sent(2)
+
+
 def test_a_stream_that_was_taken_over_is_confirmed_again(receiver):
     assert receiver.offer("r1", "abc")
     receiver.send(2)
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -1,8 +1,10 @@
 """Requests end to end through real processes, with kills and outages."""
 
+import http.client
 import json
 import threading
 import time
+import urllib.parse
 
 import pytest
 
@@ -31,6 +33,30 @@
     return system.call(daemon, "POST", path, body, **headers)
 
 
+def first_id(
+    system: local.LocalSystem, daemon: local.Daemon, tokens: int, key: str
+) -> int:
+    """Return the id of a stream's first event, as one more caller gets it."""
+    host = urllib.parse.urlsplit(daemon.callers).netloc
+    connection = http.client.HTTPConnection(host, timeout=30)
+    body = {
+        "model": "shorthand",
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": PROMPT}],
+    }
+    headers = {
+        "Authorization": f"Bearer {local.CALLER_TOKEN}",
+        "Idempotency-Key": key,
+    }
+    connection.request(
+        "POST", "/v1/chat/completions", json.dumps(body), headers
+    )
+    line = connection.getresponse().readline()
+    connection.close()
+    return int(line.removeprefix(b"id: "))
+
+
 def text_of(events: bytes) -> str:
     parts = []
     for line in events.splitlines():
@@ -121,12 +147,13 @@
         lambda: chat(system, first, 150, Idempotency_Key="k1")
     )
     wait_for_stream(system, 20)
+    ninth = first_id(system, first, 150, "k1") + 9
     status, events, _ = chat(
-        system, second, 150, Idempotency_Key="k1", Last_Event_ID="9"
+        system, second, 150, Idempotency_Key="k1", Last_Event_ID=str(ninth)
     )
     thread.join()
     assert status == 200
-    assert events.startswith(b"id: 10\n")
+    assert events.startswith(b"id: %d\n" % (ninth + 1))
     assert text_of(results[0][1]) == full_text(150)
     assert full_text(150).endswith(text_of(events))
     before = system.metrics(second).get("fireflypulley_accepted_total")
--- a/tests/processes/test_returning_callers.py
+++ b/tests/processes/test_returning_callers.py
@@ -99,6 +99,18 @@
         assert rest[:1] in ([], [ids[-1] + 1])
 
 
+# Guards against events of two runs: the later run of a caller's stream has
+# come further than the first one, which is gone.
+def test_a_caller_of_a_run_that_is_gone_is_sent_none_of_a_later_one(system):
+    first, second, third = system.daemons
+    ids, _ = _read(_open(first, 400, "k4"), 4000, first.kill)
+    again, _ = _read(_come_back(second, 400, "k4"))
+    assert len(again) > len(ids)
+    fields = {"Last-Event-ID": str(ids[-1])}
+    for daemon in (second, third):
+        assert _open(daemon, 400, "k4", **fields).status == 502
+
+
 # Guards against pieces of two runs in one answer: a node that was frozen, and
 # whose stream was begun anew elsewhere, hands it over there when it stops.
 def test_a_handover_to_a_node_with_a_run_of_its_own_joins_no_runs(
