Let a taken job go on from its checkpoint, not from less

What callers saw: the text of a job got shorter, or went on in other words than a reader by offset had: a node that ran a job which a leaving node had handed over took its row and wrote its own events over a checkpoint that the leaving node had stored meanwhile.

Cause: only the number of tokens was compared, and a run under way was kept whatever the checkpoint held.

Why it works: readers get what is stored, so a run whose events do not begin with the stored ones is given up, and the job starts again from the checkpoint in its new epoch. It is given up only once the checkpoint is written, so that a store that is down loses nothing.

--- a/packages/core/src/fireflypulley/core/events.py
+++ b/packages/core/src/fireflypulley/core/events.py
@@ -202,10 +202,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobTaken(Event):
-    """This node now owns a job; ``tokens`` counts its checkpoint."""
+    """This node now owns a job; ``tokens`` counts its checkpoint.
+
+    ``restarts`` is set if what this node has run of it was given up.
+    """
 
     row: job_rows.JobRow
     tokens: int
+    restarts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/fireflypulley/core/job_handler.py
+++ b/packages/core/src/fireflypulley/core/job_handler.py
@@ -59,6 +59,8 @@
     ) -> handler.Actions:
         job = event.row.job
         self._node.jobs.taken(job, event.row.version, event.tokens, now_s)
+        if event.restarts:
+            self._node.jobs.restart(job.job_id, event.tokens)
         return [actions.StateChanged("job", job.job_id, "taken")]
 
     def _on_received(
--- a/packages/core/src/fireflypulley/core/jobs.py
+++ b/packages/core/src/fireflypulley/core/jobs.py
@@ -98,6 +98,15 @@
             return
         self._running[job.job_id] = _Running(job, True, now_s, tokens=tokens)
 
+    def restart(self, job_id: str, tokens: int) -> None:
+        """Let a job go on from its checkpoint, unless it was cancelled."""
+        running = self._running[job_id]
+        if running.end is job_rows.JobState.CANCELLED:
+            return
+        running.end = None
+        running.started = False
+        running.tokens = tokens
+
     def receive(self, job: job_rows.Job, tokens: int, now_s: float) -> None:
         """Run a job received from a leaving node; take its row later."""
         if job.job_id in self._running or job.ended:
--- a/packages/daemon/src/fireflypulley/daemon/jobs.py
+++ b/packages/daemon/src/fireflypulley/daemon/jobs.py
@@ -155,35 +155,63 @@
                 local_job = self._local_jobs.setdefault(
                     job.job_id, _LocalJob(body)
                 )
-            await self._load_progress(job, local_job)
+            restarts = await self._load_progress(job, local_job)
         except base.Conflict:
             await self.poll()
             return
         except base.Unavailable:
             return
-        self._loop.feed(events.JobTaken(row, local_job.tokens))
+        self._loop.feed(events.JobTaken(row, local_job.tokens, restarts))
 
     async def _load_progress(
         self, job: job_rows.Job, local_job: _LocalJob
-    ) -> None:
+    ) -> bool:
         """Read the checkpoint and write it back with the new epoch.
 
         This fences the previous owner: its later checkpoints conflict.
+        Readers may have all of the checkpoint, so a job that was received
+        goes on from there if its events here are others.  Return whether
+        a run was given up for that.
         """
-        self._sync_from_task(local_job)
         stored = await self._job_store.progress(job.job_id)
-        if stored is not None and stored.progress.tokens > local_job.tokens:
-            if local_job.task is None:
-                text = stored.progress.transcript
-                local_job.transcript = text.encode()
-                local_job.tokens = stored.progress.tokens
-        etag = None if stored is None else stored.etag
-        await self._write_progress(job, local_job, etag)
+        self._sync_from_task(local_job)
+        if stored is None:
+            await self._write_progress(job, local_job, None)
+            return False
+        saved = stored.progress.transcript.encode()
+        if local_job.transcript.startswith(saved):
+            await self._write_progress(job, local_job, stored.etag)
+            return False
+        progress = dataclasses.replace(stored.progress, epoch=job.epoch)
+        await self._put_progress(job, local_job, progress, stored.etag)
+        return self._go_back(local_job, progress)
+
+    def _go_back(
+        self, local_job: _LocalJob, progress: job_store.JobProgress
+    ) -> bool:
+        """Set a job back to its checkpoint; return whether it was run."""
+        task, local_job.task = local_job.task, None
+        if task is not None:
+            task.cancel_attempt()
+            self._loop.feed(events.HandedOver(task.request.request_id))
+            self._registry.drop(task)
+        local_job.transcript = progress.transcript.encode()
+        local_job.tokens = progress.tokens
+        return task is not None
 
     async def _write_progress(
         self, job: job_rows.Job, local_job: _LocalJob, etag: str | None
     ) -> None:
         progress = self._progress(job, local_job)
+        await self._put_progress(job, local_job, progress, etag)
+
+    async def _put_progress(
+        self,
+        job: job_rows.Job,
+        local_job: _LocalJob,
+        progress: job_store.JobProgress,
+        etag: str | None,
+    ) -> None:
         local_job.etag = await self._job_store.put_progress(
             job.job_id, progress, etag
         )
