Renew the report that a node is down while it is true

What callers saw: each minute a dead node that the platform still listed counted as alive again for up to 13 s (if another node dialed it), or from then on (if its own dials had made all its streams). Meanwhile it owned keys, whose directory was silent, its jobs stayed with it, and budgets of cold endpoints were asked of it.

Cause: a report ends after 60 s, was made anew only after it had been dropped (every 10 s) and only by nodes that dial the dead one.

Evidence: in tests/core/test_membership.py a node lost for 400 s counted as alive in between, and one that no other of 100 nodes dials was dialed by none; both failed before. The other two that failed before need a report that stands.

Why it works: a node that dials the dead one in vain prolongs the standing report half a minute before it ends, and of two reports of one death the one that ends later counts (in steps of 30 s, so that those of all peers are not broadcast in turn). One living node dials each dead node. It ends when the node is met again or is no longer listed.

--- a/packages/core/src/fireflypulley/core/facts.py
+++ b/packages/core/src/fireflypulley/core/facts.py
@@ -10,6 +10,9 @@
 import enum
 
 NEVER_S = float("inf")
+RENEWAL_S = 30.0
+"""Reports that end in the same period of this length count as one, so that
+those of all peers of a node are not broadcast in turn."""
 
 
 class Fact(abc.ABC):
@@ -173,7 +176,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeDown(Fact):
-    """Whether a node is down; the higher incarnation takes precedence."""
+    """Whether a node is down; the higher incarnation takes precedence.
+
+    A report that a node is down is renewed by one that ends later.
+    """
 
     node_id: str
     incarnation: int
@@ -186,7 +192,8 @@
 
     @property
     def rank(self) -> tuple[float, ...]:
-        return (self.incarnation, self.down)
+        renewals = self.until_s // RENEWAL_S if self.down else 0
+        return (self.incarnation, self.down, renewals)
 
     @property
     def expires_s(self) -> float:
--- a/packages/core/src/fireflypulley/core/membership.py
+++ b/packages/core/src/fireflypulley/core/membership.py
@@ -172,13 +172,23 @@
         domains; with the accepted streams the graph stays connected.
         A node believed down that would otherwise be chosen is dialed as
         well.  Without this, two sides of a network partition that
-        believe each other down would never reconnect.
+        believe each other down would never reconnect.  Each other node
+        believed down is dialed by one node, so that its report is renewed
+        for as long as it is true, and no longer.
         """
         alive = self.alive(now_s)
         chosen = self._choose(alive)
         listed = [n for n, node in self._listed.items() if not node.leaving]
         believed_down = [n for n in self._choose(listed) if n not in alive]
-        return tuple(chosen + believed_down)
+        wanted = chosen + believed_down
+        others = [n for n in listed if n not in wanted]
+        return tuple(wanted + [n for n in others if self._watches(n, now_s)])
+
+    def _watches(self, node_id: str, now_s: float) -> bool:
+        """Return whether this node has to dial one that is down."""
+        if not self.is_down(node_id, now_s):
+            return False
+        return self.owns(f"down/{node_id}", now_s)
 
     def _choose(self, node_ids: list[str]) -> list[str]:
         others = [n for n in node_ids if n != self._this.node_id]
@@ -258,21 +268,32 @@
     ) -> list[facts.NodeDown]:
         """Return the facts about wanted peers that don't come up.
 
-        Where a fact about a node holds, it stays: others may reach it.
+        Where a fact about a node holds, it stays: others may reach it.  A
+        report that it is down is renewed before it ends.
         """
         self._missing_since_s = {
             node_id: self._missing_since_s.get(node_id, now_s)
             for node_id in wanted
             if node_id not in self._peers
         }
-        return [
-            facts.NodeDown(
-                node_id, UNKNOWN_INCARNATION, True, now_s + DOWN_TTL_S
-            )
+        reports = [
+            self._missing_fact(node_id, now_s)
             for node_id, since_s in self._missing_since_s.items()
             if now_s - since_s > HEARTBEAT_TIMEOUT_S
-            and self._shared.get("node", node_id) is None
         ]
+        return [report for report in reports if report is not None]
+
+    def _missing_fact(
+        self, node_id: str, now_s: float
+    ) -> facts.NodeDown | None:
+        """Return what to report of a missing peer, None if nothing is new."""
+        until_s = now_s + DOWN_TTL_S
+        known = self._shared.get("node", node_id)
+        if not isinstance(known, facts.NodeDown):
+            return facts.NodeDown(node_id, UNKNOWN_INCARNATION, True, until_s)
+        if not known.down or known.until_s > until_s - facts.RENEWAL_S:
+            return None
+        return dataclasses.replace(known, until_s=until_s)
 
     def refute(self, fact: facts.NodeDown) -> facts.NodeDown | None:
         """Return the fact that this node is alive, if ``fact`` denies it."""
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -2,6 +2,7 @@
 
 from fireflypulley.core import facts
 from fireflypulley.core import membership
+from fireflypulley.core import peer_handler
 from fireflypulley.core import topology
 
 
@@ -150,3 +151,74 @@
     members = _Members()
     fact = members.refute(facts.NodeDown("n1", 0, True, 60.0))
     assert (fact.incarnation, fact.down) == (1, False)
+
+
+def _run(members, from_s, to_s):
+    """Let a node work for some time; return when others came to live."""
+    now_s, found, next_expiry_s = from_s, [], from_s
+    while now_s < to_s:
+        members.timed_out_peers(now_s)
+        wanted = members.wanted_peers(now_s)
+        for fact in members.missing_peers(wanted, now_s):
+            members.facts.merge(fact, now_s)
+        if now_s >= next_expiry_s:
+            members.facts.expire(now_s)
+            next_expiry_s += peer_handler.EXPIRY_PERIOD_S
+        if "n2" in members.alive(now_s):
+            found.append(now_s)
+        now_s += 0.5
+    return found
+
+
+# Guards against a dead node that counts as alive again each minute, owns keys
+# and budgets then, and keeps its jobs.
+def test_a_node_that_stays_down_counts_as_down():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    members.record_disconnect("n2", 1.0)
+    assert _run(members, 1.5, 400.0) == []
+
+
+def test_a_node_that_comes_back_after_long_is_alive():
+    members = _Members()
+    members.connect("n2", 5, 0.0)
+    members.record_disconnect("n2", 1.0)
+    _run(members, 1.5, 200.0)
+    members.facts.merge(members.connect("n2", 6, 200.0), 200.0)
+    assert "n2" in members.alive(201.0)
+    _run(members, 201.0, 400.0)
+    assert "n2" in members.alive(400.0)
+
+
+# Guards against the same where no node would dial it: its own dials made all
+# streams to it.
+def test_one_node_dials_a_node_that_is_down_and_nobody_wants():
+    nodes = tuple(_node(f"n{i}", f"d{i % 3}") for i in range(100))
+    views = []
+    for node in nodes:
+        members = membership.Membership(node, 1, facts.SharedState())
+        members.set_listed_nodes(nodes)
+        views.append(members)
+    wanted = {one for view in views for one in view.wanted_peers(0.0)}
+    unwanted = next(n.node_id for n in nodes if n.node_id not in wanted)
+    down = facts.NodeDown(unwanted, 5, True, membership.DOWN_TTL_S)
+    others = [n for n, one in zip(views, nodes) if one.node_id != unwanted]
+    for view in others:
+        view._shared.merge(down, 0.0)
+    dialing = [n for n in others if unwanted in n.wanted_peers(1.0)]
+    assert len(dialing) == 1
+
+
+def test_a_renewed_report_takes_the_place_of_the_first():
+    shared = facts.SharedState()
+    assert shared.merge(facts.NodeDown("n2", 5, True, 60.0), 0.0)
+    assert shared.merge(facts.NodeDown("n2", 5, True, 91.0), 31.0)
+    assert not shared.merge(facts.NodeDown("n2", 5, True, 60.0), 32.0)
+    assert shared.merge(facts.NodeDown("n2", 6, False, 50.0), 33.0)
+
+
+# All peers of a node that dies report it at nearly the same time.
+def test_reports_of_one_death_are_spread_once():
+    shared = facts.SharedState()
+    assert shared.merge(facts.NodeDown("n2", 5, True, 61.0), 1.0)
+    assert not shared.merge(facts.NodeDown("n2", 5, True, 61.2), 1.2)
