Test that a slow caller who takes something has moved

The new test has both; with the call taken out its 2 cases fail, with it tests/gateway/test_caller_accounts.py passes. No change to the code.

--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -195,6 +195,42 @@
     assert sum(_has_ended(one) for one in idle) == 1
 
 
+class Other(memory.Holder):
+    """What else the node holds, and moves."""
+
+    def give_up(self):
+        """Hold on."""
+
+
+def _need_descriptor(world):
+    world.connect()
+
+
+def _need_memory(world):
+    other = Other()
+    while not world.budget.given_up:
+        world.budget.hold(other, memory.Use.UPLOAD, 1000)
+        world.budget.release(other, memory.Use.UPLOAD, 500)
+
+
+# Guards against slow callers that take their answers and are ended in place
+# of those that take nothing any more.
+@pytest.mark.parametrize("need", [_need_descriptor, _need_memory])
+def test_a_caller_that_takes_some_of_its_answer_has_moved(need):
+    world = World(max_connections=2)
+    moving = world.connect(test_inbound.GET)
+    world.clock.advance(1.0)
+    still = world.connect(test_inbound.GET)
+    for one in (moving, still):
+        one._queue.pauseProducing()
+    world.clock.advance(9.0)
+    moving._queue.resumeProducing()
+    moving._queue.pauseProducing()
+    world.clock.advance(1.0)
+    need(world)
+    assert (_has_ended(moving), _has_ended(still)) == (False, True)
+
+
 # Guards against connections that keep their descriptors, as their callers do
 # not take the answers that were sent before.
 def test_an_idle_connection_with_an_unread_answer_is_closed_at_once():
