Remove MemoryBudget.has_room, which only tests asked

Behaviour unchanged. The one assertion compares the numbers itself; the two loops that fill the memory until somebody gives up ended on that before as well, save for a total that equals the bound exactly, and go on by one more holder then. tests/gateway/test_memory.py, test_caller_memory.py and test_answer_memory.py pass (25).

--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/gateway/src/fireflypulley/gateway/memory.py
@@ -110,10 +110,6 @@
         share_bytes = max(MIN_SHARE_BYTES, left_bytes * LARGEST_SHARE)
         return int(min(most_bytes, share_bytes))
 
-    def has_room(self, size_bytes: int) -> bool:
-        """Return whether so much more may be held."""
-        return self.total_bytes + size_bytes <= self.bound_bytes
-
     def hold(self, holder: Holder, use: Use, size_bytes: int) -> None:
         """Count bytes that a holder keeps; let others give up if needed."""
         self._change(holder, use, size_bytes)
--- a/tests/gateway/test_answer_memory.py
+++ b/tests/gateway/test_answer_memory.py
@@ -26,7 +26,7 @@
 
 def _fill(world):
     """Let many small holders take all that is left, and a bit more."""
-    while world.memory.has_room(1) and not world.memory.given_up:
+    while not world.memory.given_up:
         world.memory.hold(Other(), memory.Use.UPLOAD, 10_001)
 
 
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -99,7 +99,7 @@
     users = [User(held) for _ in range(3)]
     for number, user in enumerate(users):
         user.queue.write(b"x" * (100 + number))
-    while held.budget.has_room(1) and not held.budget.given_up:
+    while not held.budget.given_up:
         held.budget.hold(Other(), memory.Use.UPLOAD, 101)
     assert [user.is_dropped for user in users] == [False, False, True]
     assert _used(held) == 201
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -38,7 +38,7 @@
     for one in holders:
         budget.hold(one, memory.Use.UPLOAD, BOUND // 10)
     assert budget.total_bytes == BOUND
-    assert budget.is_scarce and not budget.has_room(1)
+    assert budget.is_scarce and budget.total_bytes + 1 > budget.bound_bytes
     assert not any(one.has_given_up for one in holders)
 
 
