Hand the memory budget to who counts in it at construction

HeldBytes, TunnelServer and TunnelDialer got their budget set after they had been made; a maker that forgot it made one that counts nothing, as the nodes of the tunnel tests did. They take it as an argument now, and PeerSync hands it on to its dialer. Behaviour of the service unchanged.

Callers of CallerFactory with a budget count what waits for callers in it, too, as the service did. The nodes of the histories have a budget of the default size; the memory tests lower its bound.

--- a/packages/gateway/src/fireflypulley/gateway/caller_factory.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_factory.py
@@ -27,7 +27,7 @@
     ) -> None:
         self._reactor = reactor
         self._receiver = receiver
-        self.held = send_queue.HeldBytes(bounds)
+        self.held = send_queue.HeldBytes(bounds, budget)
         if budget is None:
             budget = memory.MemoryBudget(
                 reactor, node_limits.NodeLimits().held_bytes
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -20,6 +20,7 @@
 from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import follower
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import permit_streams
 from fireflypulley.gateway import report_replication
@@ -54,6 +55,7 @@
         store_follower: follower.Follower,
         holds_duty: collections.abc.Callable[[], bool],
         permits: permit_broker.PermitBroker,
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         self._reactor = reactor
         self._peer_registry = registry
@@ -110,6 +112,7 @@
             keys.SharedKey(key),
             self._tunnel_peers,
             carriers.Carriers(this.failure_domain),
+            budget,
         )
         store_follower.on_update = self._send_rows
         permits.attach(
--- a/packages/gateway/src/fireflypulley/gateway/send_queue.py
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -22,12 +22,19 @@
 
 
 class HeldBytes:
-    """The bytes that wait for all callers of a node."""
+    """The bytes that wait for all callers of a node.
 
-    def __init__(self, bounds: caller_ends.CallerBounds) -> None:
+    ``budget`` is that of the node, which counts what its transports hold
+    too.
+    """
+
+    def __init__(
+        self,
+        bounds: caller_ends.CallerBounds,
+        budget: memory.MemoryBudget | None = None,
+    ) -> None:
         self.bounds = bounds
-        self.budget: memory.MemoryBudget | None = None
-        """That of the node, which counts what its transports hold too."""
+        self.budget = budget
         self._queues: set[SendQueue] = set()
         self.total_bytes = 0
 
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -121,8 +121,8 @@
             self._scheduler.fleet,
             self._connections.paths.direct,
             limits.carried_connections,
+            self._memory,
         )
-        self._tunnel_server.budget = self._memory
         self._usage = WallClockUsage(
             config.usage_window_s, config.node.started_ms
         )
@@ -197,7 +197,6 @@
             limits.caller_connections,
         )
         held = self._caller_factory.held
-        held.budget = self._memory
         self._memory.callers_left = lambda: held.left_bytes
         self._caller_connections: set[inbound.Caller] = set()
         self._loop_delay = loop_delay.LoopDelay(TICK_INTERVAL_S)
@@ -335,13 +334,13 @@
             self._follower,
             lambda: self._issuing_term() is not None,
             self._permits,
+            self._memory,
         )
         factory = sync.hub.server_factory()
         self._make_port("nodes", self._config.nodes, factory).open()
         self._peer_sync = sync
         self._follower.has_relay_feed = lambda: sync.has_relay_feed
         self._follower.feeds_others = lambda: sync.feeds_others
-        sync.tunnel_dialer.budget = self._memory
         self._connections.paths.tunnels = sync.tunnel_dialer
         self._scheduler.ways = sync.tunnel_dialer.join_paths(
             self._connections.paths.direct
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -91,7 +91,10 @@
 
 
 class TunnelServer:
-    """Opens tunnels to the endpoints that this node knows and reaches."""
+    """Opens tunnels to the endpoints that this node knows and reaches.
+
+    ``budget`` is that of the node, in which tunnels count.
+    """
 
     def __init__(
         self,
@@ -99,13 +102,13 @@
         endpoint_fleet: fleet.Fleet,
         paths: endpoint_paths.EndpointPaths,
         max_tunnels: int = MAX_TUNNELS,
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         self._max_tunnels = min(max_tunnels, MAX_TUNNELS)
         self._reactor = reactor
         self._fleet = endpoint_fleet
         self._paths = paths
-        self.budget: memory.MemoryBudget | None = None
-        """That of the node, in which tunnels count."""
+        self._budget = budget
         self._open_pipes: set[_NodePipe] = set()
         self._is_stopping = False
         self._carries_until_s = float("inf")
@@ -221,6 +224,6 @@
         response = messages.TunnelResponse("", carries_for_s=carries_for_s)
         stream.send(response)
         tunnel_transport.connect(
-            self._reactor, stream, here, budget=self.budget
+            self._reactor, stream, here, budget=self._budget
         )
         here.join(there, self._reactor.callLater)
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -95,7 +95,8 @@
 class TunnelDialer(TunnelSource):
     """Asks peers for tunnels, in the order that their states give.
 
-    ``choose_peers`` returns the nodes in touch in random order.
+    ``choose_peers`` returns the nodes in touch in random order, and
+    ``budget`` is that of the node, in which tunnels count.
     """
 
     def __init__(
@@ -105,14 +106,14 @@
         ring: keys.KeyRing,
         choose_peers: _Choice,
         peer_carriers: carriers.Carriers,
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         self._reactor = reactor
         self._hub = node_hub
         self._ring = ring
         self._choose_peers = choose_peers
         self._carriers = peer_carriers
-        self.budget: memory.MemoryBudget | None = None
-        """That of the node, in which tunnels count."""
+        self._budget = budget
         self._searches: set[tunnel_search.Search] = set()
 
     def join_paths(self, direct: endpoint_paths.EndpointPaths) -> ways.Ways:
@@ -197,7 +198,7 @@
             connection.retire()
 
         tells_end = tunnel_transport.connect(
-            self._reactor, opened.stream, connection, closing, self.budget
+            self._reactor, opened.stream, connection, closing, self._budget
         )
         is_single = opened.left_s is not None
         return Tunnel(peer.node_id, tells_end, is_single)
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -9,10 +9,12 @@
 
 from fireflypulley.core.gateway import bounds
 from fireflypulley.core.gateway import document
+from fireflypulley.core.gateway import node_limits
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import follower
+from fireflypulley.gateway import memory
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import row_codec
@@ -85,6 +87,9 @@
         self.follower = follower.Follower(
             self.reactor, self.link, Codec(), self.scheduler
         )
+        self.memory = memory.MemoryBudget(
+            self.reactor, node_limits.NodeLimits().held_bytes
+        )
         self.sync = peer_sync.PeerSync(
             self.reactor,
             self.registry,
@@ -96,6 +101,7 @@
             permit_broker.PermitBroker(
                 self.reactor, self.scheduler, lambda: None
             ),
+            self.memory,
         )
         self.follower.has_relay_feed = lambda: self.sync.has_relay_feed
         self.follower.feeds_others = lambda: self.sync.feeds_others
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -53,9 +53,8 @@
 
 
 def _held(bounds=test_send_queue.BOUNDS):
-    held = send_queue.HeldBytes(bounds)
-    held.budget = memory.MemoryBudget(task.Clock(), BYTES)
-    return held
+    budget = memory.MemoryBudget(task.Clock(), BYTES)
+    return send_queue.HeldBytes(bounds, budget)
 
 
 def _used(held):
--- a/tests/gateway/test_tunnel_memory.py
+++ b/tests/gateway/test_tunnel_memory.py
@@ -15,9 +15,7 @@
 def system():
     running = test_tunnels._System()
     for node in running.nodes:
-        node.budget = memory.MemoryBudget(node.reactor, BYTES)
-        node.tunnel_server.budget = node.budget
-        node.sync.tunnel_dialer.budget = node.budget
+        node.memory.bound_bytes = BYTES
     running.run(2.0)
     return running
 
@@ -33,7 +31,7 @@
 
 def _used(system):
     return sorted(
-        node.budget.used_bytes[memory.Use.TUNNEL] for node in system.nodes
+        node.memory.used_bytes[memory.Use.TUNNEL] for node in system.nodes
     )
 
 
@@ -66,9 +64,9 @@
     of_moving = test_tunnels._Listener()
     system.run(0.5)
     moving.send(b"POST", b"/x", [(b"host", b"h")], b"b", of_moving)
-    used = stranded.budget.used_bytes[memory.Use.TUNNEL]
+    used = stranded.memory.used_bytes[memory.Use.TUNNEL]
     others = used // tunnel_transport.HELD_BYTES - 1
-    while stranded.budget.given_up < others:
-        stranded.budget.hold(Other(), memory.Use.UPLOAD, 1000)
+    while stranded.memory.given_up < others:
+        stranded.memory.hold(Other(), memory.Use.UPLOAD, 1000)
     system.run(0.5)
     assert (of_still.end, of_moving.end) == (calls.Outcome.CUT.value, "")
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -90,7 +90,10 @@
             node.scheduler.fleet.put(_registration(key, host), 0.0)
         direct = node.connections.paths.direct
         node.tunnel_server = tunnel_server.TunnelServer(
-            node.reactor, node.scheduler.fleet, direct
+            node.reactor,
+            node.scheduler.fleet,
+            direct,
+            budget=node.memory,
         )
         node.sync.hub.receive_tunnel = node.tunnel_server.receive
         node.connections.paths.tunnels = node.sync.tunnel_dialer
