--- a/packages/daemon/src/fireflypulley/daemon/fetches.py
+++ b/packages/daemon/src/fireflypulley/daemon/fetches.py
@@ -75,9 +75,10 @@
 
 
 def _refuse(fetch: _Fetch, detail: str) -> None:
+    """Refuse a caller whose request may go on at the other node."""
     refusal = problems.Refusal(
-        problems.Reason.RETRIES_EXHAUSTED,
-        problems.Run.FAILED,
+        problems.Reason.OUTCOME_UNKNOWN,
+        problems.Run.UNKNOWN,
         detail,
         RETRY_AFTER_S,
     )
@@ -99,6 +100,7 @@
     def begin(
         self,
         key: str,
+        fingerprint: str,
         node_id: str,
         last_event_id: int,
         sink: gateway.Sink,
@@ -114,7 +116,9 @@
         self._fetches[self._last_fetch_id] = _Fetch(
             key, node_id, sink, not_found, bytearray(transcript)
         )
-        request = messages.FetchAsk(self._last_fetch_id, key, last_event_id)
+        request = messages.FetchAsk(
+            self._last_fetch_id, key, last_event_id, fingerprint
+        )
         self._streams.send(node_id, request)
 
     def _find(self, from_node: str, fetch_id: int) -> _Fetch | None:
@@ -198,4 +202,7 @@
             self._streams.send(from_node, end)
             return
         sink = RemoteSink(self._streams, from_node, message.fetch_id)
+        if message.fingerprint not in ("", task.request.fingerprint):
+            sink.refuse(tasks.key_reused())
+            return
         task.attach(sink, message.last_event_id)
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -53,9 +53,8 @@
 
 
 def _held(bounds=test_send_queue.BOUNDS):
-    held = send_queue.HeldBytes(bounds)
-    held.budget = memory.MemoryBudget(task.Clock(), BYTES)
-    return held
+    budget = memory.MemoryBudget(task.Clock(), BYTES)
+    return send_queue.HeldBytes(bounds, budget)
 
 
 def _used(held):
@@ -99,7 +98,7 @@
     users = [User(held) for _ in range(3)]
     for number, user in enumerate(users):
         user.queue.write(b"x" * (100 + number))
-    while held.budget.has_room(1) and not held.budget.given_up:
+    while not held.budget.given_up:
         held.budget.hold(Other(), memory.Use.UPLOAD, 101)
     assert [user.is_dropped for user in users] == [False, False, True]
     assert _used(held) == 201
