Refuse states of peers with numbers that can't be

What callers saw: nothing yet; a node that reports nonsense cost others their bounds. A load below nought, or of 10^9 requests, decided what a brittle endpoint is sent and whether it has room; a flag was charged as one unit of a quota; a state of a start far in the future, or with a number beyond every later one, made all true states of its node count as old, so that the node was forgotten after 60 s and its part of the retry budget and the cold rate was used twice.

Cause: only totals of quotas were checked, and the codec reads a bool as 0 or 1 before anything can look at it.

Why it works: types of core.gateway.peer_numbers keep a bool as it came; loads, totals and the order of a state are checked before they are used, each refusal with a line. A node whose states are refused, but which is heard, keeps its part, so nobody's part grows.

--- a/packages/core/src/fireflypulley/core/gateway/limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/limits.py
@@ -10,9 +10,9 @@
 import collections.abc
 import dataclasses
 import enum
-import math
 import typing
 
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import standstill
 from fireflypulley.core import ownership
 
@@ -29,7 +29,7 @@
 what was spent before."""
 
 
-class BadTotals(ValueError):
+class BadTotals(peer_numbers.BadNumber):
     """Totals that no node can have admitted."""
 
 
@@ -158,7 +158,7 @@
         a total is no amount.
         """
         for name, total in totals.items():
-            if not (math.isfinite(total) and 0.0 <= total <= MAX_TOTAL):
+            if isinstance(total, bool) or not 0.0 <= total <= MAX_TOTAL:
                 raise BadTotals(f"{name}: {total}")
         known = self._peer_totals.get((node_id, incarnation))
         if known is None:
--- a/packages/core/src/fireflypulley/core/gateway/load_tracker.py
+++ b/packages/core/src/fireflypulley/core/gateway/load_tracker.py
@@ -3,6 +3,11 @@
 from fireflypulley.core.gateway import capacity_plan
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import loads
+from fireflypulley.core.gateway import peer_numbers
+
+MAX_RUNNING = 10**6
+MAX_WAITING_TOKENS = 10**9
+"""A node has no more at one endpoint."""
 
 
 class LoadTracker:
@@ -43,7 +48,15 @@
         reported: dict[str, loads.ReportedLoad],
         now_s: float,
     ) -> None:
-        """Record another node's load by endpoint."""
+        """Record another node's load by endpoint.
+
+        Raise ``BadNumber``, and record nothing, if there can't be such a
+        load.
+        """
+        for load in reported.values():
+            peer_numbers.check("running", load.running, MAX_RUNNING)
+            most = MAX_WAITING_TOKENS
+            peer_numbers.check("waiting tokens", load.waiting_tokens, most)
         before = self._peer_endpoints.get(node_id, frozenset())
         self._peer_endpoints[node_id] = frozenset(reported)
         for endpoint_id in before | reported.keys():
@@ -51,11 +64,11 @@
             if member is None:
                 continue
             shared = reported.get(endpoint_id)
-            load = self.of(member)
+            own = self.of(member)
             if shared is not None:
-                load.update_peer(node_id, shared, now_s)
+                own.update_peer(node_id, shared, now_s)
             else:
-                load.peers.pop(node_id, None)
+                own.peers.pop(node_id, None)
 
     def demand(self, service: str, now_s: float) -> capacity_plan.Demand:
         """Return the load of all nodes on a service's endpoints."""
--- a/packages/core/src/fireflypulley/core/gateway/node_states.py
+++ b/packages/core/src/fireflypulley/core/gateway/node_states.py
@@ -7,7 +7,9 @@
 import collections.abc
 import typing
 
-Loads = dict[str, tuple[int, int, int]]
+from fireflypulley.core.gateway import peer_numbers
+
+Loads = dict[str, tuple[peer_numbers.Count, peer_numbers.Count, int]]
 """By endpoint: requests, waiting prompt tokens, 1 if suspected."""
 
 
@@ -26,10 +28,10 @@
     """
 
     node_id: str
-    incarnation: int
-    sequence: int
+    incarnation: peer_numbers.Count
+    sequence: peer_numbers.Count
     loads: Loads | None
-    spent: dict[str, float]
+    spent: dict[str, peer_numbers.Amount]
     usage: dict[int, dict[str, int]]
     versions: dict[str, int]
     old_running: dict[str, int]
@@ -41,6 +43,12 @@
         """Return a key that is greater for a newer state."""
         return self.incarnation, self.sequence
 
+    def check_order(self, now_s: float) -> None:
+        """Raise ``BadNumber`` if no state of a node can have this order."""
+        peer_numbers.check_time_ms("incarnation", self.incarnation, now_s)
+        most = peer_numbers.MAX_SEQUENCE
+        peer_numbers.check("sequence", self.sequence, most)
+
     def merged_over(self, older: "NodeState") -> "NodeState":
         """Return this state completed with the values of an older one."""
         if older.incarnation != self.incarnation:
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -8,10 +8,10 @@
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import carriers
 from fireflypulley.core.gateway import duty_claims
-from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import loads
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import overlay
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import sharing
@@ -434,23 +434,32 @@
         self, from_node: str, state: node_states.NodeState, now_s: float
     ) -> None:
         from_relay = from_node in self._overlay.relays
+        try:
+            state.check_order(now_s)
+        except peer_numbers.BadNumber as problem:
+            _log_refused(from_node, problem)
+            if from_node == state.node_id:
+                # Whatever it says, it is there and uses its part.
+                self._peer_registry.note_seen(from_node, now_s)
+            return
         if not self._states.update(state, from_relay):
             return
         self._has_heard_state = True
         node_id, incarnation = state.node_id, state.incarnation
         self._peer_registry.note_seen(node_id, now_s)
-        self._scheduler.loads.update_peer(
-            node_id, self._reported_loads(node_id), now_s
-        )
+        try:
+            self._scheduler.loads.update_peer(
+                node_id, self._reported_loads(node_id), now_s
+            )
+        except peer_numbers.BadNumber as problem:
+            _log_refused(node_id, problem)
         self._scheduler.update_old_running(node_id, state.old_running, now_s)
         try:
             self._scheduler.limits.limiter.update_peer(
                 node_id, incarnation, state.spent, now_s
             )
-        except limits.BadTotals as problem:
-            decision_log.note(
-                "peer", peer=node_id, state="refused", detail=str(problem)
-            )
+        except peer_numbers.BadNumber as problem:
+            _log_refused(node_id, problem)
         self._usage.update_peer(node_id, incarnation, state.usage)
         if state.store_doubted:
             self._follower.health.note_peer_failure()
@@ -481,3 +490,9 @@
                 (reported or {}).items()
             )
         }
+
+
+def _log_refused(node_id: str, problem: peer_numbers.BadNumber) -> None:
+    decision_log.note(
+        "peer", peer=node_id, state="refused", detail=str(problem)
+    )
--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -112,6 +112,7 @@
     """A node without callers and endpoints."""
 
     def __init__(self, network, node_id, started_ms=1):
+        self.network = network
         self.clock = network.clock
         self.node_id = node_id
         entry = peer_registry.NodeEntry(
--- a/tests/gateway/test_bad_peers.py
+++ b/tests/gateway/test_bad_peers.py
@@ -2,8 +2,11 @@
 
 import pytest
 
+from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import node_states
+from fireflypulley.core.gateway import peer_registry
 from fireflypulley.gateway import decision_log
+from fireflypulley.nodes import codec
 from fireflypulley.nodes import messages
 
 from . import networks
@@ -50,3 +53,89 @@
     node.peer_sync.send_state()
     assert [line["detail"] for line in lines] == ["1000000000 nodes"]
     assert node.scheduler._sharing.count(node.clock.seconds()) == 2
+
+
+LATE_MS = 10**15
+"""Far in the future of every clock."""
+
+
+def _state(peer, sequence, **fields):
+    values = {
+        "loads": {},
+        "spent": {},
+        "usage": {},
+        "versions": {},
+        "old_running": {},
+    }
+    incarnation = fields.pop("incarnation", 1)
+    return node_states.NodeState(
+        peer, incarnation, sequence, **(values | fields)
+    )
+
+
+def _receive(node, message):
+    """Let a node receive a message as it comes over a stream."""
+    (peer,) = node.peer_registry.node_ids
+    reader = codec.Reader(codec.MAX_MESSAGE_BYTES)
+    for received in reader.feed(codec.encode(message)):
+        node.peer_sync.message_received(peer, received)
+
+
+def _refused(lines):
+    return [line for line in lines if line.get("state") == "refused"]
+
+
+# Guards against a flag that is charged as an amount.
+def test_a_flag_is_no_total(node, lines):
+    limiter = node.scheduler.limits.limiter
+    ((_, before, _),) = limiter.levels(node.clock.seconds())
+    (peer,) = node.peer_registry.node_ids
+    for sequence, total in ((10**6, 0.0), (10**6 + 1, True)):
+        state = _state(peer, sequence, spent={"w": total})
+        _receive(node, messages.States((state,)))
+    assert limiter.left("w") == before
+    assert len(_refused(lines)) == 1
+
+
+# Guards against a report that hides what other nodes run at an endpoint, or
+# that fills it for ever: both decide what a brittle one is sent.
+@pytest.mark.parametrize(
+    "load", [(-100, 0, 0), (0, -5, 0), (10**9, 0, 0), (True, 0, 0)]
+)
+def test_a_load_that_cannot_be_is_refused_with_a_line(node, lines, load):
+    endpoint = fleet.Registration("e1", "s", "h:1", "a", "v", 4, started_ms=1)
+    member = node.scheduler.fleet.put(endpoint, 0.0)
+    (peer,) = node.peer_registry.node_ids
+    state = _state(peer, 10**6, loads={"e1": load})
+    _receive(node, messages.States((state,)))
+    own = node.scheduler.loads.of(member)
+    now_s = node.clock.seconds()
+    assert own.total_running(now_s) == own.total_waiting_tokens(now_s) == 0
+    assert len(_refused(lines)) == 1
+
+
+# Guards against a state that makes all later ones of its node count as old:
+# the node would be forgotten, and its part be used twice.
+@pytest.mark.parametrize(
+    "order", [(LATE_MS, 1), (-1, 1), (True, 10**6), (1, 2**63), (1, -1)]
+)
+def test_a_state_from_the_future_does_not_hide_its_node(node, lines, order):
+    (peer,) = node.peer_registry.node_ids
+    incarnation, sequence = order
+    state = _state(peer, sequence, incarnation=incarnation)
+    _receive(node, messages.States((state,)))
+    assert len(_refused(lines)) == 1
+    node.network.run(peer_registry.FORGET_AFTER_S + 1.0)
+    assert node.peer_registry.sharing_count(node.clock.seconds()) == 2
+
+
+# Guards against a node that loses its part since it said something odd.
+def test_a_node_whose_states_are_refused_keeps_its_part(node, lines):
+    (peer,) = node.peer_registry.node_ids
+    node.network.kill(peer)
+    for _ in range(70):
+        node.network.run(1.0)
+        state = _state(peer, 1, incarnation=LATE_MS)
+        _receive(node, messages.States((state,)))
+    assert node.peer_registry.sharing_count(node.clock.seconds()) == 2
+    assert _refused(lines)
