Refuse entries of nodes that no node can have

What callers saw: nothing yet; an entry with a start far in the future (from a peer's Introduction, or from a row of the store) replaced the true one, and each later start of that node counted as old: it kept an address at which it is not. An Introduction of 10 001 made-up nodes gave each a part, so that 10 003 nodes shared each bound for 20 s to 60 s.

Cause: entries were applied as they came.

Why it works: PeerRegistry.put raises BadNumber before anything is applied, and an Introduction that lists more than sharing.MAX_NODES is not read at all; each refusal has a line. Left: fewer made-up nodes with a believable start still have parts, as entries are not signed.

--- a/packages/core/src/fireflypulley/core/gateway/peer_registry.py
+++ b/packages/core/src/fireflypulley/core/gateway/peer_registry.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from fireflypulley.core.gateway import peer_numbers
+
 ALIVE_WITHIN_S = 1.0
 RELAYED_ALIVE_WITHIN_S = 2.0
 """With relays, each hop waits for its next heartbeat."""
@@ -25,9 +27,13 @@
     node_id: str
     address: str
     failure_domain: str
-    started_ms: int
+    started_ms: peer_numbers.Count
     cores: float = 1.0
 
+    def check(self, now_s: float) -> None:
+        """Raise ``BadNumber`` if no node can have this entry."""
+        peer_numbers.check_time_ms("started_ms", self.started_ms, now_s)
+
 
 @dataclasses.dataclass(slots=True)
 class _Known:
@@ -46,9 +52,13 @@
         self._gone_ms: dict[str, int] = {}
 
     def put(self, entry: NodeEntry, now_s: float) -> bool:
-        """Apply an entry; return whether it is new."""
+        """Apply an entry; return whether it is new.
+
+        Raise ``BadNumber``, and apply nothing, if it can be no entry.
+        """
         if entry.node_id == self.this.node_id:
             return False
+        entry.check(now_s)
         known = self._known.get(entry.node_id)
         if known is not None:
             if entry.started_ms <= known.entry.started_ms:
--- a/packages/gateway/src/fireflypulley/gateway/membership.py
+++ b/packages/gateway/src/fireflypulley/gateway/membership.py
@@ -121,6 +121,7 @@
                 continue
             try:
                 entry = peer_registry.NodeEntry(**json.loads(row.value))
+                is_new = self._peer_registry.put(entry, now_s)
             except (TypeError, ValueError) as problem:
                 decision_log.note(
                     "unreadable",
@@ -136,5 +137,5 @@
                 self._has_run = True
                 since_ms = this.started_ms - entry.started_ms
                 self.since_previous_s = max(0.0, since_ms / 1000)
-            has_changed = self._peer_registry.put(entry, now_s) or has_changed
+            has_changed = is_new or has_changed
         return key, has_changed
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -421,8 +421,12 @@
         nodes: tuple[peer_registry.NodeEntry, ...],
         now_s: float,
     ) -> None:
+        if len(nodes) > sharing.MAX_NODES:
+            problem = peer_numbers.BadNumber(f"{len(nodes)} nodes")
+            _log_refused(node_id, problem)
+            return
         new_nodes = tuple(
-            node for node in nodes if self._peer_registry.put(node, now_s)
+            node for node in nodes if self._put_node(node_id, node, now_s)
         )
         if not new_nodes:
             return
@@ -430,6 +434,16 @@
         if not self._overlay.is_mesh:
             self.hub.broadcast(messages.Introduction(new_nodes), node_id)
 
+    def _put_node(
+        self, from_node: str, node: peer_registry.NodeEntry, now_s: float
+    ) -> bool:
+        """Apply an entry; return whether it is new."""
+        try:
+            return self._peer_registry.put(node, now_s)
+        except peer_numbers.BadNumber as problem:
+            _log_refused(from_node, problem)
+            return False
+
     def _receive_state(
         self, from_node: str, state: node_states.NodeState, now_s: float
     ) -> None:
--- a/tests/gateway/test_bad_peers.py
+++ b/tests/gateway/test_bad_peers.py
@@ -5,6 +5,7 @@
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import sharing
 from fireflypulley.gateway import decision_log
 from fireflypulley.nodes import codec
 from fireflypulley.nodes import messages
@@ -139,3 +140,27 @@
         _receive(node, messages.States((state,)))
     assert node.peer_registry.sharing_count(node.clock.seconds()) == 2
     assert _refused(lines)
+
+
+# Guards against an entry that makes each later start of its node count as
+# old, with an address at which it is not.
+@pytest.mark.parametrize("started_ms", [LATE_MS, -1, True])
+def test_an_entry_from_the_future_is_refused_with_a_line(
+    node, lines, started_ms
+):
+    (peer,) = node.peer_registry.node_ids
+    entry = peer_registry.NodeEntry(peer, "h:9", "a", started_ms)
+    _receive(node, messages.Introduction((entry,)))
+    assert node.peer_registry.get(peer).address == f"{peer}:1"
+    assert len(_refused(lines)) == 1
+
+
+# Guards against made-up nodes, each of which would have a part.
+def test_more_nodes_than_there_can_be_are_refused_with_a_line(node, lines):
+    entries = tuple(
+        peer_registry.NodeEntry(f"x{number}", "h:9", "a", 1)
+        for number in range(sharing.MAX_NODES + 1)
+    )
+    _receive(node, messages.Introduction(entries))
+    assert node.peer_registry.sharing_count(node.clock.seconds()) == 2
+    assert len(_refused(lines)) == 1
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import membership
 
 STARTED_MS = 1_000_000
@@ -71,6 +72,17 @@
     assert not _joined(*others).is_first_start
 
 
+# Guards against a row that makes each later start of its node count as old.
+def test_a_row_from_the_future_is_passed_over_with_a_line(monkeypatch):
+    noted = []
+    monkeypatch.setattr(
+        decision_log, "note", lambda kind, **fields: noted.append(kind)
+    )
+    joined = _joined(_node("n2", -1e9), _node("n3", 1.0))
+    assert joined._peer_registry.node_ids == ("n3",)
+    assert noted.count("unreadable") == 1
+
+
 # Guards against a node that is killed again and again and has the retries
 # of a start each time.
 def test_a_node_knows_from_its_row_when_it_had_started():
