Refuse limits of endpoints that can't be, with a line

What callers saw: nothing yet; a peer that asked for a permit and named a limit of NaN, below nought or without end got one from the holder of the duty, for an endpoint whose limit the holder did not know. A limit reported with the revision 2^64 - 1 was kept: the next could not be written to a message any more. Limits that were dropped had no line.

Cause: EndpointLimits.merge passed over a bad rate without a word, which the issuer took for a limit that has ended; revisions and flags were not looked at.

Evidence: tests/gateway/test_bad_peers.py, 7 bad limits each in a report and in a request for a permit; all 14 failed before.

Why it works: EndpointLimit.check raises BadNumber before anything is applied, passed on or issued; the receivers log it.

--- a/packages/core/src/fireflypulley/core/gateway/endpoint_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_limits.py
@@ -6,8 +6,9 @@
 
 import collections.abc
 import dataclasses
-import math
+import sys
 
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import presence
 
 Key = tuple[str, int]
@@ -24,20 +25,25 @@
     """
 
     endpoint_id: str
-    started_ms: int
-    revision: int
-    rate_per_s: float | None
+    started_ms: peer_numbers.Count
+    revision: peer_numbers.Count
+    rate_per_s: peer_numbers.Amount | None
 
     @property
     def key(self) -> Key:
         """Return the key of the endpoint's start."""
         return self.endpoint_id, self.started_ms
 
-    @property
-    def is_valid(self) -> bool:
-        """Return whether the rate, if any, is a positive number."""
-        rate_per_s = self.rate_per_s
-        return rate_per_s is None or 0.0 < rate_per_s < math.inf
+    def check(self) -> None:
+        """Raise ``BadNumber`` if no endpoint can have this limit."""
+        most = peer_numbers.MAX_SEQUENCE
+        peer_numbers.check("started_ms", self.started_ms, most)
+        peer_numbers.check("revision", self.revision, most)
+        if self.rate_per_s is None:
+            return
+        peer_numbers.check("rate", self.rate_per_s, sys.float_info.max)
+        if not self.rate_per_s:
+            raise peer_numbers.BadNumber("rate: 0")
 
     @property
     def rank(self) -> tuple[int, bool, float]:
@@ -100,12 +106,14 @@
         return self._replace(key, known, None)
 
     def merge(self, limit: EndpointLimit, now_s: float) -> bool:
-        """Apply a report of another node; return whether it is news."""
+        """Apply a report of another node; return whether it is news.
+
+        Raise ``BadNumber``, and apply nothing, if there is no such limit.
+        """
+        limit.check()
         known = self._limits.get(limit.key)
         if known is not None and known.rank >= limit.rank:
             return False
-        if not limit.is_valid:
-            return False
         self._limits[limit.key] = limit
         self._named_s[limit.key] = now_s
         return True
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -400,10 +400,18 @@
         elif isinstance(message, messages.UsageReports):
             self.usage_reports.receive(node_id, message.reports, now_s)
         elif isinstance(message, messages.PermitRequest):
-            self._permits.receive_request(message)
+            self._receive_permit_request(node_id, message)
         elif isinstance(message, messages.PermitResponse):
             self._permits.receive_response(message)
 
+    def _receive_permit_request(
+        self, node_id: str, message: messages.PermitRequest
+    ) -> None:
+        try:
+            self._permits.receive_request(message)
+        except peer_numbers.BadNumber as problem:
+            _log_refused(node_id, problem)
+
     def _receive_facts(
         self,
         node_id: str,
--- a/packages/gateway/src/fireflypulley/gateway/permit_broker.py
+++ b/packages/gateway/src/fireflypulley/gateway/permit_broker.py
@@ -188,7 +188,11 @@
     # Requests of other nodes
 
     def receive_request(self, message: messages.PermitRequest) -> None:
-        """Issue a permit, or pass the request on to the issuer."""
+        """Issue a permit, or pass the request on to the issuer.
+
+        Raise ``BadNumber`` if the limit that it names can't be.
+        """
+        message.limit.check()
         links = self._links
         if links is None or not message.path:
             return
--- a/packages/gateway/src/fireflypulley/gateway/report_replication.py
+++ b/packages/gateway/src/fireflypulley/gateway/report_replication.py
@@ -5,6 +5,7 @@
 import typing
 
 from fireflypulley.core.gateway import endpoint_limits
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import crash_detector
@@ -30,7 +31,10 @@
 
     @abc.abstractmethod
     def _merge(self, report: Report, now_s: float) -> bool:
-        """Apply a report; return whether it is news."""
+        """Apply a report; return whether it is news.
+
+        Raise ``BadNumber`` if no node can report this.
+        """
 
     @abc.abstractmethod
     def _message(self, reports: tuple[Report, ...]) -> messages.Message:
@@ -57,12 +61,23 @@
         now_s: float,
     ) -> None:
         """Apply reports; pass those that are news on to the other nodes."""
-        news = tuple(one for one in reports if self._merge(one, now_s))
+        news = tuple(
+            one for one in reports if self._is_news(one, from_node, now_s)
+        )
         for report in news:
             self._log(report, from_node)
         if news:
             self._send(news, from_node)
 
+    def _is_news(self, report: Report, from_node: str, now_s: float) -> bool:
+        try:
+            return self._merge(report, now_s)
+        except peer_numbers.BadNumber as problem:
+            decision_log.note(
+                "peer", peer=from_node, state="refused", detail=str(problem)
+            )
+            return False
+
     def _send(
         self, reports: tuple[Report, ...], except_node: str | None
     ) -> None:
--- a/tests/gateway/test_bad_peers.py
+++ b/tests/gateway/test_bad_peers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
@@ -56,6 +57,7 @@
     assert node.scheduler._sharing.count(node.clock.seconds()) == 2
 
 
+NAN = float("nan")
 LATE_MS = 10**15
 """Far in the future of every clock."""
 
@@ -164,3 +166,44 @@
     _receive(node, messages.Introduction(entries))
     assert node.peer_registry.sharing_count(node.clock.seconds()) == 2
     assert len(_refused(lines)) == 1
+
+
+BAD_LIMITS = [
+    {"rate_per_s": NAN},
+    {"rate_per_s": -1.0},
+    {"rate_per_s": float("inf")},
+    {"rate_per_s": True},
+    {"revision": 2**64 - 1},
+    {"revision": -1},
+    {"started_ms": -1},
+]
+
+
+def _limit(**fields):
+    values = {"started_ms": 1, "revision": 5, "rate_per_s": 1.0}
+    return endpoint_limits.EndpointLimit("e1", **(values | fields))
+
+
+# Guards against a limit that no later one replaces, and one that is none.
+@pytest.mark.parametrize("fields", BAD_LIMITS)
+def test_a_limit_that_cannot_be_is_refused_with_a_line(node, lines, fields):
+    _receive(node, messages.LimitReports((_limit(**fields),)))
+    assert not node.scheduler.limited.limits.known()
+    assert len(_refused(lines)) == 1
+
+
+# Guards against a permit for an endpoint whose limit is not known.
+@pytest.mark.parametrize("fields", BAD_LIMITS)
+def test_no_permit_is_issued_for_a_limit_that_cannot_be(
+    node, lines, fields, monkeypatch
+):
+    node.holds = True
+    sent = []
+    monkeypatch.setattr(
+        node.hub, "send_to", lambda node_ids, message: sent.append(message)
+    )
+    (peer,) = node.peer_registry.node_ids
+    _receive(node, messages.PermitRequest(1, _limit(**fields), (peer,)))
+    assert not sent
+    assert not node.scheduler.limited.limits.known()
+    assert len(_refused(lines)) == 1
