Refuse permits with a time that can't be

What callers saw: nothing yet; an answer with a time below nought, or a flag of False, counted as a permit that was issued, and one with 10^300 seconds closed a limited endpoint for this node for ever.

Cause: any time of at most 0 was a permit, and none was too long.

Evidence: tests/gateway/test_bad_peers.py test_a_time_that_cannot_be_is_no_permit, 5 of 5 cases failed before.

Why it works: the answer is refused with a line before it is used or passed back; what it answers counts as unanswered after 0.15 s. The longest time allowed is that of an issuer that reaches one of the most nodes there can be, at the lowest rate.

--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -399,16 +399,21 @@
             self.crashes.receive(node_id, message.reports, now_s)
         elif isinstance(message, messages.UsageReports):
             self.usage_reports.receive(node_id, message.reports, now_s)
-        elif isinstance(message, messages.PermitRequest):
-            self._receive_permit_request(node_id, message)
-        elif isinstance(message, messages.PermitResponse):
-            self._permits.receive_response(message)
+        elif isinstance(
+            message, messages.PermitRequest | messages.PermitResponse
+        ):
+            self._receive_permit_message(node_id, message)
 
-    def _receive_permit_request(
-        self, node_id: str, message: messages.PermitRequest
+    def _receive_permit_message(
+        self,
+        node_id: str,
+        message: messages.PermitRequest | messages.PermitResponse,
     ) -> None:
         try:
-            self._permits.receive_request(message)
+            if isinstance(message, messages.PermitRequest):
+                self._permits.receive_request(message)
+            else:
+                self._permits.receive_response(message)
         except peer_numbers.BadNumber as problem:
             _log_refused(node_id, problem)
 
--- a/packages/gateway/src/fireflypulley/gateway/permit_broker.py
+++ b/packages/gateway/src/fireflypulley/gateway/permit_broker.py
@@ -16,14 +16,18 @@
 
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import permit_issuer
 from fireflypulley.core.gateway import scheduler
+from fireflypulley.core.gateway import sharing
 from fireflypulley.nodes import messages
 
 FEATURE = "permits"
 ASK_TIMEOUT_S = 0.15
 UNANSWERED_WAIT_S = 0.25
+MAX_WAIT_S = sharing.MAX_NODES / limits.MIN_RATE_PER_S
+"""An issuer that reaches only itself has a permit in less."""
 MAX_PATH_NODES = 3
 REMEMBERED_REQUESTS = 1000
 REQUEST_NUMBER_BITS = 48
@@ -228,7 +232,11 @@
         )
 
     def receive_response(self, message: messages.PermitResponse) -> None:
-        """Complete a request of this node, or pass the response back."""
+        """Complete a request of this node, or pass the response back.
+
+        Raise ``BadNumber`` if nobody can have to wait so long.
+        """
+        peer_numbers.check("wait", message.wait_s, MAX_WAIT_S)
         if not message.path:
             permit = _permit(message.wait_s, message.issuer)
             self._answer(message.number, permit)
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -9,6 +9,7 @@
 from fireflypulley.core import facts
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import node_states
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import rows
@@ -316,6 +317,6 @@
     """
 
     number: int
-    wait_s: float
+    wait_s: peer_numbers.Amount
     issuer: str
     path: tuple[str, ...]
--- a/tests/gateway/test_bad_peers.py
+++ b/tests/gateway/test_bad_peers.py
@@ -6,8 +6,10 @@
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import node_states
 from fireflypulley.core.gateway import peer_registry
+from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import sharing
 from fireflypulley.gateway import decision_log
+from fireflypulley.gateway import permit_broker
 from fireflypulley.nodes import codec
 from fireflypulley.nodes import messages
 
@@ -207,3 +209,25 @@
     assert not sent
     assert not node.scheduler.limited.limits.known()
     assert len(_refused(lines)) == 1
+
+
+# Guards against a time below nought that counts as a permit, and one that
+# closes an endpoint for ever.
+@pytest.mark.parametrize("wait_s", [-5.0, NAN, 1e300, True, False])
+def test_a_time_that_cannot_be_is_no_permit(node, lines, wait_s, monkeypatch):
+    (peer,) = node.peer_registry.node_ids
+    sent = []
+    monkeypatch.setattr(
+        node.hub, "send_to", lambda node_ids, message: sent.append(message)
+    )
+    node.peer_sync.duty_claims.note(peer, True, node.clock.seconds())
+    answers = []
+    node.permits.request(_limit()).addCallback(answers.append)
+    (asked,) = sent
+    answer = messages.PermitResponse(asked.number, wait_s, peer, ())
+    _receive(node, answer)
+    assert not answers
+    node.network.run(permit_broker.ASK_TIMEOUT_S + 0.05)
+    (permit,) = answers
+    assert permit.reason is permit_gate.PermitReason.UNANSWERED
+    assert len(_refused(lines)) == 1
