--- a/tests/core/gateway/fleets.py
+++ b/tests/core/gateway/fleets.py
@@ -62,25 +62,39 @@
     def run(self, now_s, chance, is_failing):
         """Read what waits, then tick."""
         clock_s = now_s + self.clock_offset_s
-        for _ in self.waiting:
-            self.budget.note_request("s", clock_s)
-            if is_failing:
-                self._retry(now_s, clock_s, chance)
+        for sent_s in self.waiting:
+            self._serve(sent_s, now_s, chance, is_failing)
         self.waiting.clear()
-        for node_id in self.heard:
-            self.registry.note_seen(node_id, clock_s)
+        for state in self.heard:
+            self._receive(state, clock_s)
         self.heard.clear()
         if now_s < self.next_tick_s:
             return False
         self.next_tick_s = now_s + TICK_S
         self.registry.forget_gone(clock_s)
-        self.budget.tick(clock_s)
-        self.sharing.note(self.registry.sharing_count(clock_s), clock_s)
+        self._tick(clock_s)
         if not self.is_joined:
             self.is_joined = True
             self.sharing.join(self.started_s, self.is_first, clock_s)
         return True
 
+    def _serve(self, sent_s, now_s, chance, is_failing):
+        clock_s = now_s + self.clock_offset_s
+        self.budget.note_request("s", clock_s)
+        if is_failing:
+            self._retry(now_s, clock_s, chance)
+
+    def _tick(self, clock_s):
+        self.budget.tick(clock_s)
+        self.sharing.note(self.registry.sharing_count(clock_s), clock_s)
+
+    def state(self):
+        """Return what the node tells the others."""
+        return self.node_id
+
+    def _receive(self, state, clock_s):
+        self.registry.note_seen(state, clock_s)
+
     def _retry(self, now_s, clock_s, chance):
         for _ in range(ATTEMPTS - 1):
             count = self.sharing.count(clock_s)
@@ -91,13 +105,15 @@
 class Fleet:
     """Nodes whose endpoints fail all, asked by callers at a rate."""
 
+    node_type = Node
+
     def __init__(self, seed, nodes, per_s):
         self.chance = random.Random(seed)
         self.now_s = 0.0
         self.per_s = per_s
         self.sent_s = []
         self.retries_s = []
-        self.nodes = [Node(f"n{number}") for number in range(nodes)]
+        self.nodes = [self.node_type(f"n{number}") for number in range(nodes)]
         self.weights = [1.0] * nodes
         self.cuts = []
         self.fails_from_s = 0.0
@@ -125,13 +141,16 @@
         arrived = [one for one in node.under_way_s if one <= self.now_s]
         for one in arrived:
             node.under_way_s.remove(one)
-            self.retries_s.append(self.now_s)
+            self._arrive(one)
         is_failing = self.now_s >= self.fails_from_s
         if not node.run(self.now_s, self.chance, is_failing):
             return
         for other in self.nodes:
             if other is not node and not self._is_cut(node, other):
-                other.heard.append(node.node_id)
+                other.heard.append(node.state())
+
+    def _arrive(self, due_s):
+        self.retries_s.append(self.now_s)
 
     def _is_cut(self, sender, receiver):
         self.cuts = [cut for cut in self.cuts if cut[0] > self.now_s]
--- a/tests/core/gateway/test_retry_model.py
+++ b/tests/core/gateway/test_retry_model.py
@@ -2,50 +2,14 @@
 
 import pytest
 
+from . import fleet_faults
 from . import fleets
 
 PER_S = 40.0
-FREEZES_S = (0.6, 12.0)
-CUTS_S = (1.0, 40.0)
 PARTITION_S = 25.0
-WEIGHTS = (0.0, 0.0, 0.2, 1.0)
 RATES_PER_S = (0.0, 10.0, 40.0, 40.0, 80.0)
 
 
-def _some(fleet):
-    count = fleet.chance.randint(1, len(fleet.nodes))
-    return fleet.chance.sample(fleet.nodes, count)
-
-
-def _freeze(fleet):
-    for_s = fleet.chance.uniform(*FREEZES_S)
-    for node in _some(fleet):
-        node.freeze(fleet.now_s, for_s)
-
-
-def _cut(fleet):
-    for_s = fleet.chance.uniform(*CUTS_S)
-    fleet.cut(_some(fleet), for_s, fleet.chance.random() < 0.5)
-
-
-def _restart(fleet):
-    """Restart some nodes, each once in a window."""
-    for node in _some(fleet):
-        is_old = fleet.now_s - node.started_s >= fleets.WINDOW_S
-        if is_old and node.thaws_s <= fleet.now_s:
-            fleet.restart(node)
-
-
-def _replace(fleet):
-    """Let a node end for ever, and a new one come."""
-    fleet.replace(fleet.chance.choice(fleet.nodes))
-
-
-def _set_clock(fleet):
-    for node in _some(fleet):
-        node.clock_offset_s += fleet.chance.uniform(-20.0, 20.0)
-
-
 # Guards against nodes that, after they stood still, count the requests that
 # had waited for them as if they had been sent just now.
 @pytest.mark.parametrize("nodes", [6, 9, 12])
@@ -66,7 +30,14 @@
     fleet = fleets.Fleet(seed, 6, PER_S)
     fleet.play(15.0)
     for _ in range(10):
-        fault = fleet.chance.choice((_freeze, _cut, _restart, _replace))
+        fault = fleet.chance.choice(
+            (
+                fleet_faults.freeze,
+                fleet_faults.cut,
+                fleet_faults.restart,
+                fleet_faults.replace,
+            )
+        )
         fault(fleet)
         fleet.play(fleet.chance.uniform(0.2, 8.0))
     fleet.play(12.0)
@@ -78,7 +49,9 @@
     fleet = fleets.Fleet(seed, 6, PER_S)
     fleet.play(15.0)
     for _ in range(8):
-        fleet.chance.choice((_freeze, _set_clock))(fleet)
+        fleet.chance.choice((fleet_faults.freeze, fleet_faults.set_clock))(
+            fleet
+        )
         fleet.play(fleet.chance.uniform(0.2, 8.0))
     fleet.play(12.0)
     assert fleet.excess() <= 0
@@ -97,9 +70,7 @@
 
 def _move(fleet):
     """Let callers choose other nodes, and ask more or less often."""
-    fleet.weights = [fleet.chance.choice(WEIGHTS) for _ in fleet.nodes]
-    if not any(fleet.weights):
-        fleet.weights[0] = 1.0
+    fleet_faults.move(fleet)
     fleet.per_s = fleet.chance.choice(RATES_PER_S)
 
 
@@ -113,7 +84,14 @@
     fleet.play(15.0 + fleet.chance.uniform(0.0, 3.0))
     for _ in range(8):
         _move(fleet)
-        fault = fleet.chance.choice((_freeze, _cut, _restart, _replace))
+        fault = fleet.chance.choice(
+            (
+                fleet_faults.freeze,
+                fleet_faults.cut,
+                fleet_faults.restart,
+                fleet_faults.replace,
+            )
+        )
         fault(fleet)
         fleet.play(fleet.chance.uniform(0.5, 8.0))
     fleet.play(12.0)
