--- a/packages/core/src/fireflypulley/core/gateway/leaving_reports.py
+++ b/packages/core/src/fireflypulley/core/gateway/leaving_reports.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import peer_numbers
 
 KEPT_S = 60.0
 """An endpoint that leaves is gone after this time."""
@@ -19,18 +20,20 @@
     """A start of an endpoint said ``age_s`` ago that it leaves."""
 
     endpoint_id: str
-    started_ms: int
-    age_s: float = 0.0
+    started_ms: peer_numbers.Count
+    age_s: peer_numbers.Amount = 0.0
 
     @property
     def key(self) -> tuple[str, int]:
         """Return the key of the endpoint's start."""
         return self.endpoint_id, self.started_ms
 
-    @property
-    def is_valid(self) -> bool:
-        """Return whether its age is a time that can be."""
-        return 0.0 <= self.age_s <= KEPT_S
+    def check(self) -> None:
+        """Raise ``BadNumber`` if no endpoint can have said this."""
+        peer_numbers.check(
+            "started_ms", self.started_ms, peer_numbers.MAX_SEQUENCE
+        )
+        peer_numbers.check("age", self.age_s, KEPT_S)
 
 
 class LeavingReports:
@@ -50,10 +53,12 @@
     def merge(self, report: LeavingReport, now_s: float) -> bool:
         """Apply a report; return whether it is news to this node.
 
-        What its entry in the store says already is none.
+        What its entry in the store says already is none.  Raise
+        ``BadNumber``, and apply nothing, if there is no such report.
         """
+        report.check()
         self._forget_old(now_s)
-        if not report.is_valid or report.key in self._said_s:
+        if report.key in self._said_s:
             return False
         if len(self._said_s) >= MAX_REPORTS:
             return False
--- a/packages/nodes/src/fireflypulley/nodes/messages.py
+++ b/packages/nodes/src/fireflypulley/nodes/messages.py
@@ -10,6 +10,7 @@
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import leaving_reports
 from fireflypulley.core.gateway import node_states
+from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import rows
@@ -329,6 +330,6 @@
     """
 
     number: int
-    wait_s: float
+    wait_s: peer_numbers.Amount
     issuer: str
     path: tuple[str, ...]
--- a/tests/core/gateway/test_leaving_reports.py
+++ b/tests/core/gateway/test_leaving_reports.py
@@ -6,6 +6,7 @@
 
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import leaving_reports
+from fireflypulley.core.gateway import peer_numbers
 
 from . import builders
 
@@ -47,12 +48,12 @@
     assert known.is_in_use(known.get("e1"), 5.0)
 
 
-@pytest.mark.parametrize("age_s", [-1.0, math.nan, math.inf, 1e30])
+@pytest.mark.parametrize("age_s", [-1.0, math.nan, math.inf, 1e30, True])
 def test_an_age_that_can_be_none_is_refused(age_s):
     known, reports = _reports("e1")
     report = leaving_reports.LeavingReport("e1", 1, age_s)
-    assert not report.is_valid
-    assert not reports.merge(report, 5.0)
+    with pytest.raises(peer_numbers.BadNumber):
+        reports.merge(report, 5.0)
     assert known.is_in_use(known.get("e1"), 5.0)
 
 
