Find shorter plans that break a rule of the soak

The shortest that broke the rule of the first break is saved as shorter.json.

No break of real processes was shortened yet.

--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
 import sys
 import tempfile
@@ -15,6 +16,7 @@
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
 from fireflystandins.soak import scenarios
+from fireflystandins.soak import shrink
 from fireflystandins.soak import system
 
 EXIT_BROKEN = 1
@@ -32,6 +34,26 @@
     return seen, [(one, one.judge(seen)) for one in checks.create()]
 
 
+def shorten(
+    folder: pathlib.Path, played: plan.Plan, rule: str
+) -> pathlib.Path:
+    """Save the shortest plan found that breaks a rule; return its path."""
+    folders = (folder / f"shorter-{n}" for n in itertools.count(1))
+
+    def is_broken(shorter: plan.Plan) -> bool:
+        into = next(folders)
+        _, judged = play(into, shorter)
+        shorter.save(into / "plan.json")
+        broken = {checker.rule for checker, found in judged if found.breaks}
+        told = ", ".join(sorted(broken)) or "nothing"
+        print(f"{into.name}: {len(shorter.strikes)} strikes broke {told}")
+        return rule in broken
+
+    path = folder / "shorter.json"
+    shrink.Shrinker(is_broken).shorten(played).save(path)
+    return path
+
+
 @cappa.command(name="soak")
 @dataclasses.dataclass
 class Soak:
@@ -58,6 +80,13 @@
         pathlib.Path | None,
         cappa.Arg(long="--plan", help="A saved plan to play instead."),
     ] = None
+    shrink: typing.Annotated[
+        bool,
+        cappa.Arg(
+            long="--shrink",
+            help="Find shorter plans that break the first broken rule.",
+        ),
+    ] = False
     out: typing.Annotated[
         pathlib.Path | None,
         cappa.Arg(long="--out", help="Folder for plans and logs."),
@@ -108,6 +137,11 @@
             print(report.describe(seen, one, folder))
         for one in breaks[report.MAX_BREAKS_SHOWN :]:
             print(f"{one.rule} {one.request_id} at {one.node}: {one.text}")
-        if breaks:
-            print(f"again: python -m fireflystandins soak --plan {path}")
-        return bool(breaks)
+        if not breaks:
+            return False
+        print(f"again: python -m fireflystandins soak --plan {path}")
+        if self.shrink:
+            first = min(breaks, key=lambda one: one.at_s)
+            shorter = shorten(folder, played, first.rule)
+            print(f"shorter, for {first.rule}: {shorter}")
+        return True
