--- /dev/null
+++ b/standins/fireflystandins/soak/checks/__init__.py
@@ -0,0 +1,28 @@
+"""The checkers of the rules that need no prices.
+
+Each judges what callers, endpoints and the operator saw, and nothing that a
+node says of itself.
+"""
+
+from fireflystandins.soak.checks import base
+from fireflystandins.soak.checks import budget
+from fireflystandins.soak.checks import drain
+from fireflystandins.soak.checks import lost
+from fireflystandins.soak.checks import mixed
+from fireflystandins.soak.checks import order
+from fireflystandins.soak.checks import processes
+from fireflystandins.soak.checks import twice
+
+
+def create() -> list[base.Checker]:
+    """Return all checkers."""
+    return [
+        lost.Lost(),
+        order.Order(),
+        mixed.Mixed(),
+        twice.Twice(),
+        budget.Repeats(),
+        drain.Drain(),
+        processes.OwnEnds(),
+        processes.Growth(),
+    ]
--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -12,6 +12,7 @@
 import pydantic
 
 from fireflystandins.soak import checks
+from fireflystandins.soak.checks import base
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
@@ -21,7 +22,7 @@
 
 EXIT_BROKEN = 1
 EXIT_INPUT = 2
-_Judged = list[tuple[checks.Checker, checks.Verdict]]
+_Judged = list[tuple[base.Checker, base.Verdict]]
 
 
 def play(
--- a/standins/fireflystandins/soak/report.py
+++ b/standins/fireflystandins/soak/report.py
@@ -8,7 +8,7 @@
 import time
 
 from fireflystandins.soak import callers
-from fireflystandins.soak import checks
+from fireflystandins.soak.checks import base
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 
@@ -19,7 +19,7 @@
 
 
 def table(
-    judged: collections.abc.Sequence[tuple[checks.Checker, checks.Verdict]],
+    judged: collections.abc.Sequence[tuple[base.Checker, base.Verdict]],
 ) -> str:
     """Return the table: rule, times checked, times broken."""
     rows = [f"{'rule':10}{'checked':>9}{'broken':>8}  sentence"]
@@ -81,7 +81,7 @@
 
 
 def describe(
-    seen: evidence.Evidence, broken: checks.Break, folder: pathlib.Path
+    seen: evidence.Evidence, broken: base.Break, folder: pathlib.Path
 ) -> str:
     """Return the first event of a break and the log lines around it."""
     rows = [f"{broken.rule} at {broken.node}: {broken.text}"]
--- a/tests/processes/test_early_ends.py
+++ b/tests/processes/test_early_ends.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from fireflystandins.soak import checks
+from fireflystandins.soak.checks import lost
+from fireflystandins.soak.checks import mixed
 from fireflystandins.soak import command
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
@@ -53,7 +54,7 @@
     stop = plan.Strike(8.6, plan.Kind.STOP, "node1")
     played = plan.Plan(702, 3, 3, 18.0, MANY, (*silences, stop))
     seen, _ = command.play(tmp_path, played)
-    verdict = checks.Lost().judge(seen)
+    verdict = lost.Lost().judge(seen)
     assert verdict.checked > 0
     assert [one.text for one in verdict.breaks] == []
 
@@ -78,6 +79,6 @@
     played = plan.Plan(49, 2, 1, 22.0, PARTS, tuple(drops))
     seen, _ = command.play(tmp_path, played)
     assert len(seen.performed(plan.Kind.DROP)) == len(drops)
-    verdict = checks.Mixed().judge(seen)
+    verdict = mixed.Mixed().judge(seen)
     assert verdict.checked > 0
     assert [one.text for one in verdict.breaks] == []
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -4,6 +4,7 @@
 import pytest
 
 from fireflystandins.soak import checks
+from fireflystandins.soak.checks import base
 from fireflystandins.soak import command
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
@@ -17,8 +18,8 @@
     strike = NEEDED.get(checker.rule)
     breaks = []
     if strike in played.strikes:
-        breaks = [checks.Break(checker.rule, AT_S[checker.rule], "broken")]
-    return checks.Verdict(1, breaks)
+        breaks = [base.Break(checker.rule, AT_S[checker.rule], "broken")]
+    return base.Verdict(1, breaks)
 
 
 @pytest.fixture
