Check duties, recovery and time-outs in the soak

Three rules of the soak that had no checker, each judged from evidence that was there: the calls of duties that the store's stand-in keeps (ONE: reports of a window that differ, a fencing token of two holders or that falls, a holder that comes back within its lease), how nodes serve 12 s after the last strike (RECOVER), and requests held beyond the time-out of their route (TIME-OUT).

--- a/standins/fireflystandins/soak/checks/__init__.py
+++ b/standins/fireflystandins/soak/checks/__init__.py
@@ -7,10 +7,13 @@
 from fireflystandins.soak.checks import base
 from fireflystandins.soak.checks import budget
 from fireflystandins.soak.checks import drain
+from fireflystandins.soak.checks import duties
 from fireflystandins.soak.checks import lost
 from fireflystandins.soak.checks import mixed
 from fireflystandins.soak.checks import order
 from fireflystandins.soak.checks import processes
+from fireflystandins.soak.checks import recover
+from fireflystandins.soak.checks import timeouts
 from fireflystandins.soak.checks import twice
 
 
@@ -23,6 +26,9 @@
         twice.Twice(),
         budget.Repeats(),
         drain.Drain(),
+        duties.Duties(),
+        timeouts.Timeouts(),
+        recover.Recover(),
         processes.OwnEnds(),
         processes.Growth(),
     ]
--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -22,6 +22,7 @@
 
 EXIT_BROKEN = 1
 EXIT_INPUT = 2
+REST_S = 16.0
 _Judged = list[tuple[base.Checker, base.Verdict]]
 
 
@@ -32,6 +33,7 @@
     with system.running(folder, played) as running:
         seen = asyncio.run(system.play(running))
         running.collect_runs()
+        running.collect_duties()
     return seen, [(one, one.judge(seen)) for one in checks.create()]
 
 
@@ -66,6 +68,14 @@
     ] = 1
     nodes: typing.Annotated[int, cappa.Arg(long="--nodes")] = 4
     lasts_s: typing.Annotated[float, cappa.Arg(long="--lasts-s")] = 45.0
+    rest_s: typing.Annotated[
+        float,
+        cappa.Arg(
+            long="--rest-s",
+            help="How much longer callers go on than --lasts-s or a"
+            " scenario says, so that RECOVER has something to judge.",
+        ),
+    ] = REST_S
     in_turn: typing.Annotated[
         bool,
         cappa.Arg(long="--in-turn", help="Stop six nodes one by one."),
@@ -119,6 +129,11 @@
             raise cappa.Exit(code=EXIT_INPUT)
 
     def _build(self, seed: int) -> plan.Plan:
+        played = self._draw(seed)
+        lasts_s = played.lasts_s + self.rest_s
+        return dataclasses.replace(played, lasts_s=lasts_s)
+
+    def _draw(self, seed: int) -> plan.Plan:
         if self.scenario:
             return scenarios.build(self.scenario, seed)
         if self.in_turn:
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -9,6 +9,7 @@
 import json
 import math
 import pathlib
+import typing
 
 from fireflystandins.soak import callers
 from fireflystandins.soak import plan
@@ -46,6 +47,19 @@
     flaw: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyCall:
+    """A call of a duty, as the cloud saw it; ``window`` is a report's."""
+
+    duty: str
+    subject: str
+    holder: str
+    token: int
+    at_s: float
+    content: str = ""
+    window: str = ""
+
+
 @dataclasses.dataclass
 class Evidence:
     """All that was seen."""
@@ -54,6 +68,7 @@
     answers: list[callers.Answer] = dataclasses.field(default_factory=list)
     happenings: list[Happening] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    duty_calls: list[DutyCall] = dataclasses.field(default_factory=list)
     copies: int = 0
     """Late copies of answers that endpoints wrote."""
     leaves: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -124,6 +139,23 @@
         has_ended = has_exited or run.how in ("dropped", "cut")
         return has_ended or self.was_disturbed(run.began_s, ended_s, failed)
 
+    def read_duty(
+        self, duty: str, calls: list[dict[str, typing.Any]], offset_s: float
+    ) -> None:
+        """Add a duty's calls; ``offset_s`` is their clock less this one."""
+        for call in calls:
+            self.duty_calls.append(
+                DutyCall(
+                    duty,
+                    f"{call.get('service', '')} {call.get('zone', '')}",
+                    call["holder"],
+                    call["fencing"],
+                    call["at_s"] - offset_s,
+                    json.dumps(call.get("counts"), sort_keys=True),
+                    str(call.get("window-id", "")),
+                )
+            )
+
     def read_endpoint(self, name: str, log: pathlib.Path) -> None:
         """Add what an endpoint wrote of its runs and its end."""
         open_runs: dict[str, list[Run]] = {}
--- a/standins/fireflystandins/soak/system.py
+++ b/standins/fireflystandins/soak/system.py
@@ -268,6 +268,12 @@
         for name, process in self._endpoints.items():
             self.evidence.read_endpoint(name, process.log)
 
+    def collect_duties(self) -> None:
+        """Read which calls of duties the cloud has got."""
+        offset_s = time.time() - time.monotonic()
+        for duty, calls in self.duty_calls().items():
+            self.evidence.read_duty(duty, calls, offset_s)
+
 
 def _configuration() -> typing.Any:
     config = gateways.configuration()
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -9,6 +9,8 @@
 pytestmark = pytest.mark.processes
 
 SEED = 1
+LASTS_S = 48.0
+"""Until the last strike is over, and some seconds more than RECOVER leaves."""
 LOAD = plan.Load(
     callers=4,
     styles=("whole", "whole", "early", "leaving"),
@@ -27,7 +29,7 @@
 
 
 def test_a_short_soak_breaks_no_rule(tmp_path):
-    played = plan.Plan(SEED, 4, 4, 34.0, LOAD, STRIKES)
+    played = plan.Plan(SEED, 4, 4, LASTS_S, LOAD, STRIKES)
     seen, judged = command.play(tmp_path, played)
     print(report.table(judged))
     breaks = [one for _, verdict in judged for one in verdict.breaks]
@@ -35,3 +37,4 @@
     assert len(seen.happenings) == len(STRIKES)
     checked = {checker.rule: verdict.checked for checker, verdict in judged}
     assert min(checked["LOST"], checked["ORDER"], checked["MIXED"]) > 0
+    assert min(checked["ONE"], checked["RECOVER"]) > 0
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -67,3 +67,13 @@
     path = _saved(tmp_path, sound)
     command.Soak(plan_file=path, out=tmp_path / "out", shrink=True)()
     assert plays == [sound]
+
+
+@pytest.mark.parametrize("scenario", ["", "all"])
+def test_callers_go_on_after_the_strikes_of_a_seed(tmp_path, plays, scenario):
+    soak = command.Soak(seed=2, scenario=scenario, out=tmp_path)
+    rests = command.Soak(seed=2, scenario=scenario, out=tmp_path, rest_s=0)
+    soak()
+    rests()
+    assert plays[0].strikes == plays[1].strikes
+    assert plays[0].lasts_s == plays[1].lasts_s + command.REST_S
