Check configurations, limits and trends in the soak

Four checkers more. CONFIG judges requests against the version that stands for 6 s and no other came since; QUOTA what runs of a workspace with a limit; LIMIT what an endpoint runs that names a limit; TREND memory and descriptors that rise steadily, where GROWTH has only an upper limit. For them two strikes (a route or the callers' key goes and comes back, an endpoint names a limit) and three scenarios (configs, limits, quotas). The plans of old seeds stay as they were.

--- a/standins/fireflystandins/soak/checks/__init__.py
+++ b/standins/fireflystandins/soak/checks/__init__.py
@@ -6,14 +6,17 @@
 
 from fireflystandins.soak.checks import base
 from fireflystandins.soak.checks import budget
+from fireflystandins.soak.checks import configurations
 from fireflystandins.soak.checks import drain
 from fireflystandins.soak.checks import duties
+from fireflystandins.soak.checks import limits
 from fireflystandins.soak.checks import lost
 from fireflystandins.soak.checks import mixed
 from fireflystandins.soak.checks import order
 from fireflystandins.soak.checks import processes
 from fireflystandins.soak.checks import recover
 from fireflystandins.soak.checks import timeouts
+from fireflystandins.soak.checks import trends
 from fireflystandins.soak.checks import twice
 
 
@@ -28,7 +31,11 @@
         drain.Drain(),
         duties.Duties(),
         timeouts.Timeouts(),
+        configurations.Configurations(),
+        limits.Quota(),
+        limits.EndpointLimits(),
         recover.Recover(),
         processes.OwnEnds(),
         processes.Growth(),
+        trends.Trends(),
     ]
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -60,6 +60,17 @@
     window: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Version:
+    """A version of the configuration, and when the operator wrote it."""
+
+    number: int
+    began_s: float
+    written_s: float
+    routes: frozenset[str]
+    has_key: bool = True
+
+
 @dataclasses.dataclass
 class Evidence:
     """All that was seen."""
@@ -69,6 +80,7 @@
     happenings: list[Happening] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
     duty_calls: list[DutyCall] = dataclasses.field(default_factory=list)
+    versions: list[Version] = dataclasses.field(default_factory=list)
     copies: int = 0
     """Late copies of answers that endpoints wrote."""
     leaves: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -33,11 +33,13 @@
     LINK = "link"
     DROP = "drop"
     FLAW = "flaw"
+    CONFIG = "config"
+    LIMIT = "limit"
 
 
-_APART = frozenset({Kind.DROP, Kind.FLAW})
+_APART = frozenset({Kind.DROP, Kind.FLAW, Kind.CONFIG, Kind.LIMIT})
 _DRAWN = tuple(kind for kind in Kind if kind not in _APART)
-"""Kinds in series; drops are drawn apart, flaws are in scenarios only."""
+"""Kinds in series; drops are drawn apart, others are in scenarios only."""
 
 
 @pydantic.dataclasses.dataclass(frozen=True)
@@ -48,7 +50,9 @@
     node's link to it lasts, how long an endpoint that leaves serves on, or
     how long one that dropped its connections refuses new ones.
     ``how`` is the fault of the store, of a link or of an endpoint, the flaw
-    of its streams, or how it exits or drops its connections.
+    of its streams, or how it exits or drops its connections.  A change of
+    the configuration takes the route ``target`` or, without one, the key
+    away, and a limit of ``times`` requests a second is named, for ``for_s``.
     """
 
     at_s: float
@@ -78,6 +82,9 @@
     """A slow caller rests this long after each part of 4 KiB."""
     returns: int = 2
     """How often a caller comes back for the rest of a stream."""
+    limit_per_s: float = 0.0
+    """Of the callers' workspace, with a burst; 0 for none."""
+    limit_burst: float = 0.0
 
 
 @pydantic.dataclasses.dataclass(frozen=True)
--- a/standins/fireflystandins/soak/scenarios.py
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -12,6 +12,9 @@
 LASTS_S = 24.0
 LAST_STRIKE_S = LASTS_S - 4.0
 COUNT = 7
+REGISTRY = "r1"
+CHANGED_S = 9.5
+_CHANGED = ("resumed", "stream", "fetch", "file")
 STREAMS = plan.Load(
     callers=10,
     pause_s=0.1,
@@ -90,6 +93,35 @@
         yield from draw(chance)
 
 
+def _configs(chance: random.Random) -> _Strikes:
+    """A route and the key go and come back; a node is struck meanwhile.
+
+    One change at a time, for longer than CONFIG lets nodes learn of it.
+    """
+    targets = [chance.choice(_CHANGED), ""]
+    chance.shuffle(targets)
+    for turn, target in enumerate(targets):
+        at_s = plan.SETTLE_S + turn * (CHANGED_S + 0.5)
+        yield plan.Strike(at_s, plan.Kind.CONFIG, target, CHANGED_S)
+    yield next(_nodes(chance))
+
+
+def _limits(chance: random.Random) -> _Strikes:
+    """Endpoints name limits; nodes are struck meanwhile."""
+    for target in ("s1", "s2", REGISTRY):
+        at_s = round(plan.SETTLE_S + chance.random(), 2)
+        rate = chance.choice((1, 2, 4))
+        yield plan.Strike(
+            at_s, plan.Kind.LIMIT, target, LAST_STRIKE_S - 6.0, times=rate
+        )
+    yield from list(_nodes(chance))[:3]
+
+
+def _quotas(chance: random.Random) -> _Strikes:
+    """The workspace has a limit; nodes are struck."""
+    yield from _nodes(chance)
+
+
 _DRAWS: dict[str, collections.abc.Callable[[random.Random], _Strikes]] = {
     "cuts": _cuts,
     "drops": _drops,
@@ -98,12 +130,21 @@
     "nodes": _nodes,
     "callers": _callers,
     "resumes": _resumes,
+    "configs": _configs,
+    "limits": _limits,
+    "quotas": _quotas,
     "all": _all,
 }
 NAMES = tuple(_DRAWS)
 _READING = ("slow", "leaving", "whole", "early")
 _UNFRAMED = {"copies": 0.0}
 """With answers without a length, no connection carries two of any kind."""
+_ROUTES = {
+    "configs": ("resumed", "stream", "fetch", "file"),
+    "limits": ("resumed", "stream", "fetch", "fetch", "file"),
+    "quotas": ("resumed", "fetch", "file"),
+}
+_QUOTAS = {"quotas": 20.0}
 _STYLES = {"callers": _READING, "all": ("whole", "whole", *_READING)}
 
 
@@ -115,6 +156,9 @@
         styles=_STYLES.get(name, STREAMS.styles),
         unframed_share=_UNFRAMED.get(name, STREAMS.unframed_share),
         event_bytes=1000 if name == "callers" else STREAMS.event_bytes,
+        routes=_ROUTES.get(name, STREAMS.routes),
+        limit_per_s=_QUOTAS.get(name, 0.0),
+        limit_burst=_QUOTAS.get(name, 0.0),
     )
     ordered = sorted(strikes, key=lambda strike: strike.at_s)
     return plan.Plan(seed, NODES, ENDPOINTS, LASTS_S, load, tuple(ordered))
--- a/tests/soak/test_scenarios.py
+++ b/tests/soak/test_scenarios.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fireflystandins.soak import callers
+from fireflystandins.soak.checks import configurations
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 from fireflystandins.soak import scenarios
@@ -101,3 +102,15 @@
     answer.route = "resumed"
     caller._end(answer, how)
     assert b"Last-Event-Id" not in _ask(caller, "whole", b"")[0]
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_changes_of_the_configuration_last_long_enough_to_be_judged(seed):
+    played = scenarios.build("configs", seed)
+    changes = [one for one in played.strikes if one.kind is plan.Kind.CONFIG]
+    applies_s = configurations.Configurations.applies_s
+    assert all(one.for_s > applies_s + 3 for one in changes)
+    first, second = changes
+    assert second.at_s > first.at_s + first.for_s
+    assert second.at_s + second.for_s <= played.lasts_s
+    assert {first.target, second.target} > {""}
