Strike the links between nodes and endpoints in the soak

An endpoint whose links a plan strikes enters a proxy as its address, so that what all nodes send to it and get from it can be delayed, held in one direction or both, reset or refused, with the process itself well. The new scenario paths does so while nodes are stopped.

LOST excuses a reset on the way to the endpoint of the run, as one by the endpoint itself, and no other of these strikes; DRAIN what was held up on the way within contact time. Tests: each mode by a connection through it, each excuse by what it covers and what it does not.

Links between nodes are not struck: nodes tell each other the address at which they listen.

--- a/standins/fireflystandins/__main__.py
+++ b/standins/fireflystandins/__main__.py
@@ -53,6 +53,7 @@
     parser.add_argument("--version", default="v1")
     parser.add_argument("--target", default="127.0.0.1:9101")
     parser.add_argument("--store", default="127.0.0.1:9100")
+    parser.add_argument("--advertised", default="")
     return parser
 
 
@@ -75,6 +76,7 @@
             options.address,
             options.store,
             options.slots,
+            options.advertised,
         )
         replica.serve(identity, kind)
         return
--- a/standins/fireflystandins/replica.py
+++ b/standins/fireflystandins/replica.py
@@ -56,6 +56,8 @@
     address: str
     store: str
     slots: int = 8
+    advertised: str = ""
+    """The address in its entry, if another."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,7 +137,7 @@
         identity = self.identity
         entry = {
             "service": identity.service,
-            "address": identity.address,
+            "address": identity.advertised or identity.address,
             "zone": identity.zone,
             "version": identity.version,
             "slots": identity.slots,
--- a/standins/fireflystandins/soak/checks/drain.py
+++ b/standins/fireflystandins/soak/checks/drain.py
@@ -22,6 +22,10 @@
             if left_s is None or run.began_s < left_s:
                 continue
             late_s = run.began_s - left_s - self.write_s
+            if seen.was_path_struck(
+                run.endpoint, run.began_s - base.CONTACT_S, run.began_s
+            ):
+                continue
             node = nodes.get(run.request_id, "")
             if late_s <= self.drain_s or self._is_excused(
                 seen, left_s, run.began_s, node
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -143,12 +143,30 @@
             for one in self.happenings
         )
 
+    def was_path_struck(
+        self, endpoint: str, from_s: float, to_s: float, how: str = ""
+    ) -> bool:
+        """Return whether the links of all nodes to an endpoint were struck.
+
+        An endpoint that took another's place is named after that.
+        """
+        return any(
+            one.strike.target == endpoint.partition("n")[0]
+            and one.strike.how in (how or one.strike.how,)
+            and one.began_s <= to_s
+            and one.ended_s >= from_s
+            for one in self.performed(plan.Kind.PATH)
+        )
+
     def broke_off(self, run: Run, ended_s: float) -> bool:
         """Return whether an endpoint may have ended a run by itself."""
         exited_s = self.exits.get(run.endpoint, math.inf)
         failed = frozenset({plan.Kind.FAIL, plan.Kind.FLAW})
         has_exited = run.began_s <= exited_s <= ended_s and run.how != "whole"
-        has_ended = has_exited or run.how in ("dropped", "cut")
+        was_cut = self.was_path_struck(
+            run.endpoint, run.began_s, ended_s, "reset"
+        )
+        has_ended = has_exited or was_cut or run.how in ("dropped", "cut")
         return has_ended or self.was_disturbed(run.began_s, ended_s, failed)
 
     def read_duty(
--- a/standins/fireflystandins/soak/plan.py
+++ b/standins/fireflystandins/soak/plan.py
@@ -35,9 +35,10 @@
     FLAW = "flaw"
     CONFIG = "config"
     LIMIT = "limit"
+    PATH = "path"
 
 
-_APART = frozenset({Kind.DROP, Kind.FLAW, Kind.CONFIG, Kind.LIMIT})
+_APART = frozenset({Kind.DROP, Kind.FLAW, Kind.CONFIG, Kind.LIMIT, Kind.PATH})
 _DRAWN = tuple(kind for kind in Kind if kind not in _APART)
 """Kinds in series; drops are drawn apart, others are in scenarios only."""
 
@@ -49,7 +50,8 @@
     ``for_s`` is how long a pause, a silence or a fault of the store or of a
     node's link to it lasts, how long an endpoint that leaves serves on, or
     how long one that dropped its connections refuses new ones.
-    ``how`` is the fault of the store, of a link or of an endpoint, the flaw
+    ``how`` is the fault of the store, of a link (a node's to the store or, a
+    path, of all nodes to an endpoint) or of an endpoint, the flaw
     of its streams, or how it exits or drops its connections.  A change of
     the configuration takes the route ``target`` or, without one, the key
     away, and a limit of ``times`` requests a second is named, for ``for_s``.
@@ -99,6 +101,11 @@
     strikes: tuple[Strike, ...]
     grace_s: int = 8
 
+    def paths(self) -> frozenset[str]:
+        """Return the endpoints whose links from the nodes are struck."""
+        struck = [one for one in self.strikes if one.kind is Kind.PATH]
+        return frozenset(one.target for one in struck)
+
     def save(self, path: pathlib.Path) -> None:
         """Write the plan to a file."""
         path.write_bytes(_ADAPTER.dump_json(self, indent=1))
--- a/standins/fireflystandins/soak/proxy.py
+++ b/standins/fireflystandins/soak/proxy.py
@@ -14,6 +14,9 @@
 from fireflystandins import local
 
 PART_BYTES = 65536
+DELAY_S = 0.15
+_HELD_REQUESTS = frozenset({"silent", "unheard"})
+_HELD_ANSWERS = frozenset({"silent", "unanswered"})
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
@@ -30,12 +33,15 @@
     """Forwards the connections to one address.
 
     A ``silent`` link delivers nothing until it heals, in both directions;
-    an ``unanswered`` one delivers what is asked but no answers; a ``reset``
-    one breaks its connections off and takes none.
+    an ``unanswered`` one delivers what is asked but no answers, an
+    ``unheard`` one answers alone; a ``slow`` one delivers each part later;
+    a ``reset`` one breaks its connections off and takes none; a ``refused``
+    one keeps its connections and takes no new ones.
     """
 
     def __init__(self, target: str) -> None:
-        self._target = target
+        self.target = target
+        self._address = ""
         self._mode = ""
         self._is_delivering = asyncio.Condition()
         self._server: asyncio.Server | None = None
@@ -43,6 +49,7 @@
 
     async def listen(self, address: str) -> None:
         """Listen on an address."""
+        self._address = address
         host, port = address.rsplit(":", 1)
         self._server = await asyncio.start_server(
             self._accept, host, int(port)
@@ -55,7 +62,11 @@
 
     async def set_mode(self, mode: str) -> None:
         """Strike the link; an empty mode heals it."""
+        if self._mode == "refused" and mode != "refused":
+            await self.listen(self._address)
         self._mode = mode
+        if mode == "refused":
+            self.close()
         if mode == "reset":
             for writer in list(self._writers):
                 _reset(writer)
@@ -65,7 +76,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        host, port = self._target.rsplit(":", 1)
+        host, port = self.target.rsplit(":", 1)
         try:
             if self._mode == "reset":
                 raise ConnectionResetError
@@ -74,15 +85,15 @@
             _reset(writer)
             return
         await asyncio.gather(
-            self._forward(reader, there[1], {"silent"}),
-            self._forward(there[0], writer, {"silent", "unanswered"}),
+            self._forward(reader, there[1], _HELD_REQUESTS),
+            self._forward(there[0], writer, _HELD_ANSWERS),
         )
 
     async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        held: set[str],
+        held: frozenset[str],
     ) -> None:
         self._writers.add(writer)
         try:
@@ -91,6 +102,8 @@
                     await self._is_delivering.wait_for(
                         lambda: self._mode not in held
                     )
+                if self._mode == "slow":
+                    await asyncio.sleep(DELAY_S)
                 writer.write(data)
                 await writer.drain()
             writer.close()
--- a/standins/fireflystandins/soak/scenarios.py
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -14,6 +14,7 @@
 COUNT = 7
 REGISTRY = "r1"
 CHANGED_S = 9.5
+_PATHS = ("silent", "unanswered", "unheard", "slow", "reset", "refused")
 _CHANGED = ("resumed", "stream", "fetch", "file")
 STREAMS = plan.Load(
     callers=10,
@@ -122,6 +123,17 @@
     yield from _nodes(chance)
 
 
+def _paths(chance: random.Random) -> _Strikes:
+    """The links of all nodes to an endpoint are struck, nodes are stopped."""
+    for at_s in _moments(chance, 2 * COUNT):
+        for_s = round(chance.uniform(0.3, 3.0), 2)
+        how = chance.choice(_PATHS)
+        yield plan.Strike(at_s, plan.Kind.PATH, _endpoint(chance), for_s, how)
+    for at_s in _moments(chance, 2):
+        name = f"node{chance.randint(1, NODES)}"
+        yield plan.Strike(at_s, plan.Kind.STOP, name)
+
+
 _DRAWS: dict[str, collections.abc.Callable[[random.Random], _Strikes]] = {
     "cuts": _cuts,
     "drops": _drops,
@@ -133,6 +145,7 @@
     "configs": _configs,
     "limits": _limits,
     "quotas": _quotas,
+    "paths": _paths,
     "all": _all,
 }
 NAMES = tuple(_DRAWS)
@@ -143,6 +156,7 @@
     "configs": ("resumed", "stream", "fetch", "file"),
     "limits": ("resumed", "stream", "fetch", "fetch", "file"),
     "quotas": ("resumed", "fetch", "file"),
+    "paths": ("resumed", "stream", "fetch", "file"),
 }
 _QUOTAS = {"quotas": 20.0}
 _STYLES = {"callers": _READING, "all": ("whole", "whole", *_READING)}
--- a/standins/fireflystandins/soak/system.py
+++ b/standins/fireflystandins/soak/system.py
@@ -46,6 +46,8 @@
         super().__init__(folder)
         self._links = links
         self._link_of: dict[str, proxy.Proxy] = {}
+        self._path_of: dict[str, proxy.Proxy] = {}
+        """The links of all nodes to an endpoint that the plan strikes."""
         self._plan = played
         self._replaced = 0
         self._by_source: dict[str, local.Process] = {}
@@ -76,13 +78,20 @@
         self, name: str, service: str, domain: str, endpoint_id: str = ""
     ) -> None:
         endpoint_id = endpoint_id or name
+        path, advertised = None, ""
+        if name in self._plan.paths():
+            path, advertised = self._links.add("")
         process = self._standin(
             KIND,
             endpoint_id,
             *("--replica-id", endpoint_id, "--service", service),
             *("--zone", domain, "--store", self.store, "--slots", "64"),
+            *("--advertised", advertised),
         )
         address = process.address
+        if path is not None:
+            path.target = address
+            self._path_of[name] = path
         local.wait_for(endpoint_id, lambda: self.runs(address) is not None)
         self.replicas[endpoint_id] = process
         self._by_source[name] = process
@@ -182,6 +191,15 @@
         self._links.strike(link, "")
         return True
 
+    def _path(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        link = self._path_of[strike.target]
+        self._links.strike(link, strike.how)
+        time.sleep(strike.for_s)
+        self._links.strike(link, "")
+        return True
+
     def _silence(
         self, strike: plan.Strike, happening: evidence.Happening
     ) -> bool:
--- a/tests/soak/checks/test_drain.py
+++ b/tests/soak/checks/test_drain.py
@@ -68,3 +68,19 @@
 )
 def test_drain_does_not_excuse_other_strikes(kind, other):
     assert len(_drain_beside(records.strike(kind, **other))) == 1
+
+
+@pytest.mark.parametrize(
+    ("strike", "expected"),
+    [
+        ({"target": "s1"}, 0),
+        ({"target": "s2"}, 1),
+        ({"target": "s1", "began_s": 95.0, "ended_s": 99.9}, 1),
+        ({"target": "s1", "began_s": 95.0, "ended_s": 100.1}, 0),
+    ],
+    ids=["meanwhile", "another-endpoint", "long-before", "contact-time"],
+)
+def test_drain_excuses_what_was_held_up_on_the_way(strike, expected):
+    assert len(_drain_beside(records.strike(plan.Kind.PATH, **strike))) == (
+        expected
+    )
--- a/tests/soak/checks/test_lost.py
+++ b/tests/soak/checks/test_lost.py
@@ -104,3 +104,41 @@
     answers, runs = [records.answer(how="reset")], [records.run()]
     seen = records.seen(answers, runs, [records.stop()], exits={"s1": 101.95})
     assert len(records.breaks(lost.Lost(), seen)) == 1
+
+
+def _path(how, target="s1", began_s=100.5, ended_s=101.0):
+    struck = records.strike(plan.Kind.PATH, target, began_s, ended_s)
+    struck.strike = plan.Strike(5.0, plan.Kind.PATH, target, 0.5, how)
+    return struck
+
+
+@pytest.mark.parametrize(
+    ("path", "endpoint", "expected"),
+    [
+        (_path("reset"), "s1", 0),
+        (_path("reset"), "s1n2", 0),
+        (_path("reset", "s2"), "s1", 1),
+        (_path("reset", began_s=97.0, ended_s=98.0), "s1", 1),
+        (_path("silent"), "s1", 1),
+        (_path("slow"), "s1", 1),
+        (_path("unanswered"), "s1", 1),
+        (_path("refused"), "s1", 1),
+    ],
+    ids=[
+        "reset",
+        "its-successor",
+        "another-endpoint",
+        "before",
+        "silent",
+        "slow",
+        "unanswered",
+        "refused",
+    ],
+)
+def test_lost_excuses_a_reset_on_the_way_to_the_endpoint_alone(
+    path, endpoint, expected
+):
+    runs = [records.run(endpoint=endpoint, how="lost")]
+    happenings = [records.stop(), path]
+    seen = records.seen([records.answer(how="reset")], runs, happenings)
+    assert len(records.breaks(lost.Lost(), seen)) == expected
