--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
 import sys
 import tempfile
@@ -11,15 +12,18 @@
 import pydantic
 
 from fireflystandins.soak import checks
+from fireflystandins.soak.checks import base
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
 from fireflystandins.soak import scenarios
+from fireflystandins.soak import shrink
 from fireflystandins.soak import system
 
 EXIT_BROKEN = 1
 EXIT_INPUT = 2
-_Judged = list[tuple[checks.Checker, checks.Verdict]]
+REST_S = 16.0
+_Judged = list[tuple[base.Checker, base.Verdict]]
 
 
 def play(
@@ -29,9 +33,30 @@
     with system.running(folder, played) as running:
         seen = asyncio.run(system.play(running))
         running.collect_runs()
+        running.collect_duties()
     return seen, [(one, one.judge(seen)) for one in checks.create()]
 
 
+def shorten(
+    folder: pathlib.Path, played: plan.Plan, rule: str
+) -> pathlib.Path:
+    """Save the shortest plan found that breaks a rule; return its path."""
+    folders = (folder / f"shorter-{n}" for n in itertools.count(1))
+
+    def is_broken(shorter: plan.Plan) -> bool:
+        into = next(folders)
+        _, judged = play(into, shorter)
+        shorter.save(into / "plan.json")
+        broken = {checker.rule for checker, found in judged if found.breaks}
+        told = ", ".join(sorted(broken)) or "nothing"
+        print(f"{into.name}: {len(shorter.strikes)} strikes broke {told}")
+        return rule in broken
+
+    path = folder / "shorter.json"
+    shrink.Shrinker(is_broken).shorten(played).save(path)
+    return path
+
+
 @cappa.command(name="soak")
 @dataclasses.dataclass
 class Soak:
@@ -43,6 +68,14 @@
     ] = 1
     nodes: typing.Annotated[int, cappa.Arg(long="--nodes")] = 4
     lasts_s: typing.Annotated[float, cappa.Arg(long="--lasts-s")] = 45.0
+    rest_s: typing.Annotated[
+        float,
+        cappa.Arg(
+            long="--rest-s",
+            help="How much longer callers go on than --lasts-s or a"
+            " scenario says, so that RECOVER has something to judge.",
+        ),
+    ] = REST_S
     in_turn: typing.Annotated[
         bool,
         cappa.Arg(long="--in-turn", help="Stop six nodes one by one."),
@@ -58,6 +91,13 @@
         pathlib.Path | None,
         cappa.Arg(long="--plan", help="A saved plan to play instead."),
     ] = None
+    shrink: typing.Annotated[
+        bool,
+        cappa.Arg(
+            long="--shrink",
+            help="Find shorter plans that break the first broken rule.",
+        ),
+    ] = False
     out: typing.Annotated[
         pathlib.Path | None,
         cappa.Arg(long="--out", help="Folder for plans and logs."),
@@ -89,6 +129,11 @@
             raise cappa.Exit(code=EXIT_INPUT)
 
     def _build(self, seed: int) -> plan.Plan:
+        played = self._draw(seed)
+        lasts_s = played.lasts_s + self.rest_s
+        return dataclasses.replace(played, lasts_s=lasts_s)
+
+    def _draw(self, seed: int) -> plan.Plan:
         if self.scenario:
             return scenarios.build(self.scenario, seed)
         if self.in_turn:
@@ -108,6 +153,11 @@
             print(report.describe(seen, one, folder))
         for one in breaks[report.MAX_BREAKS_SHOWN :]:
             print(f"{one.rule} {one.request_id} at {one.node}: {one.text}")
-        if breaks:
-            print(f"again: python -m fireflystandins soak --plan {path}")
-        return bool(breaks)
+        if not breaks:
+            return False
+        print(f"again: python -m fireflystandins soak --plan {path}")
+        if self.shrink:
+            first = min(breaks, key=lambda one: one.at_s)
+            shorter = shorten(folder, played, first.rule)
+            print(f"shorter, for {first.rule}: {shorter}")
+        return True
--- a/standins/fireflystandins/soak/evidence.py
+++ b/standins/fireflystandins/soak/evidence.py
@@ -9,6 +9,7 @@
 import json
 import math
 import pathlib
+import typing
 
 from fireflystandins.soak import callers
 from fireflystandins.soak import plan
@@ -46,6 +47,30 @@
     flaw: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyCall:
+    """A call of a duty, as the cloud saw it; ``window`` is a report's."""
+
+    duty: str
+    subject: str
+    holder: str
+    token: int
+    at_s: float
+    content: str = ""
+    window: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Version:
+    """A version of the configuration, and when the operator wrote it."""
+
+    number: int
+    began_s: float
+    written_s: float
+    routes: frozenset[str]
+    has_key: bool = True
+
+
 @dataclasses.dataclass
 class Evidence:
     """All that was seen."""
@@ -54,6 +79,8 @@
     answers: list[callers.Answer] = dataclasses.field(default_factory=list)
     happenings: list[Happening] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    duty_calls: list[DutyCall] = dataclasses.field(default_factory=list)
+    versions: list[Version] = dataclasses.field(default_factory=list)
     copies: int = 0
     """Late copies of answers that endpoints wrote."""
     leaves: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -116,14 +143,49 @@
             for one in self.happenings
         )
 
+    def was_path_struck(
+        self, endpoint: str, from_s: float, to_s: float, how: str = ""
+    ) -> bool:
+        """Return whether the links of all nodes to an endpoint were struck.
+
+        An endpoint that took another's place is named after that.
+        """
+        return any(
+            one.strike.target == endpoint.partition("n")[0]
+            and one.strike.how in (how or one.strike.how,)
+            and one.began_s <= to_s
+            and one.ended_s >= from_s
+            for one in self.performed(plan.Kind.PATH)
+        )
+
     def broke_off(self, run: Run, ended_s: float) -> bool:
         """Return whether an endpoint may have ended a run by itself."""
         exited_s = self.exits.get(run.endpoint, math.inf)
         failed = frozenset({plan.Kind.FAIL, plan.Kind.FLAW})
         has_exited = run.began_s <= exited_s <= ended_s and run.how != "whole"
-        has_ended = has_exited or run.how in ("dropped", "cut")
+        was_cut = self.was_path_struck(
+            run.endpoint, run.began_s, ended_s, "reset"
+        )
+        has_ended = has_exited or was_cut or run.how in ("dropped", "cut")
         return has_ended or self.was_disturbed(run.began_s, ended_s, failed)
 
+    def read_duty(
+        self, duty: str, calls: list[dict[str, typing.Any]], offset_s: float
+    ) -> None:
+        """Add a duty's calls; ``offset_s`` is their clock less this one."""
+        for call in calls:
+            self.duty_calls.append(
+                DutyCall(
+                    duty,
+                    f"{call.get('service', '')} {call.get('zone', '')}",
+                    call["holder"],
+                    call["fencing"],
+                    call["at_s"] - offset_s,
+                    json.dumps(call.get("counts"), sort_keys=True),
+                    str(call.get("window-id", "")),
+                )
+            )
+
     def read_endpoint(self, name: str, log: pathlib.Path) -> None:
         """Add what an endpoint wrote of its runs and its end."""
         open_runs: dict[str, list[Run]] = {}
--- a/standins/fireflystandins/soak/system.py
+++ b/standins/fireflystandins/soak/system.py
@@ -13,6 +13,7 @@
 from fireflystandins import gateways
 from fireflystandins import local
 from fireflystandins.soak import callers
+from fireflystandins.soak import configuration
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 from fireflystandins.soak import proxy
@@ -22,6 +23,8 @@
     "retry-window-s": 10,
     "budget-slack": 19,
     "drain-ms": 2000,
+    "quota-overshoot": 0.1,
+    "quota-tolerance": 10,
 }
 RESTART_S = 0.5
 REPLACED_S = 1.0
@@ -43,6 +46,8 @@
         super().__init__(folder)
         self._links = links
         self._link_of: dict[str, proxy.Proxy] = {}
+        self._path_of: dict[str, proxy.Proxy] = {}
+        """The links of all nodes to an endpoint that the plan strikes."""
         self._plan = played
         self._replaced = 0
         self._by_source: dict[str, local.Process] = {}
@@ -50,10 +55,12 @@
         self._endpoints: dict[str, local.Process] = {}
         self.evidence = evidence.Evidence(played)
         self._expected_ends: set[int] = set()
+        self._settings = configuration.Settings(played.load)
 
     def start(self) -> None:
         """Start all processes and wait until the nodes know them."""
-        self.start_store(_configuration())
+        self.start_store(self._settings.written)
+        self._note_version(time.monotonic())
         for number in range(1, self._plan.endpoints + 1):
             domain = plan.domain(number)
             self._start_endpoint(f"s{number}", "speech", domain)
@@ -71,13 +78,20 @@
         self, name: str, service: str, domain: str, endpoint_id: str = ""
     ) -> None:
         endpoint_id = endpoint_id or name
+        path, advertised = None, ""
+        if name in self._plan.paths():
+            path, advertised = self._links.add("")
         process = self._standin(
             KIND,
             endpoint_id,
             *("--replica-id", endpoint_id, "--service", service),
             *("--zone", domain, "--store", self.store, "--slots", "64"),
+            *("--advertised", advertised),
         )
         address = process.address
+        if path is not None:
+            path.target = address
+            self._path_of[name] = path
         local.wait_for(endpoint_id, lambda: self.runs(address) is not None)
         self.replicas[endpoint_id] = process
         self._by_source[name] = process
@@ -93,7 +107,8 @@
         happening = evidence.Happening(strike, time.monotonic())
         self.evidence.happenings.append(happening)
         if getattr(self, f"_{strike.kind.value}")(strike, happening):
-            happening.ended_s = time.monotonic()
+            ended_s = time.monotonic()
+            happening.ended_s = min(happening.ended_s, ended_s)
         else:
             self.evidence.happenings.remove(happening)
 
@@ -176,6 +191,15 @@
         self._links.strike(link, "")
         return True
 
+    def _path(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        link = self._path_of[strike.target]
+        self._links.strike(link, strike.how)
+        time.sleep(strike.for_s)
+        self._links.strike(link, "")
+        return True
+
     def _silence(
         self, strike: plan.Strike, happening: evidence.Happening
     ) -> bool:
@@ -229,6 +253,37 @@
         time.sleep(strike.for_s)
         return is_done
 
+    def _config(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        with self._settings.without(strike.target, self._write):
+            time.sleep(strike.for_s)
+        return True
+
+    def _write(self, config: typing.Any) -> None:
+        began_s = time.monotonic()
+        self.put("op", "config", config)
+        self._note_version(began_s)
+
+    def _note_version(self, began_s: float) -> None:
+        version = evidence.Version(
+            self._settings.number,
+            began_s,
+            time.monotonic(),
+            self._settings.routes,
+            self._settings.has_key,
+        )
+        self.evidence.versions.append(version)
+
+    def _limit(
+        self, strike: plan.Strike, happening: evidence.Happening
+    ) -> bool:
+        is_named = self._order(strike, "limit", value=str(strike.times))
+        time.sleep(strike.for_s)
+        happening.ended_s = time.monotonic()
+        self._order(strike, "limit", value=None)
+        return is_named
+
     def _order(
         self, strike: plan.Strike, path: str, **fields: typing.Any
     ) -> bool:
@@ -268,14 +323,11 @@
         for name, process in self._endpoints.items():
             self.evidence.read_endpoint(name, process.log)
 
-
-def _configuration() -> typing.Any:
-    config = gateways.configuration()
-    for entry in config["routes"]:
-        entry["timeout-ms"] = callers.DEADLINE_MS
-    for entry in config["services"]:
-        entry["max-connections"] = 512
-    return config
+    def collect_duties(self) -> None:
+        """Read which calls of duties the cloud has got."""
+        offset_s = time.time() - time.monotonic()
+        for duty, calls in self.duty_calls().items():
+            self.evidence.read_duty(duty, calls, offset_s)
 
 
 async def play(system: SoakSystem) -> evidence.Evidence:
