Keep requests whose endpoint reads nothing for some seconds

Callers saw a request cut (`cut` towards them or another attempt) when its endpoint acknowledged but did not read its body for more than 2.5 s, although the endpoint would have read it.

Cause: a node's direct connections to endpoints still had TCP_USER_TIMEOUT (2.5 s), which also counts the time for which the peer's window is closed.

Why it works: the pool starts a PeerWatch for each direct connection, the class that tunnels have: no user timeout, and a look at TCP_INFO every 0.5 s that ends a connection whose peer is gone (nothing back for 2.5 s while two packets wanted an answer).

The watch can end a connection whose reading half was closed and whose socket is kept while the end of an answer is held back; that socket is not looked at any more (test_a_half_that_is_lost_is_not_looked_at, which fails without the change).

Streams between nodes keep their user timeout: no node pauses one, so a window stays closed only while the peer's event loop stands still.

--- a/packages/gateway/src/fireflypulley/gateway/outbound.py
+++ b/packages/gateway/src/fireflypulley/gateway/outbound.py
@@ -216,7 +216,6 @@
 
     def connectionMade(self) -> None:
         self._is_open = True
-        sockets.set_tcp_options(self.transport)
 
     @property
     def is_usable(self) -> bool:
@@ -548,6 +547,8 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         if self._is_lost:
+            # The half that was kept is gone, too.
+            self._is_half_open = False
             return
         self._is_lost = True
         was_open, self._is_open = self._is_open, False
--- a/packages/gateway/src/fireflypulley/gateway/pools.py
+++ b/packages/gateway/src/fireflypulley/gateway/pools.py
@@ -18,6 +18,7 @@
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnels
 from fireflypulley.transport import dialing
+from fireflypulley.transport import peer_watch
 
 CONNECT_TIMEOUT_S = 0.35
 MAX_IDLE_PER_ENDPOINT = 24
@@ -134,6 +135,7 @@
             note(self._key, False, self._reactor.seconds())
             raise
         note(self._key, True, self._reactor.seconds())
+        peer_watch.PeerWatch(self._reactor, connection.transport)
         self._open.add(connection)
         return connection
 
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -64,8 +64,8 @@
         user.makeConnection(transport)
     else:
         stream.hand_over(user)
-    # The user may have set the options of a connection to an endpoint; here
-    # the other side reads as slowly as a caller behind it.
+    # A stream between nodes is given up if its peer does not read; in a
+    # tunnel the other side reads as slowly as a caller behind it.
     peer_watch.PeerWatch(reactor, socket_transport)
     return tells_end
 
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -404,3 +404,18 @@
     endpoint.settle()
     assert open_count == 2
     assert endpoint.pool.open_count == 2
+
+
+def _closed_handle():
+    raise AttributeError("socket")
+
+
+# Guards against a look at a socket that is gone, as its peer was found dead
+# while the end of an answer was held back.
+def test_a_half_that_is_lost_is_not_looked_at(endpoint):
+    endpoint.connection.readConnectionLost()
+    endpoint.connection.transport.getHandle = _closed_handle
+    endpoint.lose(endpoint.connection, error.ConnectionAborted())
+    endpoint.refuse()
+    endpoint.settle()
+    assert endpoint.listener.failed is calls.Outcome.CUT
