Let the load tool's callers read in their own ways

A plan names reading profiles: whole, steady bytes a second, pauses, never, leaves; each may have a receive buffer of its own. The models are a discriminated union, so that an option that does not fit its manner is a finding at its line.

The report has a row for each kind and profile, with the ends of the answers and the latency of whole ones. A complete head without the rest no longer counts as an answer, whoever reads.

--- a/standins/fireflystandins/load/plans.py
+++ b/standins/fireflystandins/load/plans.py
@@ -1,17 +1,24 @@
-"""Load plans: the system, the kinds of request and the faults.
+"""Load plans: the system, the requests, their callers and the faults.
 
 A plan is an INI file with a ``[load]`` section, a ``[kind NAME]`` section
-for each kind of request and a ``[fault NAME]`` section for each fault.
+for each kind of request, a ``[reader NAME]`` section for each share of the
+callers that reads in its own way, and a ``[fault NAME]`` section for each
+fault.
 """
 
+import collections.abc
 import enum
 import pathlib
 import typing
 
 import pydantic
+import pydantic_core
 
 from fireflypulley.core import findings
 from fireflypulley.core import inifile
+from fireflystandins.load import readers
+
+_SHARE_TOLERANCE = 1e-9
 
 
 class FaultAction(enum.StrEnum):
@@ -70,9 +77,10 @@
     load: Load
     kinds: dict[str, Kind]
     faults: dict[str, Fault]
+    readers: dict[str, readers.AnyProfile]
 
 
-_Section = typing.TypeVar("_Section", bound=_Model)
+_Section = typing.TypeVar("_Section", bound=pydantic.BaseModel)
 
 
 def read(path: pathlib.Path) -> Plan:
@@ -82,28 +90,58 @@
     except OSError as error:
         problem = findings.Finding(str(path), "", "", 0, str(error))
         raise findings.InvalidInput([problem])
-    ini.reject_unknown_kinds({"load", "kind", "fault"})
-    loads = _sections(ini, "load", Load)
-    kinds = _sections(ini, "kind", Kind)
-    faults = _sections(ini, "fault", Fault)
+    ini.reject_unknown_kinds({"load", "kind", "fault", "reader"})
+    loads = _sections(ini, "load", Load.model_validate)
+    kinds = _sections(ini, "kind", Kind.model_validate)
+    faults = _sections(ini, "fault", Fault.model_validate)
+    profiles = _sections(ini, "reader", readers.ADAPTER.validate_python)
+    _check_readers(ini, profiles)
     if not ini.findings:
         if list(loads) != [""]:
             ini.add("load", "", "exactly one [load] section is needed", 0)
         if not kinds:
             ini.add("kind", "", "at least one [kind NAME] is needed", 0)
     ini.raise_findings()
-    return Plan(loads[""], kinds, faults)
+    return Plan(loads[""], kinds, faults, profiles)
 
 
 def _sections(
-    ini: inifile.IniFile, kind: str, model: type[_Section]
+    ini: inifile.IniFile,
+    kind: str,
+    validate: collections.abc.Callable[[dict[str, str]], _Section],
 ) -> dict[str, _Section]:
     sections = {}
     for section in ini.of_kind(kind):
         try:
-            sections[section.name] = model.model_validate(section.options)
+            sections[section.name] = validate(section.options)
         except pydantic.ValidationError as error:
             for problem in error.errors():
-                option = str(problem["loc"][0]) if problem["loc"] else ""
-                ini.add_at(section, option, problem["msg"])
+                ini.add_at(section, _option(problem), problem["msg"])
     return sections
+
+
+def _option(problem: pydantic_core.ErrorDetails) -> str:
+    """Return the option that a problem is about, "" if there is none."""
+    if problem["loc"]:
+        return str(problem["loc"][-1])
+    # Without a known value of it, no model is chosen.
+    return str(problem.get("ctx", {}).get("discriminator", "")).strip("'")
+
+
+def _check_readers(
+    ini: inifile.IniFile,
+    profiles: dict[str, readers.AnyProfile],
+) -> None:
+    """Record what is wrong with the names and the shares."""
+    share = 0.0
+    for section in ini.of_kind("reader"):
+        if section.name in ("", readers.PLAIN):
+            problem = f"a name other than {readers.PLAIN!r} is needed"
+            ini.add_at(section, "", problem)
+        profile = profiles.get(section.name)
+        if profile is None:
+            continue
+        share += profile.share
+        if share > 1 + _SHARE_TOLERANCE:
+            problem = f"the shares up to here are {share:g}, more than 1"
+            ini.add_at(section, "share", problem)
--- a/standins/fireflystandins/load/player.py
+++ b/standins/fireflystandins/load/player.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import contextlib
 import http.client
 import itertools
 import pathlib
@@ -12,6 +13,8 @@
 from fireflystandins import gateways
 from fireflystandins.load import arrivals
 from fireflystandins.load import plans
+from fireflystandins.load import readers
+from fireflystandins.load import reading
 from fireflystandins.load import results
 
 SERVICES = ("speech", "registry")
@@ -27,9 +30,12 @@
         self._folder = folder
         self._lock = threading.Lock()
         self._counter = itertools.count()
+        self._profiles: dict[str, readers.Profile]
+        self._profiles = {readers.PLAIN: readers.AS_PLAIN} | plan.readers
         self.results = {
-            name: results.KindResult(kind.target_ms)
+            (name, reader): results.KindResult(kind.target_ms)
             for name, kind in plan.kinds.items()
+            for reader in self._profiles
         }
 
     def play(self, progress: Progress) -> list[results.Row]:
@@ -43,7 +49,11 @@
             faults.start()
             self._send_all(system, began_s, progress)
             faults.join()
-        return [result.row(name) for name, result in self.results.items()]
+        return [
+            result.row(*names)
+            for names, result in self.results.items()
+            if result.asked or readers.PLAIN in names
+        ]
 
     def _start(self, system: gateways.GatewaySystem) -> None:
         system.start_store()
@@ -69,15 +79,19 @@
                 progress(arrival.at_s)
                 address = addresses[next(self._counter) % len(addresses)]
                 due_s = began_s + arrival.at_s
-                pool.submit(self._send, address, arrival.kind, due_s)
+                pool.submit(self._send, address, arrival, due_s)
 
-    def _send(self, address: str, name: str, due_s: float) -> None:
+    def _send(
+        self, address: str, arrival: arrivals.Arrival, due_s: float
+    ) -> None:
         """Send a request; its latency counts from the time it was due."""
-        kind = self._plan.kinds[name]
-        status = call(address, kind, f"load-{name}-{next(self._counter)}")
+        kind = self._plan.kinds[arrival.kind]
+        request_id = f"load-{arrival.kind}-{next(self._counter)}"
+        profile = self._profiles[arrival.reader]
+        reply = call(address, kind, request_id, profile)
         took_s = time.monotonic() - due_s
         with self._lock:
-            self.results[name].add(status, took_s)
+            self.results[arrival.kind, arrival.reader].add(reply, took_s)
 
     def _inject_faults(
         self, system: gateways.GatewaySystem, began_s: float
@@ -109,22 +123,25 @@
         system.restart_node(process)
 
 
-def call(address: str, kind: plans.Kind, request_id: str) -> int | None:
-    """Return the status of a complete response, or None."""
+def call(
+    address: str,
+    kind: plans.Kind,
+    request_id: str,
+    profile: readers.Profile = readers.AS_PLAIN,
+) -> reading.Reply:
+    """Send a request; return what its caller got, reading as it does."""
     headers = gateways.caller_headers(request_id, kind.key, kind.patience_ms)
-    connection = http.client.HTTPConnection(
-        address, timeout=kind.patience_ms / 1000
-    )
     body = kind.body.encode() if kind.method == "POST" else None
     try:
-        connection.request(kind.method, kind.path + "load", body, headers)
-        reply = connection.getresponse()
-        reply.read()
-        return reply.status
-    except (OSError, http.client.HTTPException):
-        return None
-    finally:
-        connection.close()
+        connection = reading.connect(address, profile, kind.patience_ms / 1000)
+    except OSError:
+        return reading.Reply(None, reading.End.NONE)
+    with contextlib.closing(connection):
+        try:
+            connection.request(kind.method, kind.path + "load", body, headers)
+        except (OSError, http.client.HTTPException):
+            return reading.Reply(None, reading.End.NONE)
+        return reading.reader(profile).take(connection)
 
 
 def _sleep_until(time_s: float) -> None:
--- a/standins/fireflystandins/load/plots.py
+++ b/standins/fireflystandins/load/plots.py
@@ -5,6 +5,7 @@
 
 import pygal
 
+from fireflystandins.load import readers
 from fireflystandins.load import results
 
 # pygal installs an import hook without find_spec, which breaks all later
@@ -28,6 +29,10 @@
     chart.x_labels = [name.removesuffix("_ms") for name in names]
     for label, rows in tables.items():
         for row in rows:
-            title = " ".join(filter(None, (label, str(row["kind"]))))
+            reader = row.get("reader", readers.PLAIN)
+            words = [label, str(row["kind"])]
+            if reader != readers.PLAIN:
+                words.append(str(reader))
+            title = " ".join(filter(None, words))
             chart.add(title, [float(row[name]) or None for name in names])
     chart.render_to_file(str(path))
