Let streams that are lost go of what they read

In the crowd through a peer 100 of 282 beginnings of messages, 11.5 KiB each, belonged to streams that were gone (tracemalloc, a trial): a lost stream, its transport and its owner refer to each other and are freed only when the collector runs.

A stream that is lost drops its reader.

--- a/packages/nodes/src/fireflypulley/nodes/streams.py
+++ b/packages/nodes/src/fireflypulley/nodes/streams.py
@@ -156,6 +156,8 @@
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
+        # Objects that refer to each other are freed much later.
+        self._reader = codec.Reader(MAX_HANDSHAKE_BYTES)
         if not self.ready:
             self._owner.stream_refused(self)
             return
