Keep quotas while nodes stand still, part and return

Cause: a node that stood still fills its bucket for that time and reads callers before it reads what the others have spent; a step of the clock fills it, too. After a partition a node charges what the other side has spent, although it had left that side its own part.

Why it works: a bucket counts what the whole limit has allowed the others while they were out of touch, or while this node stood still (core.gateway.standstill, as for the retry budget). What they report after a silence of more than a second is charged to that first. After a standstill a node has its part of the burst at most.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -113,6 +113,7 @@
         are more than ``known``.  Called several times a second.
         """
         self.retry_budget.tick(now_s)
+        self.limits.limiter.tick(now_s)
         self._sharing.note(max(known, sharing_count or 0), now_s)
         if (alive, known) == (self.nodes_alive, self.nodes_known):
             return
@@ -149,7 +150,12 @@
         """Scale the limits to the fraction of nodes that are reachable."""
         if self.document is None:
             return
-        self.limits.apply(self.document.workspaces, self.reached_share, now_s)
+        self.limits.apply(
+            self.document.workspaces,
+            self.reached_share,
+            now_s,
+            self.nodes_known,
+        )
 
     def forget_absent(self) -> None:
         """Drop what is known of endpoints that are gone, and old crashes."""
--- a/packages/core/src/fireflypulley/core/gateway/workspace_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/workspace_limits.py
@@ -31,17 +31,18 @@
         workspaces: tuple[document.Workspace, ...],
         share: float,
         now_s: float,
+        nodes: int = 1,
     ) -> None:
         """Apply limits; ``share`` is the fraction of reachable nodes."""
-        scaled_limits = {
+        whole_limits = {
             workspace.name: limits.Limit(
                 workspace.rate_per_s * self._factor,
                 workspace.burst * self._factor + self._extra,
-            ).scaled(share)
+            )
             for workspace in workspaces
             if workspace.rate_per_s
         }
-        self.limiter.set_limits(scaled_limits, now_s)
+        self.limiter.set_limits(whole_limits, now_s, share, nodes)
 
     def charge(self, request: calls.AdmittedRequest, now_s: float) -> float:
         """Charge a request; return 0, or the time to wait in seconds."""
