Count silent nodes for 60 s in quotas and permits, too

What callers saw: in a partition of 50 s between two halves a workspace got 1 054 358 tokens (6 nodes) and 1 059 932 (12) of 761 500 allowed in 8 s, and an endpoint that names 5 requests a second got 42 in 4 s, of 35 allowed.

Cause: quotas, permits and the parts of limited endpoints counted silent nodes for 20 s, the other bounds for 60 s.

Evidence: test_quota_model.py test_a_long_partition_keeps_a_workspace_s_limit (both ways, at 6 and 12 nodes) and test_permit_broker.py test_two_halves_keep_the_limit_through_a_long_partition, three cases red before.

Why it works: one count of the nodes that share, for all bounds. The price is that the part of a node that is gone for good is unused for 60 s instead of 20 s.

--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -109,12 +109,13 @@
     ) -> None:
         """Set how many nodes are reachable, and how many there are.
 
-        ``sharing_count`` is by how many nodes a bound is shared if these
-        are more than ``known``.  Called several times a second.
+        ``sharing_count`` is by how many nodes all bounds are shared if
+        these are more than ``known``.  Called several times a second.
         """
         self.retry_budget.tick(now_s)
         self.limits.limiter.tick(now_s)
-        self._sharing.note(max(known, sharing_count or 0), now_s)
+        known = max(known, sharing_count or 0)
+        self._sharing.note(known, now_s)
         if (alive, known) == (self.nodes_alive, self.nodes_known):
             return
         self.nodes_alive = alive
--- a/tests/core/gateway/test_quota_model.py
+++ b/tests/core/gateway/test_quota_model.py
@@ -12,6 +12,7 @@
     fleet_faults.restart,
     fleet_faults.replace,
 )
+LONG_PARTITION_S = 50.0
 
 
 @pytest.mark.parametrize("nodes", [6, 12])
@@ -39,6 +40,18 @@
     assert fleet.most_in_a_window <= quota_fleets.BOUND
 
 
+# Guards against sides of a partition that each take the whole limit.
+@pytest.mark.parametrize("nodes", [6, 12])
+@pytest.mark.parametrize("is_both_ways", [False, True])
+def test_a_long_partition_keeps_a_workspace_s_limit(nodes, is_both_ways):
+    fleet = quota_fleets.QuotaFleet(0, nodes)
+    fleet.play(15.0)
+    half = fleet.nodes[: nodes // 2]
+    fleet.cut(half, LONG_PARTITION_S, is_both_ways)
+    fleet.play(LONG_PARTITION_S + 15.0)
+    assert fleet.most_in_a_window <= quota_fleets.BOUND
+
+
 # Guards against a node that charges, when a partition ends, what the other
 # side had its own part for, and refuses its callers for as long.
 def test_a_workspace_has_its_limit_again_after_a_partition():
--- a/tests/gateway/test_permit_broker.py
+++ b/tests/gateway/test_permit_broker.py
@@ -192,6 +192,21 @@
 
 
 # Guards against a restarted node whose requests pass for ones of before.
+# Guards against sides of a partition that forget each other and each take
+# the whole limit.
+def test_two_halves_keep_the_limit_through_a_long_partition():
+    network, _ = _started(FEW)
+    half = set(sorted(network.nodes)[: FEW // 2])
+    load = Load(network, 5.0)
+    load.run(4.0)
+    network.is_partitioned = lambda source, target: (
+        (source in half) != (target in half)
+    )
+    load.run(50.0)
+    assert load.most_in_a_window <= load.allowed
+    assert {"part", "issued"} <= load.reasons
+
+
 def test_a_node_that_restarts_under_its_name_gets_permits():
     network, _ = _started(FEW)
     limit = endpoint_limits.EndpointLimit("e1", 1, 1, 50.0)
