Keep old rows in a store that forgot its history

The stand-in went back to what its history holds, and compacting emptied that; rows older than the last 10,000 writes were lost the same way. So the fault was the stand-in's. Now rows that leave the history are kept as they were before it, and compacting leaves it: only changes before it are told no more.

--- a/standins/fireflystandins/rowstore.py
+++ b/standins/fireflystandins/rowstore.py
@@ -57,6 +57,8 @@
         self._rows: dict[_Key, StoredRow] = {}
         self._history: list[StoredRow] = []
         self._written_s: list[float] = []
+        self._oldest: dict[_Key, StoredRow] = {}
+        """The rows as they were before the history."""
         self.era = 1
         self._compacted_version = 0
 
@@ -87,6 +89,8 @@
         self._rows[key] = row
         self._history.append(row)
         self._written_s.append(time.monotonic())
+        for old in self._history[:-HISTORY_ROWS]:
+            self._oldest[(old.table, old.part, old.key)] = old
         del self._history[:-HISTORY_ROWS]
         del self._written_s[:-HISTORY_ROWS]
 
@@ -122,16 +126,16 @@
         kept = sum(at_s <= until_s for at_s in self._written_s)
         self._history = self._history[:kept]
         self._written_s = self._written_s[:kept]
-        self._rows = {
+        self._rows = self._oldest | {
             (row.table, row.part, row.key): row for row in self._history
         }
-        self.version = max((row.version for row in self._history), default=0)
+        versions = (row.version for row in self._rows.values())
+        self.version = max(versions, default=0)
+        self._compacted_version = min(self._compacted_version, self.version)
         self.era += 1
 
     def compact(self) -> None:
-        """Drop the history."""
-        self._history.clear()
-        self._written_s.clear()
+        """Tell no changes up to now; the rows can still go back."""
         self._compacted_version = self.version
 
 
