Strike callers' links and the store's copies in the soak

Two scenarios: calls strikes the links between callers and nodes (as paths does with those to endpoints), stores lets the store be away, lose answers, forget its history and go back to an older copy while nodes and endpoints end. LOST excuses an answer whose caller's link to that node was struck meanwhile, TIME-OUT the node.

--- a/standins/fireflystandins/soak/checks/lost.py
+++ b/standins/fireflystandins/soak/checks/lost.py
@@ -5,6 +5,8 @@
 from fireflystandins.soak import evidence
 from fireflystandins.soak import plan
 
+_CALLS = frozenset({plan.Kind.CALL})
+
 
 class Lost(base.Checker):
     """Answers that end early around a SIGTERM of their node.
@@ -73,6 +75,10 @@
             answer.sent_s - base.CONTACT_S, answer.ended_s, base.UNPLANNED
         ):
             return True
+        if seen.was_disturbed(
+            answer.sent_s, answer.ended_s, _CALLS, answer.node
+        ):
+            return True
         late_s = stop.began_s + seen.plan.grace_s * 5 / 6
         is_early = answer.sent_s <= stop.began_s + self.accepts_s
         if is_early and any(run.ended_s >= late_s for run in runs):
--- a/standins/fireflystandins/soak/checks/timeouts.py
+++ b/standins/fireflystandins/soak/checks/timeouts.py
@@ -43,7 +43,7 @@
         return not seen.was_disturbed(
             answer.sent_s - base.CONTACT_S,
             answer.ended_s,
-            base.UNPLANNED | {plan.Kind.STOP},
+            base.UNPLANNED | {plan.Kind.STOP, plan.Kind.CALL},
             answer.node,
         )
 
--- a/standins/fireflystandins/soak/command.py
+++ b/standins/fireflystandins/soak/command.py
@@ -17,6 +17,7 @@
 from fireflystandins.soak import plan
 from fireflystandins.soak import report
 from fireflystandins.soak import scenarios
+from fireflystandins.soak import session
 from fireflystandins.soak import shrink
 from fireflystandins.soak import system
 
@@ -31,7 +32,7 @@
 ) -> tuple[evidence.Evidence, _Judged]:
     """Play a plan in a folder and judge what was seen."""
     with system.running(folder, played) as running:
-        seen = asyncio.run(system.play(running))
+        seen = asyncio.run(session.play(running))
         running.collect_runs()
         running.collect_duties()
     return seen, [(one, one.judge(seen)) for one in checks.create()]
--- a/standins/fireflystandins/soak/scenarios.py
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -15,6 +15,7 @@
 REGISTRY = "r1"
 CHANGED_S = 9.5
 _PATHS = ("silent", "unanswered", "unheard", "slow", "reset", "refused")
+_STORES = ("restored", "restored", "busy", "silent", "lost", "compacted")
 _CHANGED = ("resumed", "stream", "fetch", "file")
 STREAMS = plan.Load(
     callers=10,
@@ -123,6 +124,29 @@
     yield from _nodes(chance)
 
 
+def _calls(chance: random.Random) -> _Strikes:
+    """The links of callers to a node are struck, nodes are stopped."""
+    for at_s in _moments(chance):
+        name = f"node{chance.randint(1, NODES)}"
+        for_s = round(chance.uniform(0.3, 3.0), 2)
+        how = chance.choice(_PATHS)
+        yield plan.Strike(at_s, plan.Kind.CALL, name, for_s, how)
+    yield from list(_nodes(chance))[:2]
+
+
+def _stores(chance: random.Random) -> _Strikes:
+    """The store is away, forgets and goes back; nodes and endpoints end."""
+    for at_s in _moments(chance):
+        for_s = round(chance.uniform(0.5, 3.0), 2)
+        how = chance.choice(_STORES)
+        yield plan.Strike(at_s, plan.Kind.STORE, "store", for_s, how)
+    for at_s in _moments(chance, 2):
+        yield plan.Strike(
+            at_s, plan.Kind.LEAVE, _endpoint(chance), 3.0, "order"
+        )
+    yield from list(_nodes(chance))[:4]
+
+
 def _paths(chance: random.Random) -> _Strikes:
     """The links of all nodes to an endpoint are struck, nodes are stopped."""
     for at_s in _moments(chance, 2 * COUNT):
@@ -146,6 +170,8 @@
     "limits": _limits,
     "quotas": _quotas,
     "paths": _paths,
+    "stores": _stores,
+    "calls": _calls,
     "all": _all,
 }
 NAMES = tuple(_DRAWS)
@@ -157,6 +183,8 @@
     "limits": ("resumed", "stream", "fetch", "fetch", "file"),
     "quotas": ("resumed", "fetch", "file"),
     "paths": ("resumed", "stream", "fetch", "file"),
+    "stores": ("resumed", "stream", "fetch", "file"),
+    "calls": ("resumed", "stream", "fetch", "file"),
 }
 _QUOTAS = {"quotas": 20.0}
 _STYLES = {"callers": _READING, "all": ("whole", "whole", *_READING)}
--- a/tests/soak/checks/test_lost.py
+++ b/tests/soak/checks/test_lost.py
@@ -142,3 +142,20 @@
     happenings = [records.stop(), path]
     seen = records.seen([records.answer(how="reset")], runs, happenings)
     assert len(records.breaks(lost.Lost(), seen)) == expected
+
+
+@pytest.mark.parametrize(
+    ("strike", "expected"),
+    [
+        ({}, 0),
+        ({"target": "node2"}, 1),
+        ({"began_s": 96.0, "ended_s": 98.9}, 1),
+        ({"began_s": 102.1}, 1),
+    ],
+    ids=["meanwhile", "another-node", "before", "afterwards"],
+)
+def test_lost_excuses_a_struck_link_of_the_caller(strike, expected):
+    happenings = [records.stop(), records.strike(plan.Kind.CALL, **strike)]
+    answers = [records.answer(how="reset")]
+    seen = records.seen(answers, [records.run()], happenings)
+    assert len(records.breaks(lost.Lost(), seen)) == expected
