Let all strikes of a soak last at once

Strikes ran on the event loop's default threads, 12 on 8 cores.

A run has a thread for each strike and some more now.

--- a/standins/fireflystandins/soak/session.py
+++ b/standins/fireflystandins/soak/session.py
@@ -1,6 +1,7 @@
 """Lets callers and strikes act on the processes of a plan."""
 
 import asyncio
+import concurrent.futures
 import random
 import time
 
@@ -10,6 +11,8 @@
 from fireflystandins.soak import system
 
 SAMPLE_INTERVAL_S = 1.0
+OTHER_THREADS = 4
+"""Beside those of the strikes, all of which may last at once."""
 
 
 async def play(running: system.SoakSystem) -> evidence.Evidence:
@@ -30,6 +33,10 @@
         for index in range(played.load.callers)
     ]
     loop = asyncio.get_running_loop()
+    threads = concurrent.futures.ThreadPoolExecutor(
+        len(played.strikes) + OTHER_THREADS
+    )
+    loop.set_default_executor(threads)
     began_s = time.monotonic()
     tasks = [loop.create_task(caller.run()) for caller in people]
     strikes = [
