Let the soak's endpoints stand still past all time-outs

The new scenario stalls lets all endpoints stand still for 12 s; requests that end in the last half second count as checked. What breaks the rule stays as it was, which a test shows.

--- a/standins/fireflystandins/soak/checks/timeouts.py
+++ b/standins/fireflystandins/soak/checks/timeouts.py
@@ -13,6 +13,7 @@
     """Requests that nodes in touch hold beyond the time-out of their route.
 
     Of those that last as long, few may lack a final answer a little later.
+    Those that end shortly before count as checked.
     Excused are nodes that were struck in contact time or while they had the
     request, and callers that read slowly or send early.
     """
@@ -24,21 +25,22 @@
     most_share = 0.25
 
     def judge(self, seen: evidence.Evidence) -> base.Verdict:
-        lasted = [one for one in seen.answers if self._is_judged(seen, one)]
+        judged = [one for one in seen.answers if self._is_judged(seen, one)]
+        lasted = [one for one in judged if _took_s(one) >= self.timeout_s]
         latest_s = self.timeout_s + self.slack_s
-        late = [one for one in lasted if one.ended_s - one.sent_s > latest_s]
+        late = [one for one in lasted if _took_s(one) > latest_s]
         breaks = []
         if len(late) > self.most_share * len(lasted):
             breaks = [base.of(self, one, _tell(one)) for one in late]
-        return base.Verdict(len(lasted), breaks)
+        return base.Verdict(len(judged), breaks)
 
     def _is_judged(
         self, seen: evidence.Evidence, answer: callers.Answer
     ) -> bool:
-        took_s = answer.ended_s - answer.sent_s
         if answer.style not in _JUDGED_STYLES or answer.how in base.UNJUDGED:
             return False
-        if not answer.sent_s or took_s < self.timeout_s:
+        near_s = self.timeout_s - self.slack_s
+        if not answer.sent_s or _took_s(answer) < near_s:
             return False
         return not seen.was_disturbed(
             answer.sent_s - base.CONTACT_S,
@@ -48,9 +50,12 @@
         )
 
 
+def _took_s(answer: callers.Answer) -> float:
+    return answer.ended_s - answer.sent_s
+
+
 def _tell(answer: callers.Answer) -> str:
-    took_s = answer.ended_s - answer.sent_s
     return (
         f"{answer.route} by a {answer.style} caller: {answer.how},"
-        f" status {answer.status}, after {took_s:.2f} s"
+        f" status {answer.status}, after {_took_s(answer):.2f} s"
     )
--- a/standins/fireflystandins/soak/scenarios.py
+++ b/standins/fireflystandins/soak/scenarios.py
@@ -14,6 +14,7 @@
 COUNT = 7
 REGISTRY = "r1"
 CHANGED_S = 9.5
+STALL_S = 12.0
 _PATHS = ("silent", "unanswered", "unheard", "slow", "reset", "refused")
 _STORES = ("restored", "restored", "busy", "silent", "lost", "compacted")
 _CHANGED = ("resumed", "stream", "fetch", "file")
@@ -134,6 +135,15 @@
     yield from list(_nodes(chance))[:2]
 
 
+def _stalls(chance: random.Random) -> _Strikes:
+    """All endpoints stand still for longer than any route's time."""
+    at_s = round(plan.SETTLE_S + chance.random(), 2)
+    for number in range(1, ENDPOINTS + 1):
+        yield plan.Strike(at_s, plan.Kind.SILENCE, f"s{number}", STALL_S)
+    for name in plan.REGISTRIES:
+        yield plan.Strike(at_s, plan.Kind.SILENCE, name, STALL_S)
+
+
 def _stores(chance: random.Random) -> _Strikes:
     """The store is away, forgets and goes back; nodes and endpoints end."""
     for at_s in _moments(chance):
@@ -171,6 +181,7 @@
     "quotas": _quotas,
     "paths": _paths,
     "stores": _stores,
+    "stalls": _stalls,
     "calls": _calls,
     "all": _all,
 }
@@ -184,6 +195,7 @@
     "quotas": ("resumed", "fetch", "file"),
     "paths": ("resumed", "stream", "fetch", "file"),
     "stores": ("resumed", "stream", "fetch", "file"),
+    "stalls": ("resumed", "stream", "fetch", "file"),
     "calls": ("resumed", "stream", "fetch", "file"),
 }
 _QUOTAS = {"quotas": 20.0}
--- a/tests/soak/checks/test_timeouts.py
+++ b/tests/soak/checks/test_timeouts.py
@@ -40,10 +40,17 @@
 
 
 def test_timeouts_leaves_out_short_requests():
-    verdict = _judge(_lasted(7.9, 20) + _lasted(9.0))
+    verdict = _judge(_lasted(7.4, 20) + _lasted(9.0))
     assert verdict.checked == len(verdict.breaks) == 1
 
 
+def test_timeouts_are_kept_by_requests_that_end_shortly_before():
+    verdict = _judge(_lasted(7.9, 20))
+    assert (verdict.checked, verdict.breaks) == (20, [])
+    verdict = _judge(_lasted(7.9, 20) + _lasted(9.0))
+    assert (verdict.checked, len(verdict.breaks)) == (21, 1)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
