--- a/tests/gateway/slow_callers.py
+++ b/tests/gateway/slow_callers.py
@@ -73,7 +73,7 @@
 class Node(inbound.RequestReceiver):
     """Answers each request with events, on a reactor of its own."""
 
-    def __init__(self, event_bytes, bounds):
+    def __init__(self, event_bytes, bounds, wrap):
         self.reactor = epollreactor.EPollReactor()
         self.event_bytes = event_bytes
         self.streams = []
@@ -82,6 +82,7 @@
         factory = caller_factory.CallerFactory(self.reactor, self, bounds)
         self.held = factory.held
         self.most_held_bytes = 0
+        factory = wrap(factory, self.reactor)
         port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.address = ("127.0.0.1", port.getHost().port)
 
@@ -114,10 +115,18 @@
         self.closed.append(connection)
 
 
+def _keep(factory, reactor):
+    """Return the factory of callers as it is."""
+    return factory
+
+
 @contextlib.contextmanager
-def running(event_bytes, bounds=BOUNDS):
-    """Run a node whose callers may cost as much as the bounds say."""
-    node = Node(event_bytes, bounds)
+def running(event_bytes, bounds=BOUNDS, wrap=_keep):
+    """Run a node whose callers may cost as much as the bounds say.
+
+    ``wrap`` returns what listens in place of the factory of callers.
+    """
+    node = Node(event_bytes, bounds, wrap)
     thread = threading.Thread(
         target=node.reactor.run, args=(False,), daemon=True
     )
@@ -146,8 +155,11 @@
     is_busy.wait(TIMEOUT_S)
 
 
-def connect(node, profile):
-    """Return the socket of a caller that has sent its request."""
+def connect(node, profile, wrap=None):
+    """Return the socket of a caller that has sent its request.
+
+    ``wrap`` returns what is used in place of the connected socket.
+    """
     caller = socket.socket()
     if profile.buffer_bytes:
         caller.setsockopt(
@@ -155,10 +167,25 @@
         )
     caller.settimeout(TIMEOUT_S)
     caller.connect(node.address)
+    if wrap is not None:
+        caller = wrap(caller)
     caller.sendall(REQUEST)
     return caller
 
 
+INCIDENT_PROFILES = {
+    "pause-1.5-s": Profile(60000, first_pause_s=1.5),
+    "pause-3-s": Profile(60000, first_pause_s=3.0),
+    "16-KiB-each-0.4-s": Profile(
+        6000, read_bytes=16384, read_interval_s=0.4, buffer_bytes=16384
+    ),
+    "64-KiB-each-0.25-s": Profile(
+        50000, read_bytes=65536, read_interval_s=0.25, buffer_bytes=65536
+    ),
+}
+"""The callers that lost their answers once, and the two beside them."""
+
+
 def read(caller, profile):
     """Return what a caller gets until the answer or its connection ends."""
     time.sleep(profile.first_pause_s)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -13,27 +13,13 @@
 
 
 # Guards against a caller that is cut because its window was closed for long.
-@pytest.mark.parametrize(
-    "profile",
-    [
-        slow_callers.Profile(60000, first_pause_s=1.5),
-        slow_callers.Profile(60000, first_pause_s=3.0),
-        slow_callers.Profile(60000, first_pause_s=4.0),
-        slow_callers.Profile(
-            6000, read_bytes=16384, read_interval_s=0.4, buffer_bytes=16384
-        ),
-        slow_callers.Profile(
-            50000, read_bytes=65536, read_interval_s=0.25, buffer_bytes=65536
-        ),
-    ],
-    ids=[
-        "pause-1.5-s",
-        "pause-3-s",
-        "pause-4-s",
-        "16-KiB-each-0.4-s",
-        "64-KiB-each-0.25-s",
-    ],
-)
+PROFILES = slow_callers.INCIDENT_PROFILES | {
+    "pause-4-s": slow_callers.Profile(60000, first_pause_s=4.0)
+}
+
+
+# Guards against a caller that is cut because its window was closed for long.
+@pytest.mark.parametrize("profile", PROFILES.values(), ids=PROFILES)
 def test_an_answer_reaches_a_caller_that_reads_slowly(profile):
     answer = slow_callers.call(profile)
     assert answer.count(b"data: ") == slow_callers.EVENTS
