Trace requests in logs that have dropped lines

Operators saw `fireflypulley trace` end in a KeyError ('timestamp') for each request of a log in which lines had been dropped.

Cause: a `log:dropped` line has no time, and the trace compares the time of each line.

Evidence: the log of a node beside 1,000 slow callers (1,470 lines, two of them `log:dropped`) could not be traced, for either of two ids; and the new cases of tests/cli/test_request_traces.py, 3 of 3 failed before.

Why it works: lines without a time are left out as they are read. 3 of 3 cases pass, and the same log gives the trace of its request s10.

--- a/packages/cli/src/fireflypulley/cli/request_traces.py
+++ b/packages/cli/src/fireflypulley/cli/request_traces.py
@@ -79,7 +79,8 @@
 ) -> list[_Line]:
     """Return the log lines in files, sorted by time.
 
-    Text before the JSON of a line is skipped, as are other lines.
+    Text before the JSON of a line is skipped, as are other lines and those
+    without a time, such as the counts of dropped lines.
     """
     log_lines = []
     for path in paths:
@@ -91,9 +92,16 @@
                 line = json.loads(text[start:])
             except ValueError:
                 continue
-            if isinstance(line, dict) and "message_type" in line:
+            if _is_timed(line):
                 log_lines.append(line)
-    return sorted(log_lines, key=lambda line: line.get("timestamp", 0.0))
+    return sorted(log_lines, key=lambda line: float(line["timestamp"]))
+
+
+def _is_timed(line: object) -> bool:
+    """Return whether this is a line of the decision log with its time."""
+    if not isinstance(line, dict) or "message_type" not in line:
+        return False
+    return isinstance(line.get("timestamp"), (int, float))
 
 
 def build(request_id: str, lines: list[_Line]) -> RequestTrace:
