Measure fast callers beside a thousand slow ones

make bench plays them at one of two nodes with the same endpoints; fast calls go in turn to both and to the endpoint.

The bench's caller of gateway_benchmark became a class, so that both use it.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -7,6 +7,7 @@
 from fireflystandins.bench import scenarios
 from fireflystandins import daemon_benchmark
 from fireflystandins import gateway_benchmark
+from fireflystandins import slow_caller_benchmark
 
 SEED = 1
 
@@ -19,6 +20,7 @@
         for figure in (
             *gateway_benchmark.measure(path / "gateway"),
             *daemon_benchmark.measure(path / "daemon"),
+            *slow_caller_benchmark.measure(path / "slow"),
         ):
             all_met = all_met and figure.is_within_bound
             print(figure, flush=True)
--- a/standins/fireflystandins/daemon_benchmark.py
+++ b/standins/fireflystandins/daemon_benchmark.py
@@ -46,6 +46,13 @@
     return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
 
+def peak_bytes(pid: int) -> int:
+    """Return the most resident memory that a process has had."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (line,) = (one for one in status.splitlines() if "VmHWM" in one)
+    return int(line.split()[1]) << 10
+
+
 def start(system: local.LocalSystem) -> None:
     """Start a daemon and an engine with capacity for all streams."""
     system.start_platform()
--- a/standins/fireflystandins/gateway_benchmark.py
+++ b/standins/fireflystandins/gateway_benchmark.py
@@ -1,5 +1,6 @@
 """Measures the latency added by a gateway node and by a forwarder."""
 
+import contextlib
 import http.client
 import itertools
 import pathlib
@@ -16,11 +17,15 @@
 _numbers = itertools.count(1)
 
 
-def _latencies(address: str) -> list[float]:
-    """Return the latencies of calls on one keep-alive connection."""
-    connection = http.client.HTTPConnection(address, timeout=10)
-    times_s = []
-    for _ in range(CALLS):
+class Caller:
+    """Calls on one keep-alive connection; raises unless they succeed."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._connection = http.client.HTTPConnection(address, timeout=10)
+
+    def call(self) -> float:
+        """Return how long a call took, in seconds."""
         fields = {
             "Host": gateways.HOST,
             "Attempt-Id": f"bench-{next(_numbers)}",
@@ -28,16 +33,25 @@
             "Key": "key-court",
         }
         began_s = time.perf_counter()
-        connection.request("POST", "/file/1", b"a filing", fields)
-        reply = connection.getresponse()
+        self._connection.request("POST", "/file/1", b"a filing", fields)
+        reply = self._connection.getresponse()
         reply.read()
-        times_s.append(time.perf_counter() - began_s)
+        took_s = time.perf_counter() - began_s
         if reply.status != 200:
             raise local.ConditionNotMet(
-                f"{address}: unexpected status {reply.status}"
+                f"{self._address}: unexpected status {reply.status}"
             )
-    connection.close()
-    return times_s
+        return took_s
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+def _latencies(address: str) -> list[float]:
+    """Return the latencies of calls on one keep-alive connection."""
+    with contextlib.closing(Caller(address)) as caller:
+        return [caller.call() for _ in range(CALLS)]
 
 
 def _figures(
