Move the memory budget to where the daemon can use it

The daemon's callers' port has no bounds; it may not import the gateway. memory, open_callers and process_limits go to the transport package, which both may import. Who gives up was logged by the gateway's decision log; the budget now takes a function that lets a holder give up, and the gateway's (memory_log) logs as before. No behaviour changes; the tests move along with their imports changed only.

--- a/packages/gateway/src/fireflypulley/gateway/answer_part.py
+++ b/packages/gateway/src/fireflypulley/gateway/answer_part.py
@@ -4,7 +4,7 @@
 
 from fireflypulley.gateway import events
 from fireflypulley.gateway import header_codec
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
 
 MAX_HELD_BYTES = 1 << 20
 """Less while the node holds much; see ``memory``."""
--- a/packages/gateway/src/fireflypulley/gateway/caller_account.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_account.py
@@ -3,7 +3,8 @@
 import collections.abc
 
 from fireflypulley.gateway import header_codec
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
+from fireflypulley.transport import open_callers
 
 CONNECTION_BYTES = 24 << 10
 """The objects of a connection that has said nothing yet."""
@@ -17,7 +18,7 @@
 """Requests up to this size are not refused for those under way."""
 
 
-class CallerAccount(memory.Holder):
+class CallerAccount(open_callers.Account):
     """Counts what a connection holds; ``on_give_up`` ends it.
 
     ``is_served`` returns whether the node works on its request and the
--- a/packages/gateway/src/fireflypulley/gateway/caller_connection.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_connection.py
@@ -14,9 +14,9 @@
 from fireflypulley.gateway import caller_watch
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
-from fireflypulley.gateway import open_callers
 from fireflypulley.gateway import send_queue
 from fireflypulley.transport import last_bytes
+from fireflypulley.transport import open_callers
 from fireflypulley.transport import sockets
 
 MAX_READ_AHEAD_BYTES = 65536
--- a/packages/gateway/src/fireflypulley/gateway/caller_factory.py
+++ b/packages/gateway/src/fireflypulley/gateway/caller_factory.py
@@ -7,9 +7,10 @@
 from fireflypulley.core.gateway import node_limits
 from fireflypulley.gateway import caller_connection
 from fireflypulley.gateway import inbound
-from fireflypulley.gateway import memory
-from fireflypulley.gateway import open_callers
+from fireflypulley.gateway import memory_log
 from fireflypulley.gateway import send_queue
+from fireflypulley.transport import memory
+from fireflypulley.transport import open_callers
 
 
 class CallerFactory(protocol.Factory):
@@ -30,7 +31,9 @@
         self.held = send_queue.HeldBytes(bounds)
         if budget is None:
             budget = memory.MemoryBudget(
-                reactor, node_limits.NodeLimits().held_bytes
+                reactor,
+                node_limits.NodeLimits().held_bytes,
+                memory_log.let_give_up,
             )
         self._callers = open_callers.OpenCallers(budget, max_connections)
 
--- a/packages/gateway/src/fireflypulley/gateway/dependencies.py
+++ b/packages/gateway/src/fireflypulley/gateway/dependencies.py
@@ -12,8 +12,8 @@
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
+from fireflypulley.transport import memory
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fireflypulley/gateway/metrics.py
+++ b/packages/gateway/src/fireflypulley/gateway/metrics.py
@@ -10,7 +10,7 @@
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import runs
 from fireflypulley.core.gateway import scheduler
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
 
 REQUEST_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 12.0)
 FIRST_EVENT_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.0)
--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -11,7 +11,7 @@
 from fireflypulley.gateway import events
 from fireflypulley.gateway import header_codec
 from fireflypulley.gateway import inbound
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
 
 BAD_GATEWAY = 502
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
--- a/packages/gateway/src/fireflypulley/gateway/send_queue.py
+++ b/packages/gateway/src/fireflypulley/gateway/send_queue.py
@@ -8,8 +8,8 @@
 from zope import interface
 
 from fireflypulley.core.gateway import caller_ends
-from fireflypulley.gateway import memory
 from fireflypulley.transport import last_bytes
+from fireflypulley.transport import memory
 from fireflypulley.transport import sockets
 
 MAX_PIECE_BYTES = 16384
--- a/packages/gateway/src/fireflypulley/gateway/service.py
+++ b/packages/gateway/src/fireflypulley/gateway/service.py
@@ -33,14 +33,13 @@
 from fireflypulley.gateway import limit_reader
 from fireflypulley.gateway import loop_delay
 from fireflypulley.gateway import membership
-from fireflypulley.gateway import memory
+from fireflypulley.gateway import memory_log
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import node_port
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
-from fireflypulley.gateway import process_limits
 from fireflypulley.gateway import replica_scaler
 from fireflypulley.gateway import rollout_controller
 from fireflypulley.gateway import row_codec
@@ -50,6 +49,8 @@
 from fireflypulley.gateway import tunnel_server
 from fireflypulley.gateway import web
 from fireflypulley.platform import base
+from fireflypulley.transport import memory
+from fireflypulley.transport import process_limits
 from fireflypulley.transport import sockets
 
 TICK_INTERVAL_S = 0.25
@@ -111,7 +112,9 @@
         )
         self._metrics = metrics.GatewayMetrics()
         limits = process_limits.apply(config.limits)
-        self._memory = memory.MemoryBudget(reactor, limits.held_bytes)
+        self._memory = memory.MemoryBudget(
+            reactor, limits.held_bytes, memory_log.let_give_up
+        )
         self._connections = pools.ConnectionPools(reactor)
         self._prober = prober.Prober(
             reactor, self._scheduler, self._connections
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_server.py
@@ -11,7 +11,6 @@
 from fireflypulley.core.gateway import endpoint_paths
 from fireflypulley.core.gateway import fleet
 from fireflypulley.gateway import background
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import tunnel_transport
 from fireflypulley.gateway import tunnels
@@ -19,6 +18,7 @@
 from fireflypulley.nodes import streams
 from fireflypulley.transport import dialing
 from fireflypulley.transport import early_close
+from fireflypulley.transport import memory
 from fireflypulley.transport import peer_watch
 
 MAX_TUNNELS = 400
--- a/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnel_transport.py
@@ -13,10 +13,10 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
-from fireflypulley.gateway import memory
 from fireflypulley.nodes import messages
 from fireflypulley.nodes import streams
 from fireflypulley.transport import early_close
+from fireflypulley.transport import memory
 from fireflypulley.transport import peer_watch
 from fireflypulley.transport import sockets
 
--- a/packages/gateway/src/fireflypulley/gateway/tunnels.py
+++ b/packages/gateway/src/fireflypulley/gateway/tunnels.py
@@ -20,7 +20,6 @@
 from fireflypulley.core.gateway import peer_registry
 from fireflypulley.core.gateway import ways
 from fireflypulley.gateway import decision_log
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import tunnel_search
 from fireflypulley.gateway import tunnel_transport
@@ -30,6 +29,7 @@
 from fireflypulley.nodes import streams
 from fireflypulley.transport import dialing
 from fireflypulley.transport import early_close
+from fireflypulley.transport import memory
 from fireflypulley.transport import reading
 
 OPEN_TIMEOUT_S = 0.6
--- a/packages/gateway/src/fireflypulley/gateway/memory.py
+++ b/packages/transport/src/fireflypulley/transport/memory.py
@@ -13,9 +13,6 @@
 
 from twisted.internet import interfaces
 
-from fireflypulley.gateway import background
-from fireflypulley.gateway import decision_log
-
 SCARCE_SHARE = 0.5
 """Of the bound; beyond it holders keep no more than they need to go on."""
 LARGEST_SHARE = 0.125
@@ -68,13 +65,28 @@
         """
 
 
+_LetGiveUp = collections.abc.Callable[[Holder, float, int], None]
+
+
+def _let_give_up(holder: Holder, still_s: float, bound_bytes: int) -> None:
+    holder.give_up()
+
+
 class MemoryBudget:
-    """Counts what all holders of a node hold, and keeps it within a bound."""
+    """Counts what all holders of a node hold, and keeps it within a bound.
+
+    ``let_give_up`` lets a holder do so that has stood still for some
+    seconds; it gets the bound as well, to tell why.
+    """
 
     def __init__(
-        self, reactor: interfaces.IReactorTime, bound_bytes: int
+        self,
+        reactor: interfaces.IReactorTime,
+        bound_bytes: int,
+        let_give_up: _LetGiveUp = _let_give_up,
     ) -> None:
         self._reactor = reactor
+        self._let_give_up = let_give_up
         self.bound_bytes = bound_bytes
         self.used_bytes: collections.Counter[Use] = collections.Counter()
         self.given_up = 0
@@ -156,14 +168,8 @@
         self._ending.add(holder)
         self._ending_bytes += holder.held_bytes
         self.given_up += 1
-        decision_log.note(
-            "memory",
-            holder=type(holder).__name__,
-            held_bytes=holder.held_bytes,
-            still_ms=round((self._reactor.seconds() - holder.moved_s) * 1000),
-            bound_bytes=self.bound_bytes,
-        )
-        background.guard(holder.give_up, memory="give up")()
+        still_s = self._reactor.seconds() - holder.moved_s
+        self._let_give_up(holder, still_s, self.bound_bytes)
 
     def _cost(self, holder: Holder) -> float:
         """Return bytes times the seconds for which they have not moved."""
--- a/packages/gateway/src/fireflypulley/gateway/open_callers.py
+++ b/packages/transport/src/fireflypulley/transport/open_callers.py
@@ -1,7 +1,16 @@
 """The open connections of a node's callers, and how many there may be."""
 
-from fireflypulley.gateway import caller_account
-from fireflypulley.gateway import memory
+import abc
+
+from fireflypulley.transport import memory
+
+
+class Account(memory.Holder):
+    """What one connection holds."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Count nothing any more; the connection is gone."""
 
 
 class OpenCallers:
@@ -14,9 +23,9 @@
     def __init__(self, budget: memory.MemoryBudget, limit: int) -> None:
         self.budget = budget
         self._limit = limit
-        self._accounts: set[caller_account.CallerAccount] = set()
+        self._accounts: set[Account] = set()
 
-    def add(self, account: caller_account.CallerAccount) -> None:
+    def add(self, account: Account) -> None:
         """Add a connection that was opened."""
         self._accounts.add(account)
         if len(self._accounts) <= self._limit:
@@ -24,7 +33,7 @@
         idle = (one for one in self._accounts if not one.is_awaited)
         self.budget.let_give_up(self.budget.find_stalest(idle) or account)
 
-    def remove(self, account: caller_account.CallerAccount) -> None:
+    def remove(self, account: Account) -> None:
         """Remove a connection that is closed."""
         self._accounts.discard(account)
         account.close()
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -14,11 +14,11 @@
 from fireflypulley.gateway import exchange
 from fireflypulley.gateway import inbound
 from fireflypulley.gateway import limit_reader
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import pools
 from fireflypulley.gateway import prober
 from fireflypulley.gateway import tunnels
+from fireflypulley.transport import memory
 
 from ..core.gateway import builders
 from . import header_codecs
--- a/tests/gateway/test_answer_memory.py
+++ b/tests/gateway/test_answer_memory.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fireflypulley.core.gateway import calls
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
 
 from . import exchanges
 
--- a/tests/gateway/test_caller_accounts.py
+++ b/tests/gateway/test_caller_accounts.py
@@ -8,7 +8,7 @@
 from fireflypulley.core.gateway import document
 from fireflypulley.gateway import caller_account
 from fireflypulley.gateway import caller_factory
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
 
 from . import test_inbound
 
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -7,10 +7,10 @@
 from twisted.internet import task
 
 from fireflypulley.core.gateway import node_limits
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import send_queue
 from fireflypulley.gateway import service
+from fireflypulley.transport import memory
 
 from . import exchanges
 from . import test_outbound
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -8,9 +8,9 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.gateway import answer_part
 from fireflypulley.gateway import events
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import outbound
 from fireflypulley.gateway import relay
+from fireflypulley.transport import memory
 
 from . import exchanges
 from . import header_codecs
--- a/tests/gateway/test_tunnel_memory.py
+++ b/tests/gateway/test_tunnel_memory.py
@@ -3,8 +3,8 @@
 import pytest
 
 from fireflypulley.core.gateway import calls
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import tunnel_transport
+from fireflypulley.transport import memory
 
 from . import test_tunnels
 
--- a/tests/gateway/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import task
 
-from fireflypulley.gateway import memory
+from fireflypulley.transport import memory
 
 BOUND = 1000
 
--- a/tests/gateway/test_process_limits.py
+++ b/tests/transport/test_process_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fireflypulley.core.gateway import node_limits
-from fireflypulley.gateway import process_limits
+from fireflypulley.transport import process_limits
 
 
 @pytest.mark.parametrize(
