Bound what the daemon holds for its callers' connections

The daemon's callers' port had no bound on connections, on what they have sent of requests, or on what waits for them. A crowd took its descriptors (600 silent connections: 614 of 400; 250 uploads of 1 MB that stop: 514, as each has a file besides) and its memory (1,000 uploads of 99 kB that stop: 173 MB of 130).

Each connection counts in a memory budget now, with the gateway's code (transport.memory, open_callers): its objects, what was read of a request, until that has ended, and what its transport keeps (below TLS, if any). Half of memory_mb beyond 80 MiB is for this, a third of descriptors for callers; beyond these the connection that costs most or stands still longest is closed, and one whose caller waits for the node last. Both are settings in [limits]; with the defaults (512 MiB, 4096) 216 MiB and 1,365 callers.

Test changes: Watch of test_crowds.py moves to crowd_watch.py, unchanged; callers of a crowd may speak TLS; test_site.py passes the new argument of site.create. The service stand-in answers with as many bytes as asked.

--- a/packages/callers/src/fireflypulley/callers/site.py
+++ b/packages/callers/src/fireflypulley/callers/site.py
@@ -8,12 +8,14 @@
 from twisted.web import resource
 from twisted.web import server
 
+from fireflypulley.callers import channel
 from fireflypulley.callers import gateway
 from fireflypulley.callers import models
 from fireflypulley.callers import sinks
 from fireflypulley.core import matching
 from fireflypulley.core import payload
 from fireflypulley.core import problems
+from fireflypulley.transport import open_callers
 
 MAX_BODY_BYTES = 8 << 20
 IDLE_TIMEOUT_S = 75
@@ -255,10 +257,21 @@
     return int(text)
 
 
-def create(node: gateway.Gateway) -> server.Site:
+class CallerSite(server.Site):
+    """A site whose connections share what may be held."""
+
+    protocol = channel.CallerChannel
+
+    def __init__(self, root: Root, callers: open_callers.OpenCallers) -> None:
+        super().__init__(
+            root, requestFactory=CallerRequest, timeout=IDLE_TIMEOUT_S
+        )
+        self.callers = callers
+        self.displayTracebacks = False
+
+
+def create(
+    node: gateway.Gateway, callers: open_callers.OpenCallers
+) -> server.Site:
     """Return the site that serves callers from a node."""
-    site = server.Site(
-        Root(node), requestFactory=CallerRequest, timeout=IDLE_TIMEOUT_S
-    )
-    site.displayTracebacks = False
-    return site
+    return CallerSite(Root(node), callers)
--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -37,6 +37,9 @@
 from fireflypulley.platform import http_client
 from fireflypulley.platform import http_services
 from fireflypulley.platform import job_store
+from fireflypulley.transport import memory
+from fireflypulley.transport import open_callers
+from fireflypulley.transport import process_limits
 
 TICK_S = 0.1
 STOP_CHECK_S = 0.05
@@ -60,6 +63,13 @@
         self._core = node.Node(this, incarnation)
         self._loop = driver.Driver(self._core, clock.Clock(reactor))
         self._metrics = metrics.Metrics()
+        limits = process_limits.apply(config.limits.of_machine)
+        self._memory = memory.MemoryBudget(
+            reactor, limits.held_bytes, logs.let_give_up
+        )
+        self._callers = open_callers.OpenCallers(
+            self._memory, limits.caller_connections
+        )
         self._clients = clients.Clients(reactor)
         self._build_platform()
         self._build_streams(this, incarnation)
@@ -168,7 +178,7 @@
         for description, factory in (
             (self._config.node.streams, self._hub.server_factory()),
             (self._config.node.operators, api.create(self._control)),
-            (self._config.node.callers, site.create(self)),
+            (self._config.node.callers, site.create(self, self._callers)),
         ):
             endpoint = twisted_endpoints.serverFromString(
                 self._reactor, description
--- a/packages/daemon/src/fireflypulley/daemon/settings.py
+++ b/packages/daemon/src/fireflypulley/daemon/settings.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from fireflypulley.core import findings
+from fireflypulley.core.gateway import node_limits
 from fireflypulley.core import inifile
 from fireflypulley.core import pool
 
@@ -50,11 +51,21 @@
 
 
 class LimitSettings(_Model):
-    """Time limits of the node."""
+    """Time limits of the node, and what its machine allows it."""
 
     shutdown_grace_s: float = pydantic.Field(30.0, gt=0)
     balancer_delay_s: float = pydantic.Field(1.0, ge=0)
     kept_answer_s: float = pydantic.Field(60.0, ge=0)
+    memory_mb: int = pydantic.Field(
+        node_limits.DEFAULT_MEMORY_BYTES // node_limits.MIB, gt=0
+    )
+    descriptors: int = pydantic.Field(node_limits.DEFAULT_DESCRIPTORS, gt=0)
+
+    @property
+    def of_machine(self) -> node_limits.NodeLimits:
+        """Return what the node's process may use."""
+        memory_bytes = self.memory_mb * node_limits.MIB
+        return node_limits.NodeLimits(memory_bytes, self.descriptors)
 
 
 class Settings(_Model):
--- a/standins/fireflystandins/__main__.py
+++ b/standins/fireflystandins/__main__.py
@@ -47,6 +47,7 @@
     parser.add_argument("--cold-capacity", type=int, default=1)
     parser.add_argument("--cold", action="store_true")
     parser.add_argument("--replica-id", default="i-1")
+    parser.add_argument("--padding-bytes", type=int, default=0)
     parser.add_argument("--service", default="s")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--zone", default="a")
@@ -91,6 +92,7 @@
             capacity=options.capacity,
             cold_capacity=options.cold_capacity,
             cold=options.cold,
+            padding_bytes=options.padding_bytes,
         )
         handler = engine.Engine(settings).handle
     web.serve(handler, options.address)
--- a/standins/fireflystandins/engine.py
+++ b/standins/fireflystandins/engine.py
@@ -45,6 +45,8 @@
     cold_capacity: int = 1
     cold: bool = False
     exact_cold: bool = True
+    padding_bytes: int = 0
+    """How much longer each token is."""
 
 
 def token(prompt: str, index: int) -> str:
@@ -99,6 +101,7 @@
             self._finish()
             return
         text = token(self._prompt, self._index)
+        text += "x" * self._engine.settings.padding_bytes
         self._index += 1
         self._engine.tokens += 1
         self._write({"delta": {"content": text}, "index": 0})
--- a/standins/fireflystandins/local.py
+++ b/standins/fireflystandins/local.py
@@ -281,13 +281,20 @@
         failure_domain: str,
         grace_s: float = 20.0,
         tls: Tls | None = None,
+        limits: dict[str, float] | None = None,
     ) -> Daemon:
-        """Start a daemon with its own settings."""
+        """Start a daemon with its own settings.
+
+        ``limits`` are further options of that section.
+        """
         assert self.platform is not None
         ports = [free_port() for _ in range(3)]
         server, dial = _plain_server, PLAIN_DIAL
         if tls is not None:
             server, dial = tls.server, tls.dial
+        further = "".join(
+            f"{name} = {value}\n" for name, value in (limits or {}).items()
+        )
         path = self.folder / f"{node_id}.ini"
         path.write_text(
             f"""[node]
@@ -311,7 +318,7 @@
 [limits]
 shutdown_grace_s = {grace_s}
 balancer_delay_s = 0.5
-"""
+{further}"""
         )
         program = pathlib.Path(sys.executable).parent / "fireflypulleyd"
         process = self._start(node_id, [str(program), str(path)])
--- a/standins/fireflystandins/service.py
+++ b/standins/fireflystandins/service.py
@@ -1,6 +1,7 @@
 """A stand-in for a plain service that counts its executions.
 
-``GET /executions`` returns how often each idempotency key ran.
+``GET /executions`` returns how often each idempotency key ran.  A call
+whose query has ``bytes`` is answered with as many.
 """
 
 import collections
@@ -75,6 +76,10 @@
         if self.faults.fail_all:
             request.respond(500, {"error": "bad version"})
             return
+        size_bytes = int(request.argument("bytes", "0"))
+        if size_bytes:
+            request.respond_bytes(200, b"x" * size_bytes, "")
+            return
         path = "/" + "/".join(request.parts)
         request.respond(
             200,
--- a/tests/callers/test_site.py
+++ b/tests/callers/test_site.py
@@ -5,12 +5,17 @@
 import hypothesis
 from hypothesis import strategies
 from twisted.internet import address
+from twisted.internet import task
 from twisted.internet import testing
 
 from fireflypulley.callers import events
 from fireflypulley.callers import gateway
 from fireflypulley.callers import site
 from fireflypulley.core import ledger_rows
+from fireflypulley.transport import memory
+from fireflypulley.transport import open_callers
+
+BOUND_BYTES = 64 << 20
 
 
 class Recorder(gateway.Gateway):
@@ -46,7 +51,9 @@
 def send(data: bytes) -> tuple[bytes, Recorder]:
     """Return the site's response to bytes, and the recorder."""
     recorder = Recorder()
-    factory = site.create(recorder)
+    budget = memory.MemoryBudget(task.Clock(), BOUND_BYTES)
+    callers = open_callers.OpenCallers(budget, 1)
+    factory = site.create(recorder, callers)
     factory.startFactory()
     protocol = factory.buildProtocol(address.IPv4Address("TCP", "h", 1))
     transport = testing.StringTransport()
--- a/tests/processes/crowd_callers.py
+++ b/tests/processes/crowd_callers.py
@@ -9,6 +9,7 @@
 import dataclasses
 import select
 import socket
+import ssl
 import struct
 import time
 import typing
@@ -17,6 +18,8 @@
 
 RECEIVE_BUFFER_BYTES = 4096
 READ_BYTES = 512
+HANDSHAKE_TIMEOUT_S = 10.0
+TLS_WAITS = ssl.SSLWantReadError, ssl.SSLWantWriteError
 READ_INTERVAL_S = 0.5
 STEP_S = 0.05
 ARRIVALS_PER_STEP = 40
@@ -63,6 +66,15 @@
     comes_again: bool = False
 
 
+def _open_socket():
+    """Return a socket with a small receive buffer."""
+    opened = socket.socket()
+    opened.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
+    return opened
+
+
 class _Caller:
     """One connection."""
 
@@ -74,12 +86,14 @@
         self._drip = memoryview(manner.drip)
         self.status = ""
         self.has_ended = False
-        self.socket = socket.socket()
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self.socket.setblocking(False)
-        self.socket.connect_ex(address)
+        self.socket = self._connect(address)
+
+    def _connect(self, address):
+        """Return a socket that is being connected."""
+        opened = _open_socket()
+        opened.setblocking(False)
+        opened.connect_ex(address)
+        return opened
 
     @property
     def is_settled(self):
@@ -135,23 +149,65 @@
         self.socket.close()
 
 
+class _TlsCaller(_Caller):
+    """One connection over TLS, which begins with its handshake."""
+
+    def __init__(self, address, manner, number, tls_context):
+        self._context = tls_context
+        super().__init__(address, manner, number)
+
+    def _connect(self, address):
+        opened = _open_socket()
+        opened.settimeout(HANDSHAKE_TIMEOUT_S)
+        opened.connect(address)
+        opened = self._context.wrap_socket(opened)
+        opened.setblocking(False)
+        return opened
+
+    def write(self):
+        with contextlib.suppress(*TLS_WAITS):
+            if not self.has_ended:
+                self._write()
+
+    def look(self):
+        """Note the status of the first answer."""
+        with contextlib.suppress(OSError):
+            start = self.socket.recv(STATUS_BYTES)
+            self.status = self.status or start[-3:].decode()
+
+    def read(self):
+        with contextlib.suppress(*TLS_WAITS):
+            if self.status and not self.has_ended:
+                self.has_ended = not self.socket.recv(READ_BYTES)
+
+
 class Crowd:
-    """Callers of one manner at one node; ``watch`` is called at each step."""
+    """Callers of one manner at one node; ``watch`` is called at each step.
+
+    They speak TLS if there is a ``tls_context``.
+    """
 
-    def __init__(self, node, manner, count, watch):
+    def __init__(self, node, manner, count, watch, tls_context=None):
         host, port = node.callers.rsplit(":", 1)
         self._address = (host, int(port))
         self._manner = manner
         self._count = count
         self._watch = watch
+        self._tls_context = tls_context
         self._callers = {}
         self._poll = select.poll()
         self._read_at_s = 0.0
         self.arrived = 0
         self.statuses = collections.Counter()
 
+    def _create(self):
+        call = self._address, self._manner, self.arrived
+        if self._tls_context is None:
+            return _Caller(*call)
+        return _TlsCaller(*call, self._tls_context)
+
     def _arrive(self):
-        caller = _Caller(self._address, self._manner, self.arrived)
+        caller = self._create()
         self.arrived += 1
         self._callers[caller.socket.fileno()] = caller
         self._poll.register(caller.socket, select.POLLIN | ENDED)
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -7,8 +7,6 @@
 
 import contextlib
 import http.client
-import os
-import pathlib
 import socket
 import time
 
@@ -19,13 +17,13 @@
 
 from . import callers
 from . import crowd_callers
+from . import crowd_watch
 from . import paths
 
 pytestmark = pytest.mark.crowds
 
 LITTLE_MEMORY = {"memory-mb": 110, "max-fds": 4100}
 FEW_DESCRIPTORS = {"memory-mb": 300, "max-fds": 400}
-KB_PER_MB = 1024
 GATHER_S = 12.0
 """A crowd that is not served by then is held as it is."""
 HOLD_S = 4.0
@@ -76,44 +74,6 @@
         yield running
 
 
-class Watch:
-    """Compares what a node uses with what its settings allow."""
-
-    def __init__(self, node, limits):
-        self.node = node
-        self._limits = limits
-        self._folder = pathlib.Path(f"/proc/{node.popen.pid}")
-        self._memory_mb = 0.0
-        self._descriptors = 0
-
-    def sample(self):
-        """Note what the node uses now, and the most memory it had."""
-        if not self.node.alive:
-            return
-        status = (self._folder / "status").read_text()
-        peak = next(ln for ln in status.splitlines() if "VmHWM" in ln)
-        self._memory_mb = int(peak.split()[1]) / KB_PER_MB
-        descriptors = len(os.listdir(self._folder / "fd"))
-        self._descriptors = max(self._descriptors, descriptors)
-
-    def __str__(self):
-        return (
-            f"{self.node.name}: {self._memory_mb:.0f} MB,"
-            f" {self._descriptors} descriptors"
-        )
-
-    def problems(self):
-        """Return in what the node is beyond its settings."""
-        found = []
-        if not self.node.alive:
-            found.append(f"{self}: ended")
-        if self._memory_mb > self._limits["memory-mb"]:
-            found.append(f"{self}: memory")
-        if self._descriptors > self._limits["max-fds"]:
-            found.append(f"{self}: descriptors")
-        return found
-
-
 def _wait_answered(node):
     """Wait until an ordinary request is answered whole."""
     name = f"ordinary-{node.name}-{time.monotonic_ns()}"
@@ -162,7 +122,7 @@
     """Play a crowd to one node."""
     node = system.start_node("node", limits=limits)
     system.wait_ready()
-    _play_at(node, [Watch(node, limits)], manner, count, hold_s)
+    _play_at(node, [crowd_watch.Watch(node, limits)], manner, count, hold_s)
 
 
 def _ask(node, name, path, body=b"3", pause_s=0.0):
@@ -207,7 +167,9 @@
         system.wait_ready()
         ways.cut()
         _wait_answered(ways.node)
-        watches = [Watch(node, LITTLE_MEMORY) for node in system.nodes]
+        watches = [
+            crowd_watch.Watch(node, LITTLE_MEMORY) for node in system.nodes
+        ]
         _play_at(ways.node, watches, _slow_readers("length"), 300)
 
 
@@ -354,7 +316,7 @@
 def test_names_that_callers_make_up(system):
     node = system.start_node("node", limits=LITTLE_MEMORY)
     system.wait_ready()
-    watch = Watch(node, LITTLE_MEMORY)
+    watch = crowd_watch.Watch(node, LITTLE_MEMORY)
     host, port = node.callers.rsplit(":", 1)
     with contextlib.ExitStack() as stack:
         connections = [
