Count what answers take of the daemon's memory

Crowds that read long answers slowly took far more than the daemon's memory_mb of 130: its endpoints' answers were held whole without a bound, as parts that arrive, as events of a stream kept for callers that come again, and in what connections that were lost had left to send.

Each task counts its events and what its attempt has received in the daemon's budget, twice, since buffers are copied as they grow and joined. The costliest lets its callers' connections go, so that the core cancels the attempt and nothing is said against the endpoint. At most 16 KiB of an answer are read at once (64 KiB of 200 answers in one turn are 13 MB), and a lost connection, or a cancelled attempt, lets go of its bytes at once.

What a daemon keeps of keyed answers for kept_answer_s, keyed requests whose callers have left, and jobs are not bounded by this.

--- a/packages/callers/src/fireflypulley/callers/channel.py
+++ b/packages/callers/src/fireflypulley/callers/channel.py
@@ -21,6 +21,12 @@
         callers: open_callers.OpenCallers = self.site.callers
         return callers
 
+    @property
+    def _below(self) -> typing.Any:
+        """Return the transport of the socket, which is below that of TLS."""
+        transport: typing.Any = self.transport
+        return getattr(transport, "transport", None) or transport
+
     def connectionMade(self) -> None:
         super().connectionMade()
         self._account = account.ChannelAccount(
@@ -42,6 +48,7 @@
         # Objects that refer to each other are freed much later.
         self._dataBuffer = []
         self.clearLineBuffer()
+        sockets.drop_kept(self._below)
 
     # Reading
 
@@ -81,6 +88,4 @@
 
     def _count_waiting(self) -> None:
         """Count what the transport keeps until the caller takes it."""
-        transport: typing.Any = self.transport
-        below = getattr(transport, "transport", None) or transport
-        self._account.count_waiting(sockets.kept_bytes(below))
+        self._account.count_waiting(sockets.kept_bytes(self._below))
--- a/packages/callers/src/fireflypulley/callers/gateway.py
+++ b/packages/callers/src/fireflypulley/callers/gateway.py
@@ -30,6 +30,16 @@
     def refuse(self, refusal: problems.Refusal) -> None:
         """Send a refusal as the final answer."""
 
+    def give_up(self) -> None:
+        """Break the answer off, as the node needs the memory."""
+        self.refuse(
+            problems.Refusal(
+                problems.Reason.RETRIES_EXHAUSTED,
+                problems.Run.FAILED,
+                "the node needs the memory of the answer",
+            )
+        )
+
     @property
     @abc.abstractmethod
     def open(self) -> bool:
--- a/packages/callers/src/fireflypulley/callers/sinks.py
+++ b/packages/callers/src/fireflypulley/callers/sinks.py
@@ -24,6 +24,11 @@
         """Stop writing after the caller has disconnected."""
         self._open = False
 
+    def give_up(self) -> None:
+        """Close the connection, which tells that the caller has left."""
+        if self._open:
+            self._request.transport.abortConnection()
+
     def events(self, data: bytes) -> None:
         pass
 
--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -134,6 +134,7 @@
             self._clients,
             self._metrics,
             self._loop.now_s,
+            self._memory,
         )
         self._frontend = frontend.Frontend(
             self._loop,
--- a/packages/daemon/src/fireflypulley/daemon/jobs.py
+++ b/packages/daemon/src/fireflypulley/daemon/jobs.py
@@ -48,6 +48,9 @@
         )
         self.refuse(refusal)
 
+    def give_up(self) -> None:
+        """Go on; nobody else would run the job."""
+
     def refuse(self, refusal: problems.Refusal) -> None:
         self._loop.feed(
             events.JobRefused(self._job_id, refusal, self._task.tokens)
--- a/packages/daemon/src/fireflypulley/daemon/registry.py
+++ b/packages/daemon/src/fireflypulley/daemon/registry.py
@@ -43,6 +43,7 @@
 
     def drop(self, task: tasks.RequestTask) -> None:
         """Remove a task."""
+        task.memory.close()
         self._tasks.pop(task.request.request_id, None)
         if self._tasks_by_key.get(task.key) is task:
             del self._tasks_by_key[task.key]
@@ -102,6 +103,7 @@
         if not task.request.idempotency_key:
             self.drop(task)
             return
+        task.memory.close()
         self._ended[task.request.request_id] = task
 
     def tick(self, reactor_s: float) -> None:
--- a/packages/daemon/src/fireflypulley/daemon/tasks.py
+++ b/packages/daemon/src/fireflypulley/daemon/tasks.py
@@ -15,8 +15,10 @@
 from fireflypulley.core import topology
 from fireflypulley.daemon import logs
 from fireflypulley.daemon import metrics
+from fireflypulley.daemon import task_memory
 from fireflypulley.endpoints import base
 from fireflypulley.endpoints import clients
+from fireflypulley.transport import memory
 
 _Feed = collections.abc.Callable[[events.Event], None]
 
@@ -48,6 +50,7 @@
     clients: clients.Clients
     metrics: metrics.Metrics
     now_s: collections.abc.Callable[[], float]
+    memory: memory.MemoryBudget
 
 
 class _Listener(base.AttemptListener):
@@ -67,6 +70,9 @@
             events.AttemptSent(self._task.request.request_id, self._attempt_id)
         )
 
+    def received(self, size_bytes: int) -> None:
+        self._task.memory.hold_part(size_bytes)
+
     def frames(self, frames: list[bytes]) -> None:
         if not self._tokens:
             self._first_token()
@@ -98,7 +104,9 @@
             gap_s = duration_s / (self._tokens - 1)
             dependencies.metrics.token_gap_s.observe({}, gap_s)
         stored = None
-        if answer is not None:
+        if answer is None:
+            self._task.memory.drop_part()
+        else:
             stored = ledger_rows.stored_answer(
                 answer.status, answer.content_type, answer.body
             )
@@ -141,11 +149,20 @@
         self.job_id = ""
         self._sinks: list[gateway.Sink] = []
         self._attempt: base.Attempt | None = None
+        self.memory = task_memory.TaskMemory(
+            dependencies.memory, self._give_up
+        )
+
+    def _give_up(self) -> None:
+        """Let the callers go, as the node needs the memory."""
+        for sink in list(self._sinks):
+            sink.give_up()
 
     def preload(self, transcript: bytes, tokens: int) -> None:
         """Set the events that a previous owner received."""
         self.transcript = bytearray(transcript)
         self.tokens = tokens
+        self.memory.hold(len(transcript))
 
     # Callers
 
@@ -184,6 +201,7 @@
         data = sse.add_ids(frames, self.tokens)
         self.tokens += len(frames)
         self.transcript += data
+        self.memory.hold(len(data))
         for sink in self._sinks:
             sink.events(data)
 
@@ -248,6 +266,7 @@
         if self._attempt is not None:
             self._attempt.cancel()
             self._attempt = None
+            self.memory.drop_part()
 
     def check_idle(self, reactor_s: float) -> None:
         """End an attempt whose endpoint has sent nothing for too long."""
--- a/packages/endpoints/src/fireflypulley/endpoints/base.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/base.py
@@ -47,6 +47,9 @@
     def sent(self) -> None:
         """Handle the start of writing the request."""
 
+    def received(self, size_bytes: int) -> None:
+        """Handle bytes that the attempt keeps until its end."""
+
     @abc.abstractmethod
     def frames(self, frames: list[bytes]) -> None:
         """Handle received SSE events, one token each."""
--- a/packages/endpoints/src/fireflypulley/endpoints/http_attempt.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/http_attempt.py
@@ -1,6 +1,7 @@
 """The common part of attempts on engines and plain services."""
 
 import collections.abc
+import typing
 
 from twisted.internet import defer
 from twisted.internet import interfaces
@@ -17,6 +18,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4 << 20
+READ_BYTES = 16 << 10
+"""At once of an answer; a node reads hundreds of them in one turn."""
 _BUSY = frozenset({429, 503})
 
 
@@ -63,9 +66,17 @@
         is_complete = reason.check(client.ResponseDone) is not None
         self._attempt.body_ended(is_complete)
 
+    def connectionMade(self) -> None:
+        self._below.bufferSize = READ_BYTES
+
+    @property
+    def _below(self) -> typing.Any:
+        """Return the transport of the connection."""
+        return getattr(self.transport, "_producer", self.transport)
+
     def abort(self) -> None:
         """Close the connection to the endpoint."""
-        transport = getattr(self.transport, "_producer", self.transport)
+        transport = self._below
         if hasattr(transport, "abortConnection"):
             transport.abortConnection()
         elif transport is not None:
--- a/packages/endpoints/src/fireflypulley/endpoints/plain.py
+++ b/packages/endpoints/src/fireflypulley/endpoints/plain.py
@@ -30,11 +30,23 @@
 
     def data_received(self, data: bytes) -> None:
         self.record_activity()
+        if self._listener is None:
+            return
         self._length += len(data)
         if self._length > http_attempt.MAX_ANSWER_BYTES:
             self.end(requests.Outcome.INVALID)
             return
         self._parts.append(data)
+        self._listener.received(len(data))
+
+    def _take(self) -> bytes:
+        """Return what was received; objects are freed much later."""
+        parts, self._parts = self._parts, []
+        return b"".join(parts)
+
+    def cancel(self) -> None:
+        super().cancel()
+        self._parts = []
 
     def body_ended(self, is_complete: bool) -> None:
         if not is_complete:
@@ -46,5 +58,5 @@
         if outcome is not requests.Outcome.COMPLETE:
             self.end(outcome)
             return
-        body = b"".join(self._parts)
+        body = self._take()
         self.end(outcome, base.Answer(self._status, self._content_type, body))
--- a/packages/transport/src/fireflypulley/transport/sockets.py
+++ b/packages/transport/src/fireflypulley/transport/sockets.py
@@ -62,6 +62,16 @@
     return len(getattr(transport, "dataBuffer", b"")) + waiting
 
 
+def drop_kept(transport: typing.Any) -> None:
+    """Let go of what a transport keeps whose connection is lost.
+
+    Objects that refer to each other are freed much later.
+    """
+    transport.dataBuffer = b""
+    transport._tempDataBuffer = []
+    transport._tempDataLen = 0
+
+
 def unsent_bytes(transport: typing.Any) -> int:
     """Return how many of the bytes written the other side has not taken.
 
--- a/tests/callers/test_channel.py
+++ b/tests/callers/test_channel.py
@@ -9,9 +9,11 @@
 from twisted.web import server
 
 from fireflypulley.callers import account
+from fireflypulley.callers import sinks
 from fireflypulley.callers import site
 from fireflypulley.transport import memory
 from fireflypulley.transport import open_callers
+from fireflypulley.transport import sockets
 
 BOUND_BYTES = 200_000
 LIMIT = 3
@@ -128,11 +130,32 @@
     part = system.connect(_upload(0.5))
     assert system.budget.total_bytes > 2 * ONE + 2 * BODY_BYTES
     for one in (whole, part):
-        one.connectionLost(testing.StringTransport())
+        one.connectionLost(None)
     assert system.budget.total_bytes == 0
     assert sum(system.budget.used_bytes.values()) == 0
 
 
+# Guards against a daemon that keeps what lost connections had to send until
+# the collector runs.
+def test_a_lost_connection_keeps_nothing_that_waited():
+    system = _System()
+    protocol = system.connect(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+    system.page.requests[0].write(b"y" * 10_000)
+    transport = protocol.transport
+    assert sockets.kept_bytes(transport) >= 10_000
+    protocol.connectionLost(None)
+    assert sockets.kept_bytes(transport) == 0
+
+
+# Guards against an answer that gives up and keeps its connection.
+def test_a_sink_that_gives_up_closes_its_connection_at_once():
+    system = _System()
+    protocol = system.connect(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+    sink = sinks.HttpSink(system.page.requests[0])
+    sink.give_up()
+    assert protocol.transport.is_aborted
+
+
 # Guards against counts that drift over the requests of a connection.
 def test_requests_of_one_connection_count_while_they_run():
     system = _System()
--- a/tests/processes/test_daemon_crowds.py
+++ b/tests/processes/test_daemon_crowds.py
@@ -18,6 +18,7 @@
 
 from . import crowd_callers
 from . import crowd_watch
+from . import test_tls
 
 pytestmark = pytest.mark.crowds
 
@@ -29,6 +30,7 @@
 HOLD_S = 4.0
 SLOTS = 1000
 LONG = 2_000_000
+TOKENS = 100
 PADDING_BYTES = 20_000
 DOCUMENT = f"/services/filing/x?bytes={LONG}"
 
@@ -40,7 +42,18 @@
     return "".join(f"{line}\r\n" for line in lines).encode()
 
 
+DOCUMENT_REQUEST = _head("GET", DOCUMENT) + b"\r\n"
 UPLOAD_HEAD = _head("POST", "/services/filing/filings", "Idempotency-Key: k")
+STREAM_BODY = (
+    b'{"model": "shorthand", "stream": true, "max_tokens": %d,'
+    b' "messages": [{"role": "user", "content": "x"}]}' % TOKENS
+)
+
+
+def _stream_request(number):
+    length = f"Content-Length: {len(STREAM_BODY)}"
+    head = _head("POST", "/v1/chat/completions", length)
+    return head + b"\r\n" + STREAM_BODY
 
 
 @pytest.fixture
@@ -138,6 +151,30 @@
     assert not problems
 
 
+SLOW_READERS = crowd_callers.Manner(
+    lambda number: DOCUMENT_REQUEST, reads=True
+)
+
+
+# Guards against a daemon that runs out of memory as many callers read long
+# documents slowly.
+def test_slow_readers_of_long_documents(system):
+    _play(system, SLOW_READERS, 200)
+
+
+# Guards against a daemon for which what TLS keeps counts as nothing.
+def test_slow_readers_of_long_documents_over_tls(system, tmp_path):
+    tls = test_tls.make_certificate(tmp_path)
+    _play(system, SLOW_READERS, 150, tls=tls)
+
+
+# Guards against a daemon that holds what streams send to callers that read
+# slowly.
+def test_slow_readers_of_long_streams(system):
+    manner = crowd_callers.Manner(_stream_request, reads=True)
+    _play(system, manner, 150)
+
+
 # Guards against a daemon that runs out of memory or descriptors by uploads
 # inside the limits that stop before their end.
 @pytest.mark.parametrize("limits", [LITTLE_MEMORY, FEW_DESCRIPTORS])
