--- a/packages/gateway/src/fireflypulley/gateway/pages.py
+++ b/packages/gateway/src/fireflypulley/gateway/pages.py
@@ -7,7 +7,6 @@
 
 from fireflypulley.gateway import callers
 from fireflypulley.gateway import loop_delay
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import metrics
 from fireflypulley.gateway import node_port
 from fireflypulley.gateway import permit_broker
@@ -15,6 +14,7 @@
 from fireflypulley.gateway import status
 from fireflypulley.gateway import stop_order
 from fireflypulley.gateway import web
+from fireflypulley.transport import memory
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -20,7 +20,6 @@
 from fireflypulley.gateway import crash_detector
 from fireflypulley.gateway import decision_log
 from fireflypulley.gateway import follower
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import permit_streams
 from fireflypulley.gateway import report_replication
@@ -30,6 +29,7 @@
 from fireflypulley.nodes import hub
 from fireflypulley.nodes import keys
 from fireflypulley.nodes import messages
+from fireflypulley.transport import memory
 
 MIN_SEND_INTERVAL_S = 0.05
 STREAM_SILENCE_LIMIT_S = 2.0
--- a/tests/gateway/histories.py
+++ b/tests/gateway/histories.py
@@ -14,10 +14,10 @@
 from fireflypulley.core.gateway import scheduler
 from fireflypulley.core.gateway import usage
 from fireflypulley.gateway import follower
-from fireflypulley.gateway import memory
 from fireflypulley.gateway import peer_sync
 from fireflypulley.gateway import permit_broker
 from fireflypulley.gateway import row_codec
+from fireflypulley.transport import memory
 
 from . import history_endpoints
 from . import history_store
