Tell callers of answers given up for memory: unknown

A node that fetches an answer for its caller was told 'failed' when the node that has it gave it up for memory, though a run with a key goes on; its caller could have sent the call elsewhere. The sink says that the outcome is unknown now. The new test in tests/daemon/test_fetches.py failed before (the refusal said failed).

--- a/packages/callers/src/fireflypulley/callers/gateway.py
+++ b/packages/callers/src/fireflypulley/callers/gateway.py
@@ -31,11 +31,14 @@
         """Send a refusal as the final answer."""
 
     def give_up(self) -> None:
-        """Break the answer off, as the node needs the memory."""
+        """Break the answer off, as the node needs the memory.
+
+        The run may go on, if it has a key.
+        """
         self.refuse(
             problems.Refusal(
-                problems.Reason.RETRIES_EXHAUSTED,
-                problems.Run.FAILED,
+                problems.Reason.OUTCOME_UNKNOWN,
+                problems.Run.UNKNOWN,
                 "the node needs the memory of the answer",
             )
         )
--- a/tests/daemon/test_fetches.py
+++ b/tests/daemon/test_fetches.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fireflypulley.callers import gateway
+from fireflypulley.core import problems
 from fireflypulley.daemon import fetches
 from fireflypulley.nodes import messages
 
@@ -149,3 +150,14 @@
     assert (pair.sink.received, pair.sink.transcript) == (b"", None)
     pair.receive(sent)
     assert pair.sink.transcript == b"".join(EVENTS)
+
+
+# Guards against a caller that sends a call again elsewhere as failed, while
+# the run with its key goes on: only its answer was given up.
+def test_an_answer_given_up_for_memory_is_not_told_as_failed():
+    streams = Streams()
+    sink = fetches.RemoteSink(streams, "n1", 1)
+    sink.give_up()
+    (end,) = streams.take()
+    assert end.refusal.run is problems.Run.UNKNOWN
+    assert not sink.open
