--- a/standins/fireflystandins/soak/shrink.py
+++ b/standins/fireflystandins/soak/shrink.py
@@ -25,6 +25,8 @@
         self._is_broken = is_broken
         self._left = max_plays
         self._tries = tries
+        self._sound: set[_Strikes] = set()
+        """What broke nothing in all its tries."""
 
     def shorten(self, played: plan.Plan) -> plan.Plan:
         """Return the shortest plan found that breaks the rule."""
@@ -49,10 +51,13 @@
         return None
 
     def _breaks(self, shorter: plan.Plan) -> bool:
+        if shorter.strikes in self._sound:
+            return False
         for _ in range(self._tries):
             if not self._left:
                 return False
             self._left -= 1
             if self._is_broken(shorter):
                 return True
+        self._sound.add(shorter.strikes)
         return False
--- a/tests/soak/test_shrink.py
+++ b/tests/soak/test_shrink.py
@@ -1,5 +1,6 @@
 """A plan shrinks to the strikes that its break needs."""
 
+import collections
 import dataclasses
 
 import pytest
@@ -58,3 +59,12 @@
         return False
 
     assert shrink.Shrinker(is_sound).shorten(PLAN) == PLAN
+
+
+@pytest.mark.parametrize("needed", [(), (0,), (2, 5, 9)], ids=str)
+def test_no_plan_is_played_more_often_than_it_has_tries(needed):
+    player = _Player(*needed)
+    shrinker = shrink.Shrinker(player.is_broken, max_plays=1000)
+    shrinker.shorten(PLAN)
+    counts = collections.Counter(one.strikes for one in player.played)
+    assert max(counts.values()) <= shrink.TRIES
