--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -123,6 +123,8 @@
 def test_a_refused_link_keeps_its_connections_and_takes_no_new_ones(link):
     links, one, here = link
     address = here.getpeername()
+    here.sendall(b"zero")
+    assert here.recv(100) == b"zero"
     links.strike(one, "refused")
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(address)
