--- a/packages/core/src/fireflypulley/core/gateway/brittle_endpoints.py
+++ b/packages/core/src/fireflypulley/core/gateway/brittle_endpoints.py
@@ -6,7 +6,7 @@
 """
 
 from fireflypulley.core.gateway import fleet
-from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import node_shares
 from fireflypulley.core.gateway import presence
 
 NAMED_VALID_S = 3.0
@@ -22,7 +22,7 @@
     """Which services are brittle, and what may be sent to them."""
 
     def __init__(self, node_id: str) -> None:
-        self._limiter = limits.NodeShareLimiter(node_id)
+        self._limiter = node_shares.NodeShareLimiter(node_id)
         self._named: dict[str, tuple[float, float]] = {}
         self._refused_s: dict[tuple[str, int], float] = {}
 
--- a/packages/core/src/fireflypulley/core/gateway/endpoint_chooser.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_chooser.py
@@ -7,8 +7,8 @@
 from fireflypulley.core.gateway import endpoint_filter
 from fireflypulley.core.gateway import fleet
 from fireflypulley.core.gateway import limited_endpoints
-from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
+from fireflypulley.core.gateway import node_shares
 from fireflypulley.core.gateway import placement
 from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import runs
@@ -22,7 +22,7 @@
 
     limited: limited_endpoints.LimitedEndpoints
     brittle: brittle_endpoints.BrittleEndpoints
-    cold: limits.NodeShareLimiter
+    cold: node_shares.NodeShareLimiter
 
 
 class EndpointChooser:
--- a/packages/core/src/fireflypulley/core/gateway/limited_endpoints.py
+++ b/packages/core/src/fireflypulley/core/gateway/limited_endpoints.py
@@ -10,7 +10,7 @@
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import endpoint_limits
 from fireflypulley.core.gateway import fleet
-from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import node_shares
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import runs
 
@@ -69,7 +69,7 @@
         if None in in_force or not in_force:
             return None
         rate_per_s = sum(
-            max(limit.rate_per_s or 0.0, limits.MIN_RATE_PER_S)
+            max(limit.rate_per_s or 0.0, node_shares.MIN_RATE_PER_S)
             for limit in in_force
             if limit is not None
         )
--- a/packages/core/src/fireflypulley/core/gateway/permit_issuer.py
+++ b/packages/core/src/fireflypulley/core/gateway/permit_issuer.py
@@ -3,8 +3,9 @@
 import collections.abc
 
 from fireflypulley.core.gateway import endpoint_limits
-from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import node_shares
 from fireflypulley.core.gateway import presence
+from fireflypulley.core.gateway import quotas
 
 BURST_S = 0.25
 """Permits of this time, and one more, may be issued at once; a request
@@ -24,7 +25,7 @@
     """
 
     def __init__(self) -> None:
-        self._buckets: dict[endpoint_limits.Key, limits.Bucket] = {}
+        self._buckets: dict[endpoint_limits.Key, quotas.Bucket] = {}
         self._term = -1
 
     def issue(
@@ -50,14 +51,14 @@
 
     def _bucket(
         self, limit: endpoint_limits.EndpointLimit, share: float, now_s: float
-    ) -> limits.Bucket:
-        rate_per_s = max(limit.rate_per_s or 0.0, limits.MIN_RATE_PER_S)
+    ) -> quotas.Bucket:
+        rate_per_s = max(limit.rate_per_s or 0.0, node_shares.MIN_RATE_PER_S)
         rate_per_s *= share
-        paced = limits.Limit(rate_per_s, 1.0 + rate_per_s * BURST_S)
+        paced = quotas.Limit(rate_per_s, 1.0 + rate_per_s * BURST_S)
         bucket = self._buckets.get(limit.key)
         if bucket is None:
             level = min(1.0, rate_per_s * START_S)
-            bucket = limits.Bucket(paced, level, now_s)
+            bucket = quotas.Bucket(paced, level, now_s)
             self._buckets[limit.key] = bucket
         bucket.fill(now_s)
         bucket.limit = paced
--- a/packages/core/src/fireflypulley/core/gateway/scheduler.py
+++ b/packages/core/src/fireflypulley/core/gateway/scheduler.py
@@ -15,6 +15,7 @@
 from fireflypulley.core.gateway import limited_endpoints
 from fireflypulley.core.gateway import limits
 from fireflypulley.core.gateway import load_tracker
+from fireflypulley.core.gateway import node_shares
 from fireflypulley.core.gateway import prompt_crashes
 from fireflypulley.core.gateway import request_admission
 from fireflypulley.core.gateway import retry_policy
@@ -50,7 +51,7 @@
             shared_bounds.retry_slack,
             shared_bounds.retry_window_s,
         )
-        cold_limiter = limits.NodeShareLimiter(node_id)
+        cold_limiter = node_shares.NodeShareLimiter(node_id)
         self.shared = facts.SharedState()
         self.rollouts = versions.RolloutTracker(node_id, self.shared)
         self.endpoint_filter = endpoint_filter.EndpointFilter(
--- a/packages/core/src/fireflypulley/core/gateway/workspace_limits.py
+++ b/packages/core/src/fireflypulley/core/gateway/workspace_limits.py
@@ -2,7 +2,7 @@
 
 from fireflypulley.core.gateway import calls
 from fireflypulley.core.gateway import document
-from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import quotas
 
 TOLERANCE_FRACTION = 0.5
 """The fraction of a limit's tolerance that is granted, so that requests
@@ -24,7 +24,7 @@
         self._factor = 1.0 + overshoot * TOLERANCE_FRACTION
         self._extra = tolerance * TOLERANCE_FRACTION
         self._urgent = tolerance * URGENT_FRACTION
-        self.limiter = limits.SharedLimiter()
+        self.limiter = quotas.SharedLimiter()
 
     def apply(
         self,
@@ -35,7 +35,7 @@
     ) -> None:
         """Apply limits; ``share`` is the fraction of reachable nodes."""
         whole_limits = {
-            workspace.name: limits.Limit(
+            workspace.name: quotas.Limit(
                 workspace.rate_per_s * self._factor,
                 workspace.burst * self._factor + self._extra,
             )
--- a/packages/gateway/src/fireflypulley/gateway/permit_broker.py
+++ b/packages/gateway/src/fireflypulley/gateway/permit_broker.py
@@ -15,7 +15,7 @@
 from twisted.internet import interfaces
 
 from fireflypulley.core.gateway import endpoint_limits
-from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import node_shares
 from fireflypulley.core.gateway import peer_numbers
 from fireflypulley.core.gateway import permit_gate
 from fireflypulley.core.gateway import permit_issuer
@@ -26,7 +26,7 @@
 FEATURE = "permits"
 ASK_TIMEOUT_S = 0.15
 UNANSWERED_WAIT_S = 0.25
-MAX_WAIT_S = sharing.MAX_NODES / limits.MIN_RATE_PER_S
+MAX_WAIT_S = sharing.MAX_NODES / node_shares.MIN_RATE_PER_S
 """An issuer that reaches only itself has a permit in less."""
 MAX_PATH_NODES = 3
 REMEMBERED_REQUESTS = 1000
@@ -86,7 +86,7 @@
         self._term = term
         self._issuer = permit_issuer.PermitIssuer()
         self._links: PermitLinks | None = None
-        self._part: limits.NodeShareLimiter | None = None
+        self._part: node_shares.NodeShareLimiter | None = None
         # Numbers of an earlier start of this node must not come again.
         self._request_number = secrets.randbits(REQUEST_NUMBER_BITS)
         self._waiting: dict[int, defer.Deferred[permit_gate.Permit]] = {}
@@ -98,7 +98,7 @@
     def attach(self, links: PermitLinks) -> None:
         """Use the streams to other nodes from now on."""
         self._links = links
-        self._part = limits.NodeShareLimiter(links.node_id)
+        self._part = node_shares.NodeShareLimiter(links.node_id)
 
     def tick(self) -> None:
         """Drop what is kept for endpoints that are gone."""
--- a/tests/core/gateway/paced_fleets.py
+++ b/tests/core/gateway/paced_fleets.py
@@ -1,8 +1,9 @@
+from fireflypulley.core.gateway import node_shares
+
 """Nodes that send to an endpoint which takes a rate of all together."""
 
 import dataclasses
 
-from fireflypulley.core.gateway import limits
 
 from . import fleets
 
@@ -29,7 +30,7 @@
 
     def begin_pacing(self):
         """Forget what was sent."""
-        self.pacer = limits.NodeShareLimiter(self.node_id)
+        self.pacer = node_shares.NodeShareLimiter(self.node_id)
 
     def _serve(self, sent_s, now_s, chance, is_failing):
         clock_s = now_s + self.clock_offset_s
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -6,14 +6,16 @@
 
 from fireflypulley.core.gateway import document
 from fireflypulley.core.gateway import limits
+from fireflypulley.core.gateway import node_shares
+from fireflypulley.core.gateway import quotas
 from fireflypulley.core.gateway import runs
 
 from . import builders
 
 
 def _limiter(rate_per_s=10.0, burst=100.0):
-    limiter = limits.SharedLimiter()
-    limiter.set_limits({"w": limits.Limit(rate_per_s, burst)}, -100.0)
+    limiter = quotas.SharedLimiter()
+    limiter.set_limits({"w": quotas.Limit(rate_per_s, burst)}, -100.0)
     return limiter
 
 
@@ -62,7 +64,7 @@
     assert limiter.spend("w", 60, 0.0) == 0.0
     if is_known:
         limiter.update_peer("n2", 1, {"w": 10.0}, 0.0)
-    with pytest.raises(limits.BadTotals):
+    with pytest.raises(quotas.BadTotals):
         limiter.update_peer("n2", 1, {"w": total}, 0.0)
     assert limiter.left("w") == 40.0
 
@@ -76,9 +78,9 @@
 
 
 def test_a_refund_leaves_no_total_below_nought():
-    limiter = limits.SharedLimiter()
+    limiter = quotas.SharedLimiter()
     assert limiter.spend("w", 5, 0.0) == 0.0
-    limiter.set_limits({"w": limits.Limit(10.0, 100.0)}, 0.0)
+    limiter.set_limits({"w": quotas.Limit(10.0, 100.0)}, 0.0)
     limiter.refund("w", 5)
     assert limiter.own_totals == {"w": 0.0}
 
@@ -94,8 +96,8 @@
     """Four nodes are killed and restart under an overloaded workspace."""
     spent = 0.0
     for _ in range(4):
-        limiter = limits.SharedLimiter()
-        limiter.set_limits({"w": limits.Limit(10.0, 100.0)}, 0.0)
+        limiter = quotas.SharedLimiter()
+        limiter.set_limits({"w": quotas.Limit(10.0, 100.0)}, 0.0)
         while limiter.spend("w", 5, 0.0) == 0.0:
             spent += 5
     assert spent <= 100.0
@@ -103,7 +105,7 @@
 
 def test_a_lower_limit_caps_the_level():
     limiter = _limiter()
-    limiter.set_limits({"w": limits.Limit(1.0, 20.0)}, 0.0)
+    limiter.set_limits({"w": quotas.Limit(1.0, 20.0)}, 0.0)
     assert limiter.spend("w", 15, 0.0) == 0.0
     assert limiter.spend("w", 15, 0.0) == 10.0
 
@@ -251,7 +253,7 @@
 
 def test_cold_endpoints_get_the_rate_from_all_nodes_together():
     """Ten nodes send for ten seconds as fast as allowed."""
-    pacers = [limits.NodeShareLimiter() for _ in range(10)]
+    pacers = [node_shares.NodeShareLimiter() for _ in range(10)]
     sent = 0
     for tick in range(1000):
         now_s = tick * 0.01
@@ -267,7 +269,9 @@
 def test_many_nodes_do_not_flood_a_cold_endpoint_at_first(nodes, quiet_s):
     """All nodes have a first request at once, also if cold again later."""
     rate_per_s = 9.1
-    pacers = [limits.NodeShareLimiter(f"n{number}") for number in range(nodes)]
+    pacers = [
+        node_shares.NodeShareLimiter(f"n{number}") for number in range(nodes)
+    ]
     if quiet_s:
         for pacer in pacers:
             pacer.note_sent("e", rate_per_s, nodes, -quiet_s)
