Use an undone version only if no endpoint of the old is in use

What callers saw: a node that had found the new version bad, before it heard that the verdict is published, sent requests to the bad version's leaving endpoints as the last resort, and to its other endpoints while the old ones stood in an evacuated domain. The status page named endpoints of the undone version as in work.

Cause: took "no old endpoint among these" for "no old endpoint"; the filter asks about leaving endpoints alone, or without those of drained domains, and the status page about one endpoint at a time.

Why it works: the new version stands in only if no endpoint of the old one is in use at all, whatever its domain. A node that was cut off and finds the old endpoints gone or leaving still uses the new ones.

--- a/packages/core/src/fireflypulley/core/gateway/endpoint_filter.py
+++ b/packages/core/src/fireflypulley/core/gateway/endpoint_filter.py
@@ -29,7 +29,7 @@
     ) -> list[fleet.Member]:
         """Return the endpoints that may receive any request."""
         return self._allowed(
-            request, self._fleet.in_use(request.service.name, now_s)
+            request, self._fleet.in_use(request.service.name, now_s), now_s
         )
 
     def last_resort(
@@ -47,12 +47,14 @@
                 if self._fleet.is_last_resort(member, now_s)
                 and now_s + expected_s <= member.serves_until_s
             ),
+            now_s,
         )
 
     def _allowed(
         self,
         request: calls.AdmittedRequest,
         members: collections.abc.Iterable[fleet.Member],
+        now_s: float,
     ) -> list[fleet.Member]:
         drained = self.drained_domains
         usable = [
@@ -60,8 +62,13 @@
             for member in members
             if member.registration.failure_domain not in drained
         ]
+        in_use = (
+            member
+            for member in self._fleet
+            if self._fleet.is_in_use(member, now_s)
+        )
         return self._rollouts.allowed(
-            request.service.name, request.metadata.request_id, usable
+            request.service.name, request.metadata.request_id, usable, in_use
         )
 
     def still_allowed(self, run: runs.Run, now_s: float) -> bool:
--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -212,12 +212,17 @@
     # Routing
 
     def allowed(
-        self, service: str, request_id: str, members: list[fleet.Member]
+        self,
+        service: str,
+        request_id: str,
+        members: list[fleet.Member],
+        in_use: collections.abc.Iterable[fleet.Member] | None = None,
     ) -> list[fleet.Member]:
         """Return the endpoints whose version may run a request.
 
         A node that has undone a rollout by its own evidence may not know
-        that it is done; then only the new version is left.
+        that it is done; then only the new version is left of all that are
+        ``in_use``, by default the members.
         """
         rollout = self._rollouts.get(service)
         if rollout is None:
@@ -230,7 +235,10 @@
         old = [member for member in members if member not in new]
         phase = self.phase(rollout)
         if phase is Phase.UNDONE:
-            return old if old or self._is_published(rollout) else new
+            others = members if in_use is None else in_use
+            if old or not self._may_be_done(rollout, others):
+                return old
+            return new
         if phase in (Phase.MOVING, Phase.DONE) or not old:
             return new
         point = ownership.fraction(f"{request_id}/trial")
@@ -238,6 +246,18 @@
             return new
         return old
 
+    def _may_be_done(
+        self, rollout: Rollout, in_use: collections.abc.Iterable[fleet.Member]
+    ) -> bool:
+        """Return whether others may have done what this node has undone."""
+        if self._is_published(rollout):
+            return False
+        return not any(
+            member.registration.service == rollout.service
+            and member.registration.version != rollout.target
+            for member in in_use
+        )
+
     def _trial_share(self, rollout: Rollout) -> float:
         if self._evidence.finding(rollout.rollout_id).answers < TRIAL_ANSWERS:
             return TRIAL_SHARE
--- a/packages/gateway/src/fireflypulley/gateway/status.py
+++ b/packages/gateway/src/fireflypulley/gateway/status.py
@@ -144,7 +144,8 @@
         return "leaving"
     if spec.failure_domain in node_scheduler.endpoint_filter.drained_domains:
         return "evacuated"
-    if not node_scheduler.rollouts.allowed(spec.service, "", [member]):
+    in_use = node_scheduler.fleet.in_use(spec.service, now_s)
+    if not node_scheduler.rollouts.allowed(spec.service, "", [member], in_use):
         return "other version"
     if load.is_unreachable:
         return "unreached"
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -135,3 +135,13 @@
     serving_scheduler.freshness.note("t", "n2", NOW_S - 1.5)
     confirmed = _page(serving_scheduler)["node"]["rows_confirmed"]
     assert confirmed == {"t": {"before_s": 1.5, "by": "n2"}}
+
+
+def test_a_version_that_is_undone_is_a_reason(serving_scheduler):
+    rollout = versions.Rollout("s/v2/1", "s", "v2", 4.0, 12.0)
+    serving_scheduler.rollouts.order(rollout)
+    undone = versions.PhaseReached("s/v2/1", versions.Phase.UNDONE, 99.0)
+    serving_scheduler.shared.merge(undone, NOW_S)
+    serving_scheduler.fleet.put(builders.entry("e5", version="v2"), 0.0)
+    assert _reasons(serving_scheduler)["e5"] == "other version"
+    assert _reasons(serving_scheduler)["e1"] == ""
