Let events behind a break in one piece speak against an end

What callers saw: a run sent events 1 and 2, then bytes that do not follow (event 2 once more, or an event without an id) and event 3, in one piece; the run was given up, another one went on without events, and the stream ended as whole without event 3.

Evidence: in tests/gateway/test_lost_events.py 2 new cases failed before and pass now, 2 more hold the other side (events that the caller has are not missing). test_caller_resumes, test_exchange_streams, test_kept_failures, test_kept_attempts, test_attempts_beside and test_partial_answers pass.

Why it works: an event of the piece with a later number than the last one that was passed on can only be one that the caller lacks.

--- a/packages/gateway/src/fireflypulley/gateway/relay.py
+++ b/packages/gateway/src/fireflypulley/gateway/relay.py
@@ -187,12 +187,21 @@
         except InvalidStream:
             # A resumed stream goes on after the last event that counts,
             # so the caller must get all up to it.
+            self._note_later(complete)
             self._flush_events(count)
             raise
         if complete:
             self._flush_events(count)
         return bool(complete)
 
+    def _note_later(self, complete: list[events.Event]) -> None:
+        """Record an event that came with those that can't be passed on."""
+        followed_id = self._followed_id
+        if followed_id is None:
+            return
+        if any((one.event_id or 0) > followed_id for one in complete):
+            self._missing_after = self.event_count
+
     def _check_begun(self) -> None:
         """Check what has arrived of an event that is not complete."""
         splitter = self._part.splitter
--- a/tests/gateway/test_lost_events.py
+++ b/tests/gateway/test_lost_events.py
@@ -190,3 +190,32 @@
     first.listener.response_data(_events(1, 2) + LARGE % number)
     exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
     assert (world.sink.state, world.sink.body) == ("whole", _events(1, 2))
+
+
+BREAKS = [
+    pytest.param(_events(2), id="an event again"),
+    pytest.param(b"data: x\n\n", id="an event without an id"),
+]
+
+
+# Guards against a stream that looks whole without the events that came in one
+# piece behind bytes that break the rules.
+@pytest.mark.parametrize("bad", BREAKS)
+def test_an_event_behind_a_break_is_missing(bad):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2) + bad + _events(3))
+    assert first.aborted
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert (world.sink.state, world.sink.body) == ("cut", _events(1, 2))
+
+
+@pytest.mark.parametrize("bad", BREAKS)
+def test_an_event_behind_a_break_that_the_caller_has_is_not_missing(bad):
+    world = exchanges.World(exchanges.STREAM, resumable=True, max_attempts=2)
+    first = world.begin()
+    first.listener.response_head(200, list(CHUNKED))
+    first.listener.response_data(_events(1, 2) + bad + _events(1, 2))
+    exchanges.answer(world.sent[-1], body=b"", headers=CHUNKED)
+    assert (world.sink.state, world.sink.body) == ("whole", _events(1, 2))
