Bound the starts that a suspicion names

What operators would see: a request that is sent often has a copy at each endpoint that crashes; its suspicion, which is renewed by each crash and sent to all nodes, named each of them (1000 names after 1000 crashes).

Cause: adds a name for each crash and drops none before the fact lapses, SUSPECT_S or QUARANTINE_S after the last crash.

Evidence: test_what_is_kept_of_the_crashes_of_a_request_is_bounded could not pass before (there was no bound); it passes now.

Why it works: a name counts only within SAME_CRASH_S of the last crash, in which fewer than MAX_STARTS endpoints crash with a copy of one request; with more of them a crash may be counted twice, as it was for all before.

--- a/packages/core/src/fireflypulley/core/poison.py
+++ b/packages/core/src/fireflypulley/core/poison.py
@@ -18,6 +18,8 @@
 SAME_CRASH_S = 1.5
 """Nodes count one crash within this time of each other; an endpoint whose
 entry is not new yet is back no sooner."""
+MAX_STARTS = 16
+"""More than crash in that time, with a copy of one request at each."""
 
 
 def _duration_s(crashes: int) -> float:
@@ -97,7 +99,8 @@
         crashes = self._crashes(fingerprint, now_s)
         if isolated or crashes < CRASHES_TO_SUSPECT:
             crashes += 1
-            starts += (start,) if start else ()
+            if start:
+                starts = (*starts, start)[-MAX_STARTS:]
         until_s = now_s + _duration_s(crashes)
         return facts.Suspicion(fingerprint, crashes, until_s, starts)
 
--- a/tests/core/gateway/test_crash_tracker.py
+++ b/tests/core/gateway/test_crash_tracker.py
@@ -81,3 +81,15 @@
     later_s = 2.0 + poison.SUSPECT_S
     nodes.shared[0].expire(later_s)
     assert nodes.crashed(0, "e1/1", later_s) == 1
+
+
+# Guards against a fact that grows all day: a request that is sent often has a
+# copy at each endpoint that crashes.
+def test_what_is_kept_of_the_crashes_of_a_request_is_bounded():
+    nodes = Nodes(1)
+    for number in range(1000):
+        nodes.crashed(0, f"e{number}/1", float(number))
+    fact = nodes.shared[0].get("suspicion", "f")
+    assert fact.crashes == 1000
+    assert len(fact.starts) <= poison.MAX_STARTS
+    assert nodes.crashed(0, "e999/1", 999.5) == 1000
