Heed an answer that says leaving though no room is left

What callers saw: with 4096 reports within a minute (more than a deployment should have), a node went on using an endpoint whose own answer had said that it leaves.

Cause: asked for room in the table of reports before it told the fleet, which needs none of that table.

Evidence: test_an_answer_counts_although_no_room_is_left failed before and passes now.

Why it works: what is said is applied and passed on whether or not it can be kept for nodes that start; the fleet knows what is no news, so that no report goes round.

--- a/packages/core/src/fireflypulley/core/gateway/leaving_reports.py
+++ b/packages/core/src/fireflypulley/core/gateway/leaving_reports.py
@@ -60,10 +60,9 @@
         self._forget_old(now_s)
         if report.key in self._said_s:
             return False
-        if len(self._said_s) >= MAX_REPORTS:
-            return False
         said_s = now_s - report.age_s
-        self._said_s[report.key] = said_s
+        if len(self._said_s) < MAX_REPORTS:
+            self._said_s[report.key] = said_s
         return self._fleet.note_says_leaving(report.key, said_s)
 
     def known(self, now_s: float) -> tuple[LeavingReport, ...]:
--- a/tests/core/gateway/test_leaving_reports.py
+++ b/tests/core/gateway/test_leaving_reports.py
@@ -78,3 +78,14 @@
     for number in range(leaving_reports.MAX_REPORTS + 10):
         reports.merge(leaving_reports.LeavingReport(f"x{number}", 1), 5.0)
     assert len(reports.known(5.0)) == leaving_reports.MAX_REPORTS
+
+
+# Guards against requests for an endpoint that has told this node that it
+# leaves: what others report had taken the room.
+def test_an_answer_counts_although_no_room_is_left():
+    known, reports = _reports("e1")
+    for number in range(leaving_reports.MAX_REPORTS):
+        reports.merge(leaving_reports.LeavingReport(f"x{number}", 1), 5.0)
+    assert reports.note_answer(("e1", 1), 5.0) is not None
+    assert not known.is_in_use(known.get("e1"), 5.0)
+    assert reports.note_answer(("e1", 1), 5.5) is None
