Hand no stream with events over to a node of an older build

An older node goes on from the number of events instead, and a fetch after an id that it does not find begins with whatever comes next.

The new test of test_handovers.py failed before and passes now. Between nodes of this build handovers go on: the 2 tests of leaving nodes in tests/processes/test_jobs.py and the 4 in test_returning_callers.py pass, with tests/daemon, nodes and callers.

Why it works: nodes say in their handshake that they go on with the ids; to others only a run without events goes. One with events ends at the leaving node, or is cut as it stops, which is seen. Jobs are handed over as before: their texts are read without ids.

Changed test: the double of the hub in test_shutdown.py says now that n2 is a node of this build, as those tests take it to be (3 failed without).

--- a/packages/daemon/src/fireflypulley/daemon/app.py
+++ b/packages/daemon/src/fireflypulley/daemon/app.py
@@ -101,6 +101,7 @@
             self._config.node.dial,
             self._peer_dispatcher,
             self._core.state.members.node,
+            (handovers.RUN_IDS_FEATURE,),
         )
         self._registry = registry.Registry(
             self._loop, self._config.limits.kept_answer_s
--- a/packages/daemon/src/fireflypulley/daemon/handovers.py
+++ b/packages/daemon/src/fireflypulley/daemon/handovers.py
@@ -21,6 +21,8 @@
 from fireflypulley.nodes import messages
 
 HANDOVER_TIMEOUT_S = 2.0
+RUN_IDS_FEATURE = "run-ids"
+"""Nodes that go on with the ids of the events that are handed over."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +76,10 @@
         task = self._registry.by_id(action.request_id)
         if task is None or action.request_id in self._offers:
             return
+        if task.tokens and not self._reads_ids(action.to_node):
+            detail = f"node {action.to_node!r} numbers events from 0"
+            logs.note("handover", action.request_id, "withheld", detail)
+            return
         self._loop.feed(events.HandedOver(action.request_id))
         message = messages.Handover(
             task.request,
@@ -84,6 +90,9 @@
         )
         self._send(action.request_id, action.to_node, message)
 
+    def _reads_ids(self, node_id: str) -> bool:
+        return node_id in self._streams.peers_with(RUN_IDS_FEATURE)
+
     def _offer_job(self, action: actions.HandOverJob) -> None:
         job = action.job
         request = job_rows.request_of(job)
--- a/tests/daemon/test_handovers.py
+++ b/tests/daemon/test_handovers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fireflypulley.callers import events as sse
+from fireflypulley.core import actions
 from fireflypulley.core import requests
 from fireflypulley.core import topology
 from fireflypulley.daemon import tasks
@@ -112,3 +113,29 @@
     assert not receiver.offer("r1", "abc")
     assert receiver.app._registry.by_key(KEY) is task
     assert not receiver.begun
+
+
+def _offered(receiver, texts, features):
+    """Return what a leaving node sends to a node with some features."""
+    receiver.hold("r1", texts)
+    receiver.app._hub.peers_with = lambda feature: (
+        ["n2"] if feature in features else []
+    )
+    receiver.app._handovers._offer(actions.HandOver("r1", "n2"))
+    return [type(message) for message in receiver.sent[-1:]]
+
+
+# Guards against events that are lost without a word: a node of an older
+# version goes on with ids from 0, and does not find what the caller lacks.
+def test_a_stream_with_events_is_not_handed_to_an_older_node(receiver):
+    assert _offered(receiver, "abc", ()) == []
+    assert len(receiver.app._handovers) == 0
+
+
+def test_a_stream_with_events_is_handed_to_a_node_that_reads_its_ids(receiver):
+    features = receiver.app._hub.features
+    assert _offered(receiver, "abc", features) == [messages.Handover]
+
+
+def test_a_stream_without_events_is_handed_to_an_older_node(receiver):
+    assert _offered(receiver, "", ()) == [messages.Handover]
--- a/tests/daemon/test_shutdown.py
+++ b/tests/daemon/test_shutdown.py
@@ -54,6 +54,10 @@
     def send(self, node_id, message):
         self.sent.append((node_id, message))
 
+    def peers_with(self, feature):
+        """Return the nodes of this version."""
+        return ["n2"]
+
     def of_kind(self, kind):
         return [(to, one) for to, one in self.sent if isinstance(one, kind)]
 
@@ -93,6 +97,7 @@
         self.app = app.App(self.reactor, settings.parse(text, "n1.ini"))
         self.streams = Streams()
         self.app._hub.send = self.streams.send
+        self.app._hub.peers_with = self.streams.peers_with
         self.app._core.state.members.set_listed_nodes(
             (topology.Node("n2", "127.0.0.1:4", "b", "local"),)
         )
