Keep a published verdict for as long as its order stands

What callers would see: an hour after a rollout was done (its order still stood), the holder of the duty wrote "undone" over "done", and told all nodes so as published: no endpoint was left that may serve.

Cause: what nodes know of a phase lapses after FACT_TTL_S (3600 s). The rollout was in its trial again, past its deadline; a holder that had taken the duty over has no evidence, which is undone at the deadline.

Evidence: test_a_published_verdict_holds_as_long_as_its_order failed before ("undone" in the store) and passes now; test_rollout_controller, test_versions, test_endpoint_filter, test_status and test_codec pass.

Why it works: the holder keeps what the store has beside the order itself, decides nothing any more, and tells the verdict again once it has lapsed.

--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -82,7 +82,8 @@
 class Rollout:
     """An order to roll a service out to a version, as known here.
 
-    ``order_version`` is the version of the row that holds the order.
+    ``order_version`` is the version of the row that holds the order;
+    ``verdict`` is what this node knows the store to have.
     """
 
     rollout_id: str
@@ -94,6 +95,7 @@
     sequence: int = 0
     told_s: float = float("-inf")
     is_changed: bool = False
+    verdict: Phase | None = None
 
     @property
     def deadline_s(self) -> float:
@@ -202,7 +204,9 @@
         fact = PhaseReached(
             rollout.rollout_id, phase, now_s + FACT_TTL_S, is_published=True
         )
-        return fact if self._shared.merge(fact, now_s) else None
+        is_news = self._shared.merge(fact, now_s)
+        rollout.verdict = self.phase(rollout)
+        return fact if is_news else None
 
     def evidence(self, rollout: Rollout) -> tuple[int, bool]:
         """Return the new version's answer count, and whether it is bad."""
@@ -342,7 +346,12 @@
     def advance(
         self, rollout: Rollout, own_old_running: int, now_s: float
     ) -> PhaseReached | None:
-        """Advance a rollout if it is time; return the phase reached."""
+        """Advance a rollout if it is time; return the phase reached.
+
+        A verdict that is published is told again once it has lapsed.
+        """
+        if rollout.verdict is not None:
+            return self.confirm(rollout, rollout.verdict, now_s)
         left_s = rollout.deadline_s - now_s
         phase = self.phase(rollout)
         finding = self._evidence.finding(rollout.rollout_id)
--- a/tests/gateway/test_rollout_controller.py
+++ b/tests/gateway/test_rollout_controller.py
@@ -223,3 +223,20 @@
     holder.tick(2, 3.0)
     assert store.state == "done"
     assert _phase(holder) is versions.Phase.DONE
+
+
+# Guards against a service without a version an hour after its rollout: what
+# nodes know of a phase lapses, and a holder without evidence undid it.
+def test_a_published_verdict_holds_as_long_as_its_order():
+    store, former, holder = _nodes()
+    former.reach(versions.Phase.DONE)
+    former.tick(1)
+    holder.tick(2)
+    assert _phase(holder) is versions.Phase.DONE
+    for _ in range(3):
+        holder.clock.advance(versions.FACT_TTL_S + 1.0)
+        holder.scheduler.shared.expire(holder.clock.seconds())
+        holder.tick(2)
+        holder.tick(2)
+        assert store.state == "done"
+        assert _phase(holder) is versions.Phase.DONE
