--- a/packages/core/src/fireflypulley/core/gateway/versions.py
+++ b/packages/core/src/fireflypulley/core/gateway/versions.py
@@ -82,7 +82,8 @@
 class Rollout:
     """An order to roll a service out to a version, as known here.
 
-    ``order_version`` is the version of the row that holds the order.
+    ``order_version`` is the version of the row that holds the order;
+    ``verdict`` is what this node knows the store to have.
     """
 
     rollout_id: str
@@ -94,6 +95,7 @@
     sequence: int = 0
     told_s: float = float("-inf")
     is_changed: bool = False
+    verdict: Phase | None = None
 
     @property
     def deadline_s(self) -> float:
@@ -202,7 +204,9 @@
         fact = PhaseReached(
             rollout.rollout_id, phase, now_s + FACT_TTL_S, is_published=True
         )
-        return fact if self._shared.merge(fact, now_s) else None
+        is_news = self._shared.merge(fact, now_s)
+        rollout.verdict = self.phase(rollout)
+        return fact if is_news else None
 
     def evidence(self, rollout: Rollout) -> tuple[int, bool]:
         """Return the new version's answer count, and whether it is bad."""
@@ -212,12 +216,17 @@
     # Routing
 
     def allowed(
-        self, service: str, request_id: str, members: list[fleet.Member]
+        self,
+        service: str,
+        request_id: str,
+        members: list[fleet.Member],
+        in_use: collections.abc.Iterable[fleet.Member] | None = None,
     ) -> list[fleet.Member]:
         """Return the endpoints whose version may run a request.
 
         A node that has undone a rollout by its own evidence may not know
-        that it is done; then only the new version is left.
+        that it is done; then only the new version is left of all that are
+        ``in_use``, by default the members.
         """
         rollout = self._rollouts.get(service)
         if rollout is None:
@@ -230,7 +239,10 @@
         old = [member for member in members if member not in new]
         phase = self.phase(rollout)
         if phase is Phase.UNDONE:
-            return old if old or self._is_published(rollout) else new
+            others = members if in_use is None else in_use
+            if old or not self._may_be_done(rollout, others):
+                return old
+            return new
         if phase in (Phase.MOVING, Phase.DONE) or not old:
             return new
         point = ownership.fraction(f"{request_id}/trial")
@@ -238,6 +250,18 @@
             return new
         return old
 
+    def _may_be_done(
+        self, rollout: Rollout, in_use: collections.abc.Iterable[fleet.Member]
+    ) -> bool:
+        """Return whether others may have done what this node has undone."""
+        if self._is_published(rollout):
+            return False
+        return not any(
+            member.registration.service == rollout.service
+            and member.registration.version != rollout.target
+            for member in in_use
+        )
+
     def _trial_share(self, rollout: Rollout) -> float:
         if self._evidence.finding(rollout.rollout_id).answers < TRIAL_ANSWERS:
             return TRIAL_SHARE
@@ -322,7 +346,12 @@
     def advance(
         self, rollout: Rollout, own_old_running: int, now_s: float
     ) -> PhaseReached | None:
-        """Advance a rollout if it is time; return the phase reached."""
+        """Advance a rollout if it is time; return the phase reached.
+
+        A verdict that is published is told again once it has lapsed.
+        """
+        if rollout.verdict is not None:
+            return self.confirm(rollout, rollout.verdict, now_s)
         left_s = rollout.deadline_s - now_s
         phase = self.phase(rollout)
         finding = self._evidence.finding(rollout.rollout_id)
