Tell all nodes that a request was answered after its crashes

Cause: endpoints that dropped their connections looked like crashes, and four of them quarantine a request. A node that has seen it answered in full since lets it pass, but told no other: a node that starts hears of the crashes alone, and refuses before it can see an answer.

Now the suspicion itself says that the request was answered; a node that has seen the answer says so again if another one counts a crash beside it. The field is optional; older nodes go on as before.

Evidence: test_a_starting_node_hears_of_an_answer_after_the_crashes failed before; four new tests pass, as do tests/core/gateway, tests/nodes and the tests of exchanges and of networks of nodes.

--- a/packages/core/src/fireflypulley/core/facts.py
+++ b/packages/core/src/fireflypulley/core/facts.py
@@ -78,13 +78,15 @@
     """The number of endpoints that crashed while running a request.
 
     ``starts`` names the crashed starts of endpoints, as far as the nodes
-    that counted them know their starts apart.
+    that counted them know their starts apart.  ``is_cleared`` is whether
+    the request was answered in full after a crash.
     """
 
     fingerprint: str
     crashes: int
     until_s: float
     starts: tuple[str, ...] = ()
+    is_cleared: bool = False
 
     @property
     def key(self) -> tuple[str, ...]:
@@ -92,7 +94,7 @@
 
     @property
     def rank(self) -> tuple[float, ...]:
-        return (self.crashes, self.until_s)
+        return (self.crashes, self.is_cleared, self.until_s)
 
     @property
     def expires_s(self) -> float:
--- a/packages/core/src/fireflypulley/core/gateway/attempt_evaluator.py
+++ b/packages/core/src/fireflypulley/core/gateway/attempt_evaluator.py
@@ -131,7 +131,7 @@
         if outcome is calls.Outcome.COMPLETE:
             run.load.succeeded()
             self._observe_duration(run, now_s)
-            self._crashes.answered(request.fingerprint)
+            self._crashes.answered(request.fingerprint, now_s)
         elif outcome is calls.Outcome.NOT_RUN:
             run.load.full_until_s = now_s + FULL_BACKOFF_S
             self._brittle.note_refused(run.member, now_s)
--- a/packages/core/src/fireflypulley/core/poison.py
+++ b/packages/core/src/fireflypulley/core/poison.py
@@ -102,7 +102,10 @@
             if start:
                 starts = (*starts, start)[-MAX_STARTS:]
         until_s = now_s + _duration_s(crashes)
-        return facts.Suspicion(fingerprint, crashes, until_s, starts)
+        is_cleared = known is not None and known.is_cleared
+        return facts.Suspicion(
+            fingerprint, crashes, until_s, starts, is_cleared
+        )
 
     def record_answer(self, fingerprint: str, now_s: float) -> None:
         """Clear the suspicion of a request that has been completed."""
--- a/packages/gateway/src/fireflypulley/gateway/peer_sync.py
+++ b/packages/gateway/src/fireflypulley/gateway/peer_sync.py
@@ -274,6 +274,7 @@
         self._scheduler.limits.limiter.mark_reported()
         self._forward_states()
         self.publish(self._scheduler.rollouts.updates(now_s))
+        self.publish(self._scheduler.crash_tracker.updates(now_s))
         self.nodes_changed()
 
     def _update_node_counts(self) -> None:
--- a/tests/core/gateway/test_crash_tracker.py
+++ b/tests/core/gateway/test_crash_tracker.py
@@ -93,3 +93,50 @@
     assert fact.crashes == 1000
     assert len(fact.starts) <= poison.MAX_STARTS
     assert nodes.crashed(0, "e999/1", 999.5) == 1000
+
+
+# Guards against a node that refuses, from its start on, what the others
+# have seen answered and serve (soak, all, seed 5015).
+def test_a_starting_node_hears_of_an_answer_after_the_crashes():
+    nodes = Nodes(2)
+    for number in range(MOST):
+        nodes.crashed(0, f"e{number}/1")
+    nodes.trackers[0].answered("f", 1.5)
+    starting = facts.SharedState()
+    for fact in nodes.shared[0].snapshot():
+        starting.merge(fact, 2.0)
+    assert not crash_tracker.CrashTracker(starting).is_quarantined("f", 2.0)
+
+
+def test_the_other_nodes_are_told_once_of_an_answer():
+    nodes = Nodes(2)
+    for number in range(MOST):
+        nodes.crashed(0, f"e{number}/1")
+    nodes.trackers[0].answered("f", 1.5)
+    (fact,) = nodes.trackers[0].updates(2.0)
+    assert nodes.trackers[0].updates(2.0) == []
+    assert nodes.trackers[1].is_quarantined("f", 2.0)
+    nodes.shared[1].merge(fact, 2.0)
+    assert not nodes.trackers[1].is_quarantined("f", 2.0)
+
+
+def test_an_answer_counts_though_another_node_counts_a_crash_beside_it():
+    nodes = Nodes(2)
+    for number in range(MOST - 1):
+        nodes.crashed(0, f"e{number}/1")
+    crash = nodes.trackers[1].crashed("f", 1.4, "e9/1")
+    nodes.trackers[0].answered("f", 1.5)
+    (answer,) = nodes.trackers[0].updates(1.6)
+    nodes.shared[1].merge(answer, 1.6)
+    nodes.shared[0].merge(crash, 1.6)
+    assert nodes.trackers[1].is_quarantined("f", 1.7)
+    (again,) = nodes.trackers[0].updates(1.7)
+    nodes.shared[1].merge(again, 1.7)
+    assert not nodes.trackers[1].is_quarantined("f", 1.7)
+
+
+def test_an_answer_to_a_request_without_crashes_is_no_news():
+    nodes = Nodes(1)
+    nodes.trackers[0].answered("f", 1.0)
+    assert nodes.trackers[0].updates(1.0) == []
+    assert nodes.crashed(0, "e1/1", 2.0) == 1
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -32,6 +32,7 @@
     facts.Leaving("e", 5.0),
     facts.Suspicion("f", 2, 9.0),
     facts.Suspicion("f", 3, 9.0, ("e/5",)),
+    facts.Suspicion("f", 3, 9.0, ("e/5",), True),
     facts.Evidence(
         "r",
         "n",
