--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -8,9 +8,12 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+STEAL = ("--dist", "worksteal")
+"""A worker that is done takes tests of one that is not, since some tests
+take a minute and most a moment."""
 PHASES = (
-    ["-m", "not processes and not crowds", "-n", "6"],
-    ["-m", "processes", "-n", "3"],
+    ["-m", "not processes and not crowds", "-n", "6", *STEAL],
+    ["-m", "processes", "-n", "3", *STEAL],
     ["-m", "crowds"],
 )
 
