Tell starting nodes no report of leaving that is too old

What operators saw: a node that starts may log a report as refused for its age, though its sender is sound.

Cause: old reports are dropped in the order of their arrival; one that was 50 s old as it came behind a young one was told with 75 s, of 60 at most.

Why it works: what is told is chosen by its age.

--- a/packages/core/src/fireflypulley/core/gateway/leaving_reports.py
+++ b/packages/core/src/fireflypulley/core/gateway/leaving_reports.py
@@ -71,6 +71,7 @@
         return tuple(
             LeavingReport(*key, max(0.0, now_s - said_s))
             for key, said_s in self._said_s.items()
+            if now_s - said_s <= KEPT_S
         )
 
     def _forget_old(self, now_s: float) -> None:
--- a/tests/core/gateway/test_leaving_reports.py
+++ b/tests/core/gateway/test_leaving_reports.py
@@ -89,3 +89,15 @@
     assert reports.note_answer(("e1", 1), 5.0) is not None
     assert not known.is_in_use(known.get("e1"), 5.0)
     assert reports.note_answer(("e1", 1), 5.5) is None
+
+
+# Guards against reports that a starting node refuses: an old one that came
+# behind a young one.
+def test_a_starting_node_is_told_nothing_that_is_too_old():
+    _, reports = _reports()
+    reports.note_answer(("e1", 1), 5.0)
+    age_s = leaving_reports.KEPT_S - 10.0
+    reports.merge(leaving_reports.LeavingReport("e2", 1, age_s), 5.0)
+    (report,) = reports.known(30.0)
+    assert report.endpoint_id == "e1"
+    report.check()
