--- a/tests/core/gateway/paced_fleets.py
+++ b/tests/core/gateway/paced_fleets.py
@@ -1,13 +1,17 @@
-from fireflypulley.core.gateway import node_shares
-
 """Nodes that send to an endpoint which takes a rate of all together."""
 
 import dataclasses
 
+from fireflypulley.core.gateway import brittle_endpoints
+from fireflypulley.core.gateway import fleet
+from fireflypulley.core.gateway import node_shares
 
+from . import builders
 from . import fleets
 
 COLD_PER_S = 9.1
+REFUSALS_PER_S = 4.0
+ENDPOINT = fleet.Member(builders.entry("e1"))
 SECOND_S = 1.0
 DELAY_S = 0.02
 
@@ -48,6 +52,24 @@
         return True
 
 
+class BrittleNode(ColdNode):
+    """A node whose only endpoint is brittle and full."""
+
+    def begin_pacing(self):
+        """Forget what was sent."""
+        self.brittle = brittle_endpoints.BrittleEndpoints(self.node_id)
+
+    def may_send(self, nodes, clock_s):
+        """Return whether a request may be sent, and count it."""
+        self.brittle.note_answer("s", REFUSALS_PER_S, clock_s)
+        running = ENDPOINT.registration.slots
+        target = (ENDPOINT, running, nodes, clock_s)
+        if not self.brittle.may_send(*target):
+            return False
+        self.brittle.note_sent(*target)
+        return True
+
+
 class ColdFleet(fleets.Fleet):
     """Nodes of which all want to send to the endpoint."""
 
@@ -75,3 +97,9 @@
             )
             for first in self.arrivals
         )
+
+
+class BrittleFleet(ColdFleet):
+    """Nodes whose only endpoint is brittle and full."""
+
+    node_type = BrittleNode
--- a/tests/core/gateway/test_paced_model.py
+++ b/tests/core/gateway/test_paced_model.py
@@ -17,3 +17,13 @@
     fleet = paced_fleets.ColdFleet(seed, nodes, PER_S)
     fleet_faults.play(fleet)
     assert 0 < fleet.most_in_a_second <= COLD_BOUND
+
+
+# Known red in part: with twelve nodes the parts of a small number are whole
+# requests, of which several fall into one second.
+@pytest.mark.parametrize("nodes", [6, 12])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_brittle_endpoint_refuses_what_it_may_through_faults(seed, nodes):
+    fleet = paced_fleets.BrittleFleet(seed, nodes, PER_S)
+    fleet_faults.play(fleet)
+    assert 0 < fleet.most_in_a_second <= paced_fleets.REFUSALS_PER_S
