Try a port again that is taken between bind and listen

What callers would see: a node whose process raised as it started, or which did not try again and could not stop in order, if another process began to listen on its address just after it had bound it.

Cause: only twisted's CannotListenError was caught; it wraps what bind raises, but not listen, which raises OSError (tried with two sockets: both bind, the second listen says "Address already in use").

Evidence: test_a_port_that_is_taken_while_it_is_opened_is_tried_again failed before (OSError) and passes now, with the rest of test_node_port and test_service.

Why it works: both are waited for alike. The race itself was not played.

--- a/packages/gateway/src/fireflypulley/gateway/node_port.py
+++ b/packages/gateway/src/fireflypulley/gateway/node_port.py
@@ -49,7 +49,8 @@
             port = self._reactor.listenTCP(
                 address.port, self._factory, listening.BACKLOG, address.host
             )
-        except error.CannotListenError as problem:
+        except (error.CannotListenError, OSError) as problem:
+            # To listen may fail though to bind did not.
             self._wait(problem)
             return
         if self.is_taken:
@@ -72,7 +73,7 @@
         port, self._port = self._port, None
         return port
 
-    def _wait(self, problem: error.CannotListenError) -> None:
+    def _wait(self, problem: Exception) -> None:
         if not self.is_taken:
             self._note("taken", problem=str(problem))
         self._retry = self._reactor.callLater(RETRY_INTERVAL_S, self.open)
--- a/tests/gateway/test_node_port.py
+++ b/tests/gateway/test_node_port.py
@@ -18,9 +18,12 @@
     def __init__(self):
         super().__init__()
         self.is_taken = False
+        self.problem = None
         self.opened = []
 
     def listenTCP(self, port, factory, backlog=50, interface=""):
+        if self.problem is not None:
+            raise self.problem
         if self.is_taken:
             raise error.CannotListenError(interface, port, OSError("in use"))
         self.opened.append((interface, port))
@@ -108,3 +111,19 @@
     assert reactor.opened == [(number, socket.AF_INET)]
     assert opened.fileno() == -1
     assert port.is_open
+
+
+# Guards against a port that is never opened, as another process began to
+# listen just after this one had bound the address.
+def test_a_port_that_is_taken_while_it_is_opened_is_tried_again(
+    reactor, lines
+):
+    reactor.problem = OSError("in use")
+    port = _port(reactor)
+    port.open()
+    reactor.pump([node_port.RETRY_INTERVAL_S] * 3)
+    assert port.is_taken
+    assert [line["state"] for line in lines] == ["taken"]
+    reactor.problem = None
+    reactor.pump([node_port.RETRY_INTERVAL_S])
+    assert port.is_open
