Wait for the line of a caller that is ended as too slow

test_a_caller_that_never_reads_is_ended_as_too_slow failed once in a run of all process tests beside other load: no line was in the log when the caller's socket had ended. The node closes the socket first and writes the line as the connection is lost, so the test may look too early; that this was the case is by reading, the log of that run was not kept.

--- a/tests/processes/test_slow_tunnel_callers.py
+++ b/tests/processes/test_slow_tunnel_callers.py
@@ -128,6 +128,12 @@
     assert events == wanted_events
 
 
+def _lines(node, text):
+    """Return the lines of a node's log that hold a text."""
+    lines = node.log.read_text().splitlines()
+    return [line for line in lines if text in line]
+
+
 # Guards against a caller that holds an endpoint and a tunnel for ever, and
 # against one that is taken for dead while it acknowledges.
 def test_a_caller_that_never_reads_is_ended_as_too_slow(stranded):
@@ -137,7 +143,8 @@
         poll.register(caller, ENDED)
         assert not poll.poll(ALIVE_S * 1000)
         assert poll.poll(ENDED_WITHIN_S * 1000)
-    lines = stranded.log.read_text().splitlines()
-    (line,) = [line for line in lines if '"too slow"' in line]
+    # The caller sees its end before the node has written the line.
+    found = local.wait_for("a line", lambda: _lines(stranded, '"too slow"'))
+    (line,) = found
     assert '"message_type":"caller"' in line
     _wait_answered(stranded)
